--- /dev/null
+++ b/src/main/java/clayhook/Command.java
@@ -0,0 +1,28 @@
+package clayhook;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One command in hand. Times are clock times in seconds. */
+public final class Command {
+    public final CommandGroup group;
+    public final int nodeGroup;
+    /** The session it belongs to, or null. */
+    public final String session;
+    /** When the session's last write was committed, where commands carry that; 0 for never. */
+    public final double wroteAt;
+    public final double arrived;
+    /** When the client gives up. */
+    public final double expires;
+    public final List<Dispatch> dispatches = new ArrayList<>();
+
+    public Command(CommandGroup group, int nodeGroup, String session, double wroteAt, double arrived,
+            double expires) {
+        this.group = group;
+        this.nodeGroup = nodeGroup;
+        this.session = session;
+        this.wroteAt = wroteAt;
+        this.arrived = arrived;
+        this.expires = expires;
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/Decide.java
@@ -0,0 +1,657 @@
+package clayhook;
+
+import clayhook.Choice.Verdict;
+import clayhook.CommandGroup.Effect;
+import clayhook.CommandGroup.ReadLevel;
+import clayhook.CommandGroup.Scope;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/**
+ * All decisions of one router. A front asks {@link #where} for each command taken, {@link #after} for each
+ * outcome and {@link #pause} once it has told all it heard; when the pause is over it asks {@link #where} again
+ * for every command in hand. News comes by {@link #listed}, {@link #listFailed} and {@link #probed}; a killed
+ * router simply loses its object. The values spoken in are the other types of this package. The design and its
+ * exceptions are in docs/design.md.
+ */
+public final class Decide {
+
+    /** What this router knows of one member of a group of nodes. Kept while the node list or a dispatch has it. */
+    private static final class Row {
+        final Node node;
+        Listing listing;
+        /** Told that it drains, or is gone where that binds. */
+        boolean closed;
+        double position;
+        /** The last answer or probe, and the last answer to a dispatch. */
+        double heardAt = Double.NEGATIVE_INFINITY;
+        double answeredAt = Double.NEGATIVE_INFINITY;
+        /** The times of the newest evidence that it is primary, and that it is not. */
+        double primaryAt = Double.NEGATIVE_INFINITY;
+        double replicaAt = Double.NEGATIVE_INFINITY;
+        /** Dispatches out, oldest first; each leaves with its outcome. */
+        final ArrayDeque<Dispatch> out = new ArrayDeque<>();
+        double window = FIRST_WINDOW;
+        double narrowedAt = Double.NEGATIVE_INFINITY;
+        int strikes;
+        double failedAt = Double.NEGATIVE_INFINITY;
+        double returnedAt = Double.NEGATIVE_INFINITY;
+        double errorShare;
+        double benchedUntil = Double.NEGATIVE_INFINITY;
+        double probedAt = Double.NEGATIVE_INFINITY;
+        boolean probing;
+        /** Mean work sent to it a second, and what a cold node may still be sent. */
+        double sentRate;
+        double sentRateAt;
+        double coldBudget;
+        double coldBudgetAt = Double.NEGATIVE_INFINITY;
+
+        Row(Node node) {
+            this.node = node;
+        }
+
+        boolean claimsPrimary() {
+            return primaryAt > replicaAt;
+        }
+    }
+
+    /** A group of nodes that hold the same data. */
+    private static final class Team {
+        final List<Row> rows = new ArrayList<>();
+        int turn;
+        /** The newest position told by its primary. */
+        double head;
+        /** No remembered write older than this is forgotten unless every read of a session must cover it. */
+        double forgotten;
+    }
+
+    /** What was measured of one command group. */
+    private static final class Pace {
+        double latency;
+    }
+
+    private record Wrote(Team team, double position) {
+    }
+
+    private final Settings settings;
+    private final Random random;
+    private final Map<Node, Row> rows = new LinkedHashMap<>();
+    private final Map<Integer, Team> teams = new LinkedHashMap<>();
+    private final Map<CommandGroup, Pace> paces = new LinkedHashMap<>();
+    /** The last write of each session, where this router must remember; emptied by age and by count. */
+    private final Map<String, Wrote> wrote = new LinkedHashMap<>();
+    private double extras = EXTRAS_CAP;
+    private double warmRate;
+    private double watchAt;
+    private boolean waiting;
+
+    public Decide(Settings settings, long seed) {
+        this.settings = settings;
+        random = new Random(seed);
+        watchAt = settings.listMustBeAsked() ? 0 : Double.POSITIVE_INFINITY;
+        for (CommandGroup group : settings.groups()) {
+            Pace pace = new Pace();
+            // A quarter of the response target until answers tell better: targets leave room for a queue.
+            pace.latency = group.responseTarget() / 4;
+            paces.put(group, pace);
+        }
+    }
+
+    // ---- where to send a command ----
+
+    /** Where to send this command now: a dispatch, not yet, or never. */
+    public Choice where(Command cmd, double now) {
+        if (now >= cmd.expires) {
+            return giveUp(cmd);
+        }
+        boolean out = cmd.dispatches.stream().anyMatch(d -> d.outcome == null);
+        // Guards against work for answers that earn nothing: what is past its target is given up at once.
+        if (hopeless(cmd, now, out)) {
+            return giveUp(cmd);
+        }
+        if (out && !secondCopyDue(cmd, now)) {
+            return notYet(false);
+        }
+        if (cmd.dispatches.size() >= settings.mostDispatches() || !mayRepeat(cmd, now)) {
+            return out ? notYet(false) : giveUp(cmd);
+        }
+        Team team = team(cmd.nodeGroup);
+        boolean extra = mayHaveRun(cmd);
+        if (extra && extras < 1) {
+            return out ? notYet(false) : giveUp(cmd);
+        }
+        Row row = cmd.group.primaryOnly() ? pickPrimary(cmd, team, now) : pickReader(cmd, team, now);
+        if (row == null) {
+            return notYet(!out);
+        }
+        if (extra) {
+            extras--;
+        } else if (cmd.dispatches.isEmpty()) {
+            extras = Math.min(EXTRAS_CAP, extras + EXTRAS_SHARE);
+        }
+        return send(cmd, row, now);
+    }
+
+    /** What trouble may add to the work: a fifth of the commands, and this many at once. */
+    private static final double EXTRAS_SHARE = 0.2;
+    private static final double EXTRAS_CAP = 30;
+
+    private Choice notYet(boolean held) {
+        waiting |= held;
+        return new Choice(Verdict.NOT_YET, null, 0, List.of());
+    }
+
+    private Choice send(Command cmd, Row row, double now) {
+        double work = paces.get(cmd.group).latency;
+        row.sentRate = decayed(row.sentRate, now - row.sentRateAt, RATE_MEMORY) + work / RATE_MEMORY;
+        row.sentRateAt = now;
+        row.coldBudget -= work;
+        Dispatch dispatch = new Dispatch(cmd, row.node, now, cmd.expires);
+        row.out.add(dispatch);
+        return new Choice(Verdict.SEND, dispatch, 0, List.of());
+    }
+
+    /** Long enough to average over the turns, short beside the time in which a node warms. */
+    private static final double RATE_MEMORY = 4;
+
+    private static double decayed(double value, double elapsed, double memory) {
+        return value * Math.exp(-Math.max(0, elapsed) / memory);
+    }
+
+    /** No answer that earns anything can be expected any more. */
+    private boolean hopeless(Command cmd, double now, boolean out) {
+        double useful = cmd.group.lateShare() > 0 ? cmd.expires
+                : Math.min(cmd.expires, cmd.arrived + cmd.group.responseTarget());
+        // What is out may come any moment; what is held needs at least half the usual time of an answer.
+        return now + (out ? 0 : paces.get(cmd.group).latency / 2) >= useful;
+    }
+
+    /** The final answer to a command that this router gives up: a throttle wherever the rules allow it. */
+    private Choice giveUp(Command cmd) {
+        boolean harmless = cmd.group.effect() == Effect.REPLAYABLE || !mayHaveRun(cmd)
+                || cmd.group.effect() == Effect.KEYED && cmd.group.repeatScope() == Scope.ALL;
+        List<Dispatch> recall = wantedNoLonger(cmd);
+        if (!harmless) {
+            return new Choice(Verdict.FAIL, null, 0, recall);
+        }
+        // About the time in which a full node works off its queue, spread so that clients do not return together.
+        double advice = Math.min(settings.longestAdvice(), cmd.group.responseTarget() * (0.5 + random.nextDouble()));
+        return new Choice(Verdict.THROTTLE, null, advice, recall);
+    }
+
+    private List<Dispatch> wantedNoLonger(Command cmd) {
+        if (!settings.mayCancel()) {
+            return List.of();
+        }
+        return cmd.dispatches.stream().filter(d -> d.outcome == null).toList();
+    }
+
+    private static boolean mayHaveRun(Command cmd) {
+        return cmd.dispatches.stream().anyMatch(d -> d.outcome == null || !d.outcome.neverRan);
+    }
+
+    /** Rule 2: a command that may have run goes out again only as its effect allows. */
+    private boolean mayRepeat(Command cmd, double now) {
+        if (cmd.group.effect() == Effect.REPLAYABLE || !mayHaveRun(cmd)) {
+            return true;
+        }
+        if (cmd.group.effect() == Effect.MUTATING) {
+            return false;
+        }
+        return now < firstThatMayHaveRun(cmd).sentAt + cmd.group.repeatWindow();
+    }
+
+    private static Dispatch firstThatMayHaveRun(Command cmd) {
+        return cmd.dispatches.stream().filter(d -> d.outcome == null || !d.outcome.neverRan).findFirst().orElse(null);
+    }
+
+    /** Rule 2: repeats of a keyed command stay among the nodes that drop them. */
+    private static boolean dropsRepeats(Command cmd, Row row) {
+        Dispatch first = cmd.group.effect() == Effect.KEYED ? firstThatMayHaveRun(cmd) : null;
+        if (first == null) {
+            return true;
+        }
+        return switch (cmd.group.repeatScope()) {
+            case ALL -> true;
+            case ZONE -> first.node.zone().equals(row.node.zone());
+            case GROUP -> first.node.group() == row.node.group();
+        };
+    }
+
+    /** A second copy is sent when the newest is far later than usual or its node has fallen silent. */
+    private boolean secondCopyDue(Command cmd, double now) {
+        if (!settings.secondCopies() || cmd.group.effect() == Effect.MUTATING) {
+            return false;
+        }
+        Dispatch last = cmd.dispatches.get(cmd.dispatches.size() - 1);
+        if (last.outcome != null) {
+            return false;
+        }
+        double usual = paces.get(cmd.group).latency;
+        Row row = rows.get(last.node);
+        if (cmd.group.primaryOnly()) {
+            return row != primary(cmd.nodeGroup);
+        }
+        return silent(row, now) || row.strikes >= STRIKES || now - last.sentAt > LATE * usual;
+    }
+
+    /** Three times the mean is past the 95th percentile of the usual spreads of work. */
+    private static final double LATE = 3;
+
+    // ---- choosing a member ----
+
+    private Row pickPrimary(Command cmd, Team team, double now) {
+        Row row = primary(cmd.nodeGroup);
+        // Guards against throwing writes at a dead or hung primary while its successor is elected.
+        if (row == null || row.strikes > 0 || silent(row, now) || !open(row) || !dropsRepeats(cmd, row)) {
+            return null;
+        }
+        return hasRoom(row, 1) && withinColdBudget(row, now) ? row : null;
+    }
+
+    private Row pickReader(Command cmd, Team team, double now) {
+        Row primary = primary(cmd.nodeGroup);
+        int size = team.rows.size();
+        for (int i = 1; i <= size; i++) {
+            int at = (team.turn + i) % size;
+            Row row = team.rows.get(at);
+            if (row != primary && calm(row, team, cmd, now) && covers(row, team, cmd, now) && takesTurn(row, now)) {
+                team.turn = at;
+                return row;
+            }
+        }
+        if (settings.replicasCheck()) {
+            Row ahead = null;
+            for (Row row : team.rows) {
+                if (row != primary && now >= row.benchedUntil && usable(row, cmd, now)
+                        && (ahead == null || row.position > ahead.position)) {
+                    ahead = row;
+                }
+            }
+            if (ahead != null) {
+                return ahead;
+            }
+        }
+        // The primary keeps half its room for what it alone can take.
+        return primary != null && primary.strikes == 0 && usable(primary, cmd, now) && hasRoom(primary, 0.5)
+                ? primary : null;
+    }
+
+    /** The two gates: measured lag, and time since this router heard of the replica. */
+    private boolean calm(Row row, Team team, Command cmd, double now) {
+        if (now < row.benchedUntil || now - row.heardAt > TIME_GATE || !usable(row, cmd, now)) {
+            return false;
+        }
+        return cmd.group.level() != ReadLevel.BOUNDED || team.head - row.position <= cmd.group.bound() * LAG_GATE;
+    }
+
+    /** The design's starting values: one second, and half the bound of the read. */
+    private static final double TIME_GATE = 1;
+    private static final double LAG_GATE = 0.5;
+
+    /** Rule 5: a position already told reaches what the read must see. Positions stay valid once told. */
+    private boolean covers(Row row, Team team, Command cmd, double now) {
+        return switch (cmd.group.level()) {
+            case ANY -> true;
+            case BOUNDED -> row.position >= now - cmd.group.bound();
+            case SESSION -> row.position >= sessionNeed(cmd, team);
+            case WRITE, FRESH -> false;
+        };
+    }
+
+    private double sessionNeed(Command cmd, Team team) {
+        if (settings.marksCarried()) {
+            return cmd.wroteAt > 0 ? cmd.wroteAt + 0.001 : 0; // the mark is told to a part of a millisecond
+        }
+        Wrote last = cmd.session == null ? null : wrote.get(cmd.session);
+        return Math.max(team.forgotten, last == null ? 0 : last.position);
+    }
+
+    private boolean usable(Row row, Command cmd, double now) {
+        return open(row) && row.strikes < STRIKES && (row.strikes == 0 || row.out.isEmpty())
+                && !silent(row, now) && hasRoom(row, 1) && untried(cmd, row) && dropsRepeats(cmd, row)
+                && withinColdBudget(row, now);
+    }
+
+    /** One failure can be chance; two in a row without an answer between are a state. */
+    private static final int STRIKES = 2;
+
+    /** Rule 3: nothing new once told that a node drains or is gone; the grace is left unused. */
+    private static boolean open(Row row) {
+        return !row.closed;
+    }
+
+    private static boolean untried(Command cmd, Row row) {
+        return cmd.dispatches.stream().noneMatch(d -> d.node.equals(row.node));
+    }
+
+    private static boolean hasRoom(Row row, double part) {
+        return row.out.size() < row.window * part;
+    }
+
+    /** Dispatches are out and nothing at all has come back for far longer than usual. */
+    private boolean silent(Row row, double now) {
+        Dispatch oldest = row.out.peek();
+        if (oldest == null) {
+            return false;
+        }
+        double patience = Math.max(PATIENCE, 3 * paces.get(oldest.command.group).latency);
+        return now - Math.max(row.answeredAt, oldest.sentAt) > patience;
+    }
+
+    /** Above the pauses that processes make in ordinary service, below the shortest response targets. */
+    private static final double PATIENCE = 0.2;
+
+    /** A node that was lost or is cold gets a growing part of its turns, so that it returns gradually. */
+    private boolean takesTurn(Row row, double now) {
+        double part = Math.min(warmth(row, now), 0.2 + 0.8 * (now - row.returnedAt) / RETURN_TIME);
+        return part >= 1 || random.nextDouble() < part;
+    }
+
+    /** A few seconds show whether a node that is back holds. */
+    private static final double RETURN_TIME = 4;
+
+    /** The part of its capacity that a node has at the least, by the time since its listed start. */
+    private double warmth(Row row, double now) {
+        double since = row.listing == null ? 0 : row.listing.startedAt();
+        if (since <= 0 || settings.warmAfter() <= 0) {
+            return 1;
+        }
+        double grown = Math.max(0, Math.min(1, (now - since) / settings.warmAfter()));
+        return settings.coldShare() + (1 - settings.coldShare()) * grown;
+    }
+
+    /** Rule 4: work for a cold node stays within this router's share of what would push it over. */
+    private boolean withinColdBudget(Row row, double now) {
+        double warmth = warmth(row, now);
+        if (warmth >= 1) {
+            return true;
+        }
+        double rate = warmth * settings.overloadFactor() * COLD_SAFETY * Math.max(warmRate, LEAST_RATE);
+        double most = rate * settings.overloadFor() * COLD_SAFETY;
+        double elapsed = now - row.coldBudgetAt;
+        row.coldBudget = Math.min(most, elapsed > settings.overloadFor() ? most : row.coldBudget + rate * elapsed);
+        row.coldBudgetAt = now;
+        return row.coldBudget > 0;
+    }
+
+    /** Warm nodes seldom bear more than their capacity, so half the multiple of their load leaves chance its room. */
+    private static final double COLD_SAFETY = 0.5;
+    /** Work a second that any node can do for one router: a twentieth of one core, when no warm node was seen. */
+    private static final double LEAST_RATE = 0.05;
+
+    private Team team(int group) {
+        return teams.computeIfAbsent(group, any -> new Team());
+    }
+
+    /** The member with the newest evidence of being primary; the list's word counts where none has any. */
+    private Row primary(int group) {
+        Row best = null;
+        for (Row row : team(group).rows) {
+            if (row.claimsPrimary() && (best == null || row.primaryAt > best.primaryAt)) {
+                best = row;
+            }
+        }
+        if (best == null) {
+            for (Row row : team(group).rows) {
+                if (row.listing != null && row.listing.primary() && row.replicaAt == Double.NEGATIVE_INFINITY) {
+                    best = row;
+                }
+            }
+        }
+        return best;
+    }
+
+    // ---- what to do after an outcome ----
+
+    /** What to do after this outcome; {@code over} tells that the command has its final answer. */
+    public Choice after(Dispatch dispatch, Reply reply, boolean over, double now) {
+        Command cmd = dispatch.command;
+        dispatch.outcome = reply.outcome();
+        Row row = rows.get(dispatch.node);
+        row.out.remove(dispatch);
+        learn(row, reply, now);
+        judge(row, dispatch, reply, now);
+        if (reply.outcome() == Outcome.ANSWERED && cmd.group.level() == ReadLevel.WRITE) {
+            remember(cmd, reply, now);
+        }
+        if (over || reply.outcome() == Outcome.ANSWERED) {
+            return new Choice(Verdict.DONE, null, 0, wantedNoLonger(cmd));
+        }
+        return where(cmd, now);
+    }
+
+    /** Takes over what a node told of its position and role. */
+    private void learn(Row row, Reply reply, double now) {
+        boolean heard = reply.role() != Role.UNKNOWN || reply.reportedRole() != Role.UNKNOWN
+                || reply.outcome() == Outcome.ANSWERED;
+        if (heard) {
+            row.heardAt = now;
+        }
+        row.position = Math.max(row.position, Math.max(reply.position(), reply.reportedPosition()));
+        if (reply.role() == Role.PRIMARY) {
+            row.primaryAt = Math.max(row.primaryAt, now - reply.took() / 2);
+        } else if (reply.role() == Role.REPLICA) {
+            row.replicaAt = now;
+        }
+        // A report is as old as its position says; a replica's may be older, so it never outdoes a primary's claim.
+        if (reply.reportedRole() == Role.PRIMARY) {
+            row.primaryAt = Math.max(row.primaryAt, reply.reportedPosition());
+        } else if (reply.reportedRole() == Role.REPLICA) {
+            row.replicaAt = Math.max(row.replicaAt, reply.reportedPosition());
+        }
+        if (row.claimsPrimary()) {
+            Team team = team(row.node.group());
+            team.head = Math.max(team.head, row.position);
+        }
+    }
+
+    /** Health and room of a node, by what became of a dispatch. */
+    private void judge(Row row, Dispatch dispatch, Reply reply, double now) {
+        Pace pace = paces.get(dispatch.command.group);
+        double target = dispatch.command.group.responseTarget();
+        switch (reply.outcome()) {
+            case ANSWERED -> {
+                row.answeredAt = now;
+                if (row.strikes >= STRIKES) {
+                    row.returnedAt = now;
+                }
+                row.strikes = 0;
+                row.errorShare *= 1 - ERROR_WEIGHT;
+                pace.latency += 0.02 * (reply.took() - pace.latency);
+                if (reply.took() > 0.8 * target) {
+                    narrow(row, 0.9, now);
+                } else if (reply.took() < 0.5 * target && row.out.size() >= row.window / 2) {
+                    row.window += 1 / row.window;
+                }
+            }
+            case TURNED_AWAY -> {
+                row.answeredAt = now;
+                if (!dispatch.command.group.primaryOnly()) {
+                    row.benchedUntil = now + BENCH;
+                }
+            }
+            case FULL -> narrow(row, 0.7, now);
+            case ERROR -> {
+                row.answeredAt = now;
+                row.errorShare += ERROR_WEIGHT * (1 - row.errorShare);
+                // Guards against quick errors drawing traffic: a node that fails half its commands sits out.
+                if (row.errorShare > 0.5) {
+                    row.benchedUntil = Math.max(row.benchedUntil, now + 2);
+                    row.returnedAt = now + 2;
+                    row.errorShare = 0.4;
+                }
+            }
+            case CONNECT_FAILED, RESET -> strike(row, now);
+            case TIMED_OUT, CANCELLED -> {
+                if (dispatch.sentAt > row.answeredAt && now - dispatch.sentAt > Math.max(PATIENCE, LATE * pace.latency)) {
+                    strike(row, now);
+                }
+            }
+            case NOT_SENT -> { }
+        }
+    }
+
+    private static final double FIRST_WINDOW = 12;
+    /** The document's circuit break. */
+    private static final double BENCH = 10;
+    /** Half a dozen outcomes settle an opinion. */
+    private static final double ERROR_WEIGHT = 0.15;
+
+    private static void strike(Row row, double now) {
+        row.strikes++;
+        row.failedAt = now;
+    }
+
+    /** Once for each round of answers, as late ones come in a bunch. */
+    private static void narrow(Row row, double factor, double now) {
+        if (now - row.narrowedAt > 0.2) {
+            row.window = Math.max(2, row.window * factor);
+            row.narrowedAt = now;
+        }
+    }
+
+    private void remember(Command cmd, Reply reply, double now) {
+        if (settings.marksCarried() || cmd.session == null) {
+            return;
+        }
+        Wrote old = wrote.remove(cmd.session);
+        double position = Math.max(reply.position() > 0 ? reply.position() : now, old == null ? 0 : old.position);
+        wrote.put(cmd.session, new Wrote(team(cmd.nodeGroup), position));
+        // Forgetting never allows a stale read: every later session read of the group must cover what was dropped.
+        Iterator<Wrote> oldest = wrote.values().iterator();
+        while (wrote.size() > MOST_SESSIONS || oldest.hasNext() && wrote.size() > 1) {
+            Wrote first = oldest.next();
+            if (wrote.size() <= MOST_SESSIONS && first.position > now - SESSION_MEMORY) {
+                break;
+            }
+            first.team.forgotten = Math.max(first.team.forgotten, first.position);
+            oldest.remove();
+        }
+    }
+
+    /** Replicas are seldom further behind than this; the count bounds the memory whatever comes. */
+    private static final double SESSION_MEMORY = 20;
+    private static final int MOST_SESSIONS = 20_000;
+
+    // ---- how long to wait ----
+
+    /** How long to wait until this router is asked again about all it holds, and what else is due. */
+    public Pause pause(double now) {
+        var probes = new ArrayList<Node>();
+        double load = 0;
+        int warm = 0;
+        boolean busy = waiting;
+        for (Row row : rows.values()) {
+            busy |= !row.out.isEmpty();
+            if (settings.mayProbe() && probeDue(row, now)) {
+                row.probing = true;
+                row.probedAt = now;
+                probes.add(row.node);
+            }
+            if (open(row) && row.strikes == 0 && warmth(row, now) >= 1) {
+                load += decayed(row.sentRate, now - row.sentRateAt, RATE_MEMORY);
+                warm++;
+            }
+        }
+        if (warm > 0) {
+            warmRate = load / warm;
+        }
+        boolean watch = now >= watchAt;
+        if (watch) {
+            // Neither list nor failure within this time: the call is lost.
+            watchAt = now + 5;
+        }
+        waiting = false;
+        return new Pause(busy ? 0.01 : 0.05, probes, watch);
+    }
+
+    /** Stale rows are probed, and lost ones; all members while their primary is not known or not answering. */
+    private boolean probeDue(Row row, double now) {
+        if (row.listing == null) {
+            return false;
+        }
+        double since = now - row.probedAt;
+        if (row.probing && since < 1) {
+            return false;
+        }
+        Row primary = primary(row.node.group());
+        if (primary == null || primary.strikes > 0 || silent(primary, now) || !open(primary)) {
+            return since > 0.15;
+        }
+        return since > 0.5 && (now - row.heardAt > TIME_GATE || row.strikes > 0);
+    }
+
+    // ---- news ----
+
+    /** The node list: all of it, or what changed. */
+    public void listed(List<Listing> entries, boolean whole, double now) {
+        if (whole) {
+            rows.values().forEach(this::delist);
+        }
+        for (Listing entry : entries) {
+            Row row = rows.computeIfAbsent(entry.node(), node -> {
+                Row made = new Row(node);
+                team(node.group()).rows.add(made);
+                return made;
+            });
+            row.listing = entry;
+            switch (entry.state()) {
+                case READY -> row.closed = false;
+                case DRAINING -> row.closed = true;
+                case GONE -> delist(row);
+            }
+        }
+        rows.values().removeIf(row -> {
+            boolean empty = row.listing == null && row.out.isEmpty();
+            if (empty) {
+                team(row.node.group()).rows.remove(row);
+            }
+            return empty;
+        });
+        // The cached list comes before anything was asked; any later one shows that the watch stands.
+        if (watchAt > 0) {
+            watchAt = Double.POSITIVE_INFINITY;
+        }
+    }
+
+    /** Rule 3, and where the list's word that a node is gone binds nobody, it changes nothing. */
+    private void delist(Row row) {
+        if (settings.goneBinds()) {
+            row.listing = null;
+            row.closed = true;
+        }
+    }
+
+    /** A call to the node list failed, or its watch broke; it is asked again, not all routers at once. */
+    public void listFailed(double now) {
+        watchAt = now + 1 + 2 * random.nextDouble();
+    }
+
+    /** A probe came back. */
+    public void probed(Node node, Reply reply, double now) {
+        Row row = rows.get(node);
+        if (row == null) {
+            return;
+        }
+        row.probing = false;
+        if (reply.outcome() != Outcome.ANSWERED) {
+            if (reply.outcome() != Outcome.FULL) {
+                strike(row, now);
+            }
+            return;
+        }
+        learn(row, reply, now);
+        if (reply.reportedRole() == Role.PRIMARY && reply.reportedPosition() > row.failedAt) {
+            row.strikes = 0;
+        } else if (row.strikes >= STRIKES) {
+            row.returnedAt = now;
+            row.strikes = 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/Reply.java
@@ -0,0 +1,12 @@
+package clayhook;
+
+/**
+ * What came back from a node. Positions are clock times in seconds; 0 where none was told.
+ *
+ * @param took the time since the send
+ * @param position the log position that the node told with this answer
+ * @param reportedPosition the same from its load report, as old as that report
+ */
+public record Reply(Outcome outcome, double took, Role role, double position, Role reportedRole,
+        double reportedPosition) {
+}
--- /dev/null
+++ b/src/main/java/clayhook/Role.java
@@ -0,0 +1,4 @@
+package clayhook;
+
+/** The part that a node says it plays in its group. */
+public enum Role { UNKNOWN, PRIMARY, REPLICA }
--- /dev/null
+++ b/src/main/java/clayhook/Settings.java
@@ -0,0 +1,21 @@
+package clayhook;
+
+import java.util.List;
+
+/**
+ * What a router is told at its start. Times are seconds.
+ *
+ * @param listMustBeAsked the node list speaks only to routers that watch it or fetch it
+ * @param goneBinds a node that is gone from the list may get nothing new; otherwise only one listed as draining
+ * @param replicasCheck a replica too far behind for a read turns it away untouched
+ * @param marksCarried a session read tells when its session last wrote; otherwise the router remembers
+ * @param coldShare the least part of its capacity that a node has when it starts
+ * @param warmAfter a node has its full capacity this long after its start
+ * @param overloadFactor a cold node falls over when it is sent more than this multiple of its capacity
+ * @param overloadFor the window over which that is reckoned
+ */
+public record Settings(int routers, String zone, List<CommandGroup> groups, boolean listMustBeAsked,
+        boolean goneBinds, boolean replicasCheck, boolean marksCarried, boolean mayProbe, boolean mayCancel,
+        boolean secondCopies, boolean adviceHeeded, double longestAdvice, int mostDispatches, double coldShare,
+        double warmAfter, double overloadFactor, double overloadFor) {
+}
