Reckon the cold budget by work answered and let full nodes rest

Now only answered work counts, and a node that is full rests 50 ms, doubling up to 1 s. Should also cover crowded nodes in bursts; may hurt where queues are tiny and empty at once.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -45,9 +45,12 @@
         double benchedUntil = Double.NEGATIVE_INFINITY;
         double probedAt = Double.NEGATIVE_INFINITY;
         boolean probing;
-        /** Mean work sent to it a second, and what a cold node may still be sent. */
-        double sentRate;
-        double sentRateAt;
+        /** It is left alone until then: it was full, or failed too much. */
+        double restUntil = Double.NEGATIVE_INFINITY;
+        int fulls;
+        /** Mean work that it answered a second, and what a cold node may still be sent. */
+        double doneRate;
+        double doneRateAt;
         double coldBudget;
         double coldBudgetAt = Double.NEGATIVE_INFINITY;
 
@@ -147,10 +150,7 @@
     }
 
     private Choice send(Command cmd, Row row, double now) {
-        double work = paces.get(cmd.group).latency;
-        row.sentRate = decayed(row.sentRate, now - row.sentRateAt, RATE_MEMORY) + work / RATE_MEMORY;
-        row.sentRateAt = now;
-        row.coldBudget -= work;
+        row.coldBudget -= paces.get(cmd.group).latency;
         Dispatch dispatch = new Dispatch(cmd, row.node, now, cmd.expires);
         row.out.add(dispatch);
         return new Choice(Verdict.SEND, dispatch, 0, List.of());
@@ -248,7 +248,7 @@
     private Row pickPrimary(Command cmd, Team team, double now) {
         Row row = primary(cmd.nodeGroup);
         // Guards against throwing writes at a dead or hung primary while its successor is elected.
-        if (row == null || row.strikes > 0 || silent(row, now) || !open(row) || !dropsRepeats(cmd, row)) {
+        if (row == null || now < row.restUntil || row.strikes > 0 || silent(row, now) || !open(row) || !dropsRepeats(cmd, row)) {
             return null;
         }
         return hasRoom(row, 1) && withinColdBudget(row, now) ? row : null;
@@ -313,7 +313,7 @@
     }
 
     private boolean usable(Row row, Command cmd, double now) {
-        return open(row) && row.strikes < STRIKES && (row.strikes == 0 || row.out.isEmpty())
+        return open(row) && now >= row.restUntil && row.strikes < STRIKES && (row.strikes == 0 || row.out.isEmpty())
                 && !silent(row, now) && hasRoom(row, 1) && untried(cmd, row) && dropsRepeats(cmd, row)
                 && withinColdBudget(row, now);
     }
@@ -373,7 +373,7 @@
             return true;
         }
         double rate = warmth * settings.overloadFactor() * COLD_SAFETY * Math.max(warmRate, LEAST_RATE);
-        double most = rate * settings.overloadFor() * COLD_SAFETY;
+        double most = rate * COLD_BURST;
         double elapsed = now - row.coldBudgetAt;
         row.coldBudget = Math.min(most, elapsed > settings.overloadFor() ? most : row.coldBudget + rate * elapsed);
         row.coldBudgetAt = now;
@@ -382,6 +382,8 @@
 
     /** Warm nodes seldom bear more than their capacity, so half the multiple of their load leaves chance its room. */
     private static final double COLD_SAFETY = 0.5;
+    /** A budget that lay idle may be spent at once up to this many seconds of it. */
+    private static final double COLD_BURST = 0.5;
     /** Work a second that any node can do for one router: a twentieth of one core, when no warm node was seen. */
     private static final double LEAST_RATE = 0.05;
 
@@ -462,6 +464,10 @@
                     row.returnedAt = now;
                 }
                 row.strikes = 0;
+                row.fulls = 0;
+                // Guards against a cold budget swollen by sends that full or hung nodes never worked on.
+                row.doneRate = decayed(row.doneRate, now - row.doneRateAt, RATE_MEMORY) + pace.latency / RATE_MEMORY;
+                row.doneRateAt = now;
                 row.errorShare *= 1 - ERROR_WEIGHT;
                 pace.latency += 0.02 * (reply.took() - pace.latency);
                 if (reply.took() > 0.8 * target) {
@@ -476,13 +482,17 @@
                     row.benchedUntil = now + BENCH;
                 }
             }
-            case FULL -> narrow(row, 0.7, now);
+            case FULL -> {
+                narrow(row, 0.7, now);
+                // Guards against full and hung nodes being asked over and over: each further one doubles the rest.
+                row.restUntil = now + Math.min(1, 0.05 * Math.pow(2, row.fulls++));
+            }
             case ERROR -> {
                 row.answeredAt = now;
                 row.errorShare += ERROR_WEIGHT * (1 - row.errorShare);
                 // Guards against quick errors drawing traffic: a node that fails half its commands sits out.
                 if (row.errorShare > 0.5) {
-                    row.benchedUntil = Math.max(row.benchedUntil, now + 2);
+                    row.restUntil = now + 2;
                     row.returnedAt = now + 2;
                     row.errorShare = 0.4;
                 }
@@ -555,7 +565,7 @@
                 probes.add(row.node);
             }
             if (open(row) && row.strikes == 0 && warmth(row, now) >= 1) {
-                load += decayed(row.sentRate, now - row.sentRateAt, RATE_MEMORY);
+                load += decayed(row.doneRate, now - row.doneRateAt, RATE_MEMORY);
                 warm++;
             }
         }
