End a bench once the replica is seen to have caught up

Cause: with checking replicas one short pause or lag blip benched a replica at a router for 10 s, for any reads too; two or three blips emptied the gate and the primary throttled the rest. Should also cover refusals during elections and neighbours; may hurt where a replica's position hovers about the gate, by a refusal each time round.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -43,6 +43,7 @@
         double returnedAt = Double.NEGATIVE_INFINITY;
         double errorShare;
         double benchedUntil = Double.NEGATIVE_INFINITY;
+        double benchedAt = Double.NEGATIVE_INFINITY;
         double probedAt = Double.NEGATIVE_INFINITY;
         boolean probing;
         /** It is left alone until then: it was full, or failed too much. */
@@ -268,7 +269,7 @@
         if (settings.replicasCheck()) {
             Row ahead = null;
             for (Row row : team.rows) {
-                if (row != primary && now >= row.benchedUntil && usable(row, cmd, now)
+                if (row != primary && !benched(row, cmd, now) && usable(row, cmd, now)
                         && (ahead == null || row.position > ahead.position)) {
                     ahead = row;
                 }
@@ -284,12 +285,21 @@
 
     /** The two gates: measured lag, and time since this router heard of the replica. */
     private boolean calm(Row row, Team team, Command cmd, double now) {
-        if (now < row.benchedUntil || now - row.heardAt > TIME_GATE || !usable(row, cmd, now)) {
+        if (benched(row, cmd, now) || now - row.heardAt > TIME_GATE || !usable(row, cmd, now)) {
             return false;
         }
         return cmd.group.level() != ReadLevel.BOUNDED || team.head - row.position <= cmd.group.bound() * LAG_GATE;
     }
 
+    /**
+     * A replica that refused sits out. Guards against one blip costing ten seconds: reads without a bound were never
+     * refused, and a position told since that lies within the lag gate shows that the replica has caught up.
+     */
+    private boolean benched(Row row, Command cmd, double now) {
+        return now < row.benchedUntil && cmd.group.level() != ReadLevel.ANY
+                && row.position < row.benchedAt - cmd.group.bound() * LAG_GATE;
+    }
+
     /** The design's starting values: one second, and half the bound of the read. */
     private static final double TIME_GATE = 1;
     private static final double LAG_GATE = 0.5;
@@ -480,6 +490,7 @@
                 row.answeredAt = now;
                 if (!dispatch.command.group.primaryOnly()) {
                     row.benchedUntil = now + BENCH;
+                    row.benchedAt = now;
                 }
             }
             case FULL -> {
