Steer each node's window by its smoothed time of answer

Cause: fixed first windows of twelve a router put 36 to 144 dispatches on four cores, and late outliers alone moved them. Now 24 shared by the routers, widened under 0.35 and narrowed over 0.45 of the target. Covers bursts, neighbours, slow machines, many routers; may hurt where work spreads far wider than seen here.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -36,8 +36,9 @@
         double replicaAt = Double.NEGATIVE_INFINITY;
         /** Dispatches out, oldest first; each leaves with its outcome. */
         final ArrayDeque<Dispatch> out = new ArrayDeque<>();
-        double window = FIRST_WINDOW;
-        double narrowedAt = Double.NEGATIVE_INFINITY;
+        /** How many dispatches it may have from this router, and its smoothed time of answer over the target. */
+        double window;
+        double slowness;
         int strikes;
         double failedAt = Double.NEGATIVE_INFINITY;
         double returnedAt = Double.NEGATIVE_INFINITY;
@@ -55,8 +56,9 @@
         double coldBudget;
         double coldBudgetAt = Double.NEGATIVE_INFINITY;
 
-        Row(Node node) {
+        Row(Node node, double window) {
             this.node = node;
+            this.window = window;
         }
 
         boolean claimsPrimary() {
@@ -480,11 +482,7 @@
                 row.doneRateAt = now;
                 row.errorShare *= 1 - ERROR_WEIGHT;
                 pace.latency += 0.02 * (reply.took() - pace.latency);
-                if (reply.took() > 0.8 * target) {
-                    narrow(row, 0.9, now);
-                } else if (reply.took() < 0.5 * target && row.out.size() >= row.window / 2) {
-                    row.window += 1 / row.window;
-                }
+                adapt(row, reply.took() / target);
             }
             case TURNED_AWAY -> {
                 row.answeredAt = now;
@@ -494,7 +492,7 @@
                 }
             }
             case FULL -> {
-                narrow(row, 0.7, now);
+                row.window = Math.max(LEAST_WINDOW, row.window * 0.8);
                 // Guards against full and hung nodes being asked over and over: each further one doubles the rest.
                 row.restUntil = now + Math.min(1, 0.05 * Math.pow(2, row.fulls++));
             }
@@ -510,6 +508,7 @@
             }
             case CONNECT_FAILED, RESET -> strike(row, now);
             case TIMED_OUT, CANCELLED -> {
+                adapt(row, Math.max(row.slowness, reply.took() / target));
                 if (dispatch.sentAt > row.answeredAt && now - dispatch.sentAt > Math.max(PATIENCE, LATE * pace.latency)) {
                     strike(row, now);
                 }
@@ -518,7 +517,9 @@
         }
     }
 
-    private static final double FIRST_WINDOW = 12;
+    /** For all routers together: a few for each core of a small machine. */
+    private static final double FIRST_WINDOW = 24;
+    private static final double LEAST_WINDOW = 1;
     /** The document's circuit break. */
     private static final double BENCH = 10;
     /** Half a dozen outcomes settle an opinion. */
@@ -529,11 +530,16 @@
         row.failedAt = now;
     }
 
-    /** Once for each round of answers, as late ones come in a bunch. */
-    private static void narrow(Row row, double factor, double now) {
-        if (now - row.narrowedAt > 0.2) {
-            row.window = Math.max(2, row.window * factor);
-            row.narrowedAt = now;
+    /**
+     * Keeps the usual time of answer at a node near two fifths of the response targets, which leaves the spread of
+     * work its room below the target. Guards against queues that make everything late and never empty.
+     */
+    private static void adapt(Row row, double slowness) {
+        row.slowness += 0.1 * (Math.min(slowness, 2) - row.slowness);
+        if (row.slowness > 0.45) {
+            row.window = Math.max(LEAST_WINDOW, row.window * 0.97);
+        } else if (row.slowness < 0.35 && row.out.size() + 1 >= row.window * 0.7) {
+            row.window += 0.5 / row.window;
         }
     }
 
@@ -617,7 +623,7 @@
         }
         for (Listing entry : entries) {
             Row row = rows.computeIfAbsent(entry.node(), node -> {
-                Row made = new Row(node);
+                Row made = new Row(node, Math.max(LEAST_WINDOW, FIRST_WINDOW / settings.routers()));
                 team(node.group()).rows.add(made);
                 return made;
             });
