Count abandoned dispatches as load until later ones are answered

Cause: running work goes on after a recall or a time limit, and so does waiting work where nodes don't drop it; the router took the place as free and filled the queue again. Covers hangs and pauses too; may hurt for two seconds where a recall does stop work.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -36,6 +36,8 @@
         double replicaAt = Double.NEGATIVE_INFINITY;
         /** Dispatches out, oldest first; each leaves with its outcome. */
         final ArrayDeque<Dispatch> out = new ArrayDeque<>();
+        /** Dispatches abandoned that it may still work on; emptied by answers to later ones and by age. */
+        final ArrayDeque<Dispatch> abandoned = new ArrayDeque<>();
         /** How many dispatches it may have from this router, and its smoothed time of answer over the target. */
         double window;
         double slowness;
@@ -254,7 +256,7 @@
         if (row == null || now < row.restUntil || row.strikes > 0 || silent(row, now) || !open(row) || !dropsRepeats(cmd, row)) {
             return null;
         }
-        return hasRoom(row, 1) && withinColdBudget(row, now) ? row : null;
+        return hasRoom(row, 1, now) && withinColdBudget(row, now) ? row : null;
     }
 
     private Row pickReader(Command cmd, Team team, double now) {
@@ -281,7 +283,7 @@
             }
         }
         // The primary keeps half its room for what it alone can take.
-        return primary != null && primary.strikes == 0 && usable(primary, cmd, now) && hasRoom(primary, 0.5)
+        return primary != null && primary.strikes == 0 && usable(primary, cmd, now) && hasRoom(primary, 0.5, now)
                 ? primary : null;
     }
 
@@ -326,7 +328,7 @@
 
     private boolean usable(Row row, Command cmd, double now) {
         return open(row) && now >= row.restUntil && row.strikes < STRIKES && (row.strikes == 0 || row.out.isEmpty())
-                && !silent(row, now) && hasRoom(row, 1) && untried(cmd, row) && dropsRepeats(cmd, row)
+                && !silent(row, now) && hasRoom(row, 1, now) && untried(cmd, row) && dropsRepeats(cmd, row)
                 && withinColdBudget(row, now);
     }
 
@@ -342,10 +344,17 @@
         return cmd.dispatches.stream().noneMatch(d -> d.node.equals(row.node));
     }
 
-    private static boolean hasRoom(Row row, double part) {
-        return row.out.size() < row.window * part;
+    /** Guards against filling a node again whose work goes on after the time limit or a recall. */
+    private static boolean hasRoom(Row row, double part, double now) {
+        while (!row.abandoned.isEmpty() && now > row.abandoned.peek().sentAt + ABANDONED_FOR) {
+            row.abandoned.poll();
+        }
+        return row.out.size() + row.abandoned.size() < Math.max(1, row.window * part);
     }
 
+    /** A queue that takes longer than this to reach a dispatch has lost it, or the node was lost. */
+    private static final double ABANDONED_FOR = 2;
+
     /** Dispatches are out and nothing at all has come back for far longer than usual. */
     private boolean silent(Row row, double now) {
         Dispatch oldest = row.out.peek();
@@ -429,6 +438,9 @@
         dispatch.outcome = reply.outcome();
         Row row = rows.get(dispatch.node);
         row.out.remove(dispatch);
+        if (!reply.outcome().neverRan && reply.outcome() != Outcome.ANSWERED && reply.outcome() != Outcome.ERROR) {
+            row.abandoned.add(dispatch);
+        }
         learn(row, reply, now);
         judge(row, dispatch, reply, now);
         if (reply.outcome() == Outcome.ANSWERED && cmd.group.level() == ReadLevel.WRITE) {
@@ -472,6 +484,8 @@
         switch (reply.outcome()) {
             case ANSWERED -> {
                 row.answeredAt = now;
+                // Queues are served in order: what went out before this dispatch has left the queue too.
+                row.abandoned.removeIf(d -> d.sentAt <= dispatch.sentAt);
                 if (row.strikes >= STRIKES) {
                     row.returnedAt = now;
                 }
