Send reads without a bound to the replica furthest behind first

Covers replica lag, cold and crowded replicas; may hurt where a crowded lagging replica never catches up.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -93,6 +93,7 @@
     private final Map<CommandGroup, Pace> paces = new LinkedHashMap<>();
     /** The last write of each session, where this router must remember; emptied by age and by count. */
     private final Map<String, Wrote> wrote = new LinkedHashMap<>();
+    private final double tightestGate;
     private double extras = EXTRAS_CAP;
     private double warmRate;
     private double watchAt;
@@ -102,6 +103,8 @@
         this.settings = settings;
         random = new Random(seed);
         watchAt = settings.listMustBeAsked() ? 0 : Double.POSITIVE_INFINITY;
+        tightestGate = settings.groups().stream().filter(g -> g.level() == ReadLevel.BOUNDED)
+                .mapToDouble(g -> g.bound() * LAG_GATE).min().orElse(TIME_GATE);
         for (CommandGroup group : settings.groups()) {
             Pace pace = new Pace();
             // A quarter of the response target until answers tell better: targets leave room for a queue.
@@ -261,6 +264,10 @@
 
     private Row pickReader(Command cmd, Team team, double now) {
         Row primary = primary(cmd.nodeGroup);
+        Row behind = cmd.group.level() == ReadLevel.ANY ? furthestBehind(team, primary, cmd, now) : null;
+        if (behind != null) {
+            return behind;
+        }
         int size = team.rows.size();
         for (int i = 1; i <= size; i++) {
             int at = (team.turn + i) % size;
@@ -287,6 +294,22 @@
                 ? primary : null;
     }
 
+    /**
+     * A read without a bound goes first to the replica furthest behind, if any lies outside the tightest lag gate.
+     * Guards against long reads that stop the log on one replica after another, and against spending fresh replicas
+     * on reads that need none while others have nothing fresh to read from.
+     */
+    private Row furthestBehind(Team team, Row primary, Command cmd, double now) {
+        Row behind = null;
+        for (Row row : team.rows) {
+            if (row != primary && team.head - row.position > tightestGate && now - row.heardAt <= TIME_GATE
+                    && usable(row, cmd, now) && (behind == null || row.position < behind.position)) {
+                behind = row;
+            }
+        }
+        return behind;
+    }
+
     /** The two gates: measured lag, and time since this router heard of the replica. */
     private boolean calm(Row row, Team team, Command cmd, double now) {
         if (benched(row, cmd, now) || now - row.heardAt > TIME_GATE || !usable(row, cmd, now)) {
