Keep long reads to one replica, take lag when told, shorten queues

Lag now counts when a position is told, rows whose cover has ended are probed, a read longer than the lag gate goes to the replica furthest behind (the same at all routers) and waits for room; windows aim at 0.28 to 0.35 of the target.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -28,6 +28,8 @@
         /** Told that it drains, or is gone where that binds. */
         boolean closed;
         double position;
+        /** How far it was behind its primary when it last told a position. */
+        double lag;
         /** The last answer or probe, and the last answer to a dispatch. */
         double heardAt = Double.NEGATIVE_INFINITY;
         double answeredAt = Double.NEGATIVE_INFINITY;
@@ -264,15 +266,22 @@
 
     private Row pickReader(Command cmd, Team team, double now) {
         Row primary = primary(cmd.nodeGroup);
-        Row behind = cmd.group.level() == ReadLevel.ANY ? furthestBehind(team, primary, cmd, now) : null;
-        if (behind != null) {
-            return behind;
+        if (cmd.group.level() == ReadLevel.ANY) {
+            double usual = paces.get(cmd.group).latency;
+            boolean stopsLog = usual > tightestGate;
+            Row behind = furthestBehind(team, primary, cmd, stopsLog, now);
+            boolean maySpill = !stopsLog || now + 2 * usual > cmd.arrived + cmd.group.responseTarget();
+            if (behind != null && usable(behind, cmd, now)) {
+                return behind;
+            } else if (behind != null && !maySpill) {
+                return null;
+            }
         }
         int size = team.rows.size();
         for (int i = 1; i <= size; i++) {
             int at = (team.turn + i) % size;
             Row row = team.rows.get(at);
-            if (row != primary && calm(row, team, cmd, now) && covers(row, team, cmd, now) && takesTurn(row, now)) {
+            if (row != primary && calm(row, cmd, now) && covers(row, team, cmd, now) && takesTurn(row, now)) {
                 team.turn = at;
                 return row;
             }
@@ -295,15 +304,21 @@
     }
 
     /**
-     * A read without a bound goes first to the replica furthest behind, if any lies outside the tightest lag gate.
-     * Guards against long reads that stop the log on one replica after another, and against spending fresh replicas
-     * on reads that need none while others have nothing fresh to read from.
+     * A read without a bound goes first to the replica furthest behind, if any lies outside the tightest lag gate;
+     * one so long that it might push a replica out of that gate goes to one replica, the same at every router, and
+     * waits for room there while it can. Guards against long reads that stop the log on all replicas in turn, and
+     * against spending fresh replicas on reads that need none.
      */
-    private Row furthestBehind(Team team, Row primary, Command cmd, double now) {
+    private Row furthestBehind(Team team, Row primary, Command cmd, boolean stopsLog, double now) {
         Row behind = null;
         for (Row row : team.rows) {
-            if (row != primary && team.head - row.position > tightestGate && now - row.heardAt <= TIME_GATE
-                    && usable(row, cmd, now) && (behind == null || row.position < behind.position)) {
+            if (row == primary || now - row.heardAt > TIME_GATE || !open(row) || row.strikes > 0 || silent(row, now)
+                    || !stopsLog && (row.lag <= tightestGate || !usable(row, cmd, now))) {
+                continue;
+            }
+            double further = behind == null ? 1 : Math.max(0, row.lag - tightestGate)
+                    - Math.max(0, behind.lag - tightestGate);
+            if (further > 0 || further == 0 && row.node.id().compareTo(behind.node.id()) < 0) {
                 behind = row;
             }
         }
@@ -311,11 +326,11 @@
     }
 
     /** The two gates: measured lag, and time since this router heard of the replica. */
-    private boolean calm(Row row, Team team, Command cmd, double now) {
+    private boolean calm(Row row, Command cmd, double now) {
         if (benched(row, cmd, now) || now - row.heardAt > TIME_GATE || !usable(row, cmd, now)) {
             return false;
         }
-        return cmd.group.level() != ReadLevel.BOUNDED || team.head - row.position <= cmd.group.bound() * LAG_GATE;
+        return cmd.group.level() != ReadLevel.BOUNDED || row.lag <= cmd.group.bound() * LAG_GATE;
     }
 
     /**
@@ -494,10 +509,14 @@
         } else if (reply.reportedRole() == Role.REPLICA) {
             row.replicaAt = Math.max(row.replicaAt, reply.reportedPosition());
         }
+        Team team = team(row.node.group());
         if (row.claimsPrimary()) {
-            Team team = team(row.node.group());
             team.head = Math.max(team.head, row.position);
         }
+        // Measured when told: a replica that was not asked for a while has not fallen behind by that.
+        if (reply.position() > 0 || reply.reportedPosition() > 0) {
+            row.lag = team.head - row.position;
+        }
     }
 
     /** Health and room of a node, by what became of a dispatch. */
@@ -573,9 +592,9 @@
      */
     private static void adapt(Row row, double slowness) {
         row.slowness += 0.1 * (Math.min(slowness, 2) - row.slowness);
-        if (row.slowness > 0.45) {
+        if (row.slowness > 0.35) {
             row.window = Math.max(LEAST_WINDOW, row.window * 0.97);
-        } else if (row.slowness < 0.35 && row.out.size() + 1 >= row.window * 0.7) {
+        } else if (row.slowness < 0.28 && row.out.size() + 1 >= row.window * 0.7) {
             row.window += 0.5 / row.window;
         }
     }
@@ -635,7 +654,7 @@
         return new Pause(busy ? 0.01 : 0.05, probes, watch);
     }
 
-    /** Stale rows are probed, and lost ones; all members while their primary is not known or not answering. */
+    /** Rows about to be stale are probed, and lost ones; all members while their primary is not known or not answering. */
     private boolean probeDue(Row row, double now) {
         if (row.listing == null) {
             return false;
@@ -648,7 +667,9 @@
         if (primary == null || primary.strikes > 0 || silent(primary, now) || !open(primary)) {
             return since > 0.15;
         }
-        return since > 0.5 && (now - row.heardAt > TIME_GATE || row.strikes > 0);
+        // Guards against a gate that stays empty because nothing is sent to those that it dropped: a row is probed
+        // before its position ceases to cover the tightest bound, not only when it passes the time gate.
+        return since > 0.5 && row.strikes > 0 || since > Math.max(0.15, tightestGate / 2) && now - row.heardAt > 2 * tightestGate;
     }
 
     // ---- news ----
