End dispatches when their answer earns nothing

Cause: dispatches ran on to the client timeout though late answers earn nothing, so nodes that drop expired work could not, and abandoned ones blocked a node for two seconds. Now the time limit is the last useful moment and an abandoned dispatch counts for two response targets.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -161,7 +161,7 @@
 
     private Choice send(Command cmd, Row row, double now) {
         row.coldBudget -= paces.get(cmd.group).latency;
-        Dispatch dispatch = new Dispatch(cmd, row.node, now, cmd.expires);
+        Dispatch dispatch = new Dispatch(cmd, row.node, now, usefulUntil(cmd));
         row.out.add(dispatch);
         return new Choice(Verdict.SEND, dispatch, 0, List.of());
     }
@@ -175,10 +175,13 @@
 
     /** No answer that earns anything can be expected any more. */
     private boolean hopeless(Command cmd, double now, boolean out) {
-        double useful = cmd.group.lateShare() > 0 ? cmd.expires
-                : Math.min(cmd.expires, cmd.arrived + cmd.group.responseTarget());
         // What is out may come any moment; what is held needs at least half the usual time of an answer.
-        return now + (out ? 0 : paces.get(cmd.group).latency / 2) >= useful;
+        return now + (out ? 0 : paces.get(cmd.group).latency / 2) >= usefulUntil(cmd);
+    }
+
+    private static double usefulUntil(Command cmd) {
+        return cmd.group.lateShare() > 0 ? cmd.expires
+                : Math.min(cmd.expires, cmd.arrived + cmd.group.responseTarget());
     }
 
     /** The final answer to a command that this router gives up: a throttle wherever the rules allow it. */
@@ -384,14 +387,16 @@
 
     /** Guards against filling a node again whose work goes on after the time limit or a recall. */
     private static boolean hasRoom(Row row, double part, double now) {
-        while (!row.abandoned.isEmpty() && now > row.abandoned.peek().sentAt + ABANDONED_FOR) {
+        while (!row.abandoned.isEmpty() && stale(row.abandoned.peek(), now)) {
             row.abandoned.poll();
         }
         return row.out.size() + row.abandoned.size() < Math.max(1, row.window * part);
     }
 
-    /** A queue that takes longer than this to reach a dispatch has lost it, or the node was lost. */
-    private static final double ABANDONED_FOR = 2;
+    /** Windows keep queues well under one response target, so after two the dispatch has left its queue. */
+    private static boolean stale(Dispatch abandoned, double now) {
+        return now > abandoned.sentAt + 2 * abandoned.command.group.responseTarget();
+    }
 
     /** Dispatches are out and nothing at all has come back for far longer than usual. */
     private boolean silent(Row row, double now) {
@@ -592,9 +597,9 @@
      */
     private static void adapt(Row row, double slowness) {
         row.slowness += 0.1 * (Math.min(slowness, 2) - row.slowness);
-        if (row.slowness > 0.35) {
+        if (row.slowness > 0.45) {
             row.window = Math.max(LEAST_WINDOW, row.window * 0.97);
-        } else if (row.slowness < 0.28 && row.out.size() + 1 >= row.window * 0.7) {
+        } else if (row.slowness < 0.35 && row.out.size() + 1 >= row.window * 0.7) {
             row.window += 0.5 / row.window;
         }
     }
