Give up held commands while there is still time for an answer

Cause: held reads were sent with half the usual time of an answer left, so a third of all dispatches ran into their limit and their work was wasted. Now one and a half usual times must be left, and the client hears at once.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -175,8 +175,8 @@
 
     /** No answer that earns anything can be expected any more. */
     private boolean hopeless(Command cmd, double now, boolean out) {
-        // What is out may come any moment; what is held needs at least half the usual time of an answer.
-        return now + (out ? 0 : paces.get(cmd.group).latency / 2) >= usefulUntil(cmd);
+        // What is out may come any moment; what is held needs the usual time of an answer and some of its spread.
+        return now + (out ? 0 : paces.get(cmd.group).latency * 1.5) >= usefulUntil(cmd);
     }
 
     private static double usefulUntil(Command cmd) {
