--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -175,10 +175,18 @@
 
     /** No answer that earns anything can be expected any more. */
     private boolean hopeless(Command cmd, double now, boolean out) {
-        // What is out may come any moment; what is held needs the usual time of an answer and some of its spread.
-        return now + (out ? 0 : paces.get(cmd.group).latency * 1.5) >= usefulUntil(cmd);
+        // What is out may come any moment. What is held needs the usual time of an answer, and unless lateness is paid
+        // it goes out within the first part of its target or not at all. Guards against dispatches that run into
+        // their limit because they were held too long, whose work is wasted.
+        double useful = usefulUntil(cmd);
+        boolean heldTooLong = cmd.dispatches.isEmpty() && cmd.group.lateShare() == 0
+                && now > cmd.arrived + HOLD * (useful - cmd.arrived);
+        return out ? now >= useful : heldTooLong || now + paces.get(cmd.group).latency >= useful;
     }
 
+    /** Of a target of about four times the work, this leaves the work and a queue as long again. */
+    private static final double HOLD = 0.3;
+
     private static double usefulUntil(Command cmd) {
         return cmd.group.lateShare() > 0 ? cmd.expires
                 : Math.min(cmd.expires, cmd.arrived + cmd.group.responseTarget());
