--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -185,7 +185,7 @@
     }
 
     /** Of a target of about four times the work, this leaves the work and a queue as long again. */
-    private static final double HOLD = 0.3;
+    private static final double HOLD = 0.15;
 
     private static double usefulUntil(Command cmd) {
         return cmd.group.lateShare() > 0 ? cmd.expires
