--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -14,18 +14,18 @@
 
 /**
  * All decisions of one router. A front asks {@link #where} for each command taken, {@link #after} for each
- * outcome and {@link #pause} once it has told all it heard; when the pause is over it asks {@link #where} again
- * for every command in hand. News comes by {@link #listed}, {@link #listFailed} and {@link #probed}; a killed
- * router simply loses its object. The values spoken in are the other types of this package. The design and its
- * exceptions are in docs/design.md.
+ * outcome and {@link #pause} once it has told all it heard; when the pause is over it asks {@link #where}
+ * again for every command in hand. News comes by {@link #listed}, {@link #listFailed} and {@link #probed}; a
+ * killed router loses its object. The interface is the other types of this package; docs/design.md tells the
+ * design's exceptions.
  */
 public final class Decide {
 
-    /** What this router knows of one member of a group of nodes. Kept while the node list or a dispatch has it. */
+    /** What this router knows of one member of a group; kept while the node list or a dispatch has it. */
     private static final class Row {
         final Node node;
         Listing listing;
-        /** Told that it drains, or is gone where that binds. */
+        /** Rule 3: it drains, or is gone where that binds, and gets nothing new; the grace is left unused. */
         boolean closed;
         double position;
         /** How far it was behind its primary when it last told a position. */
@@ -40,17 +40,15 @@
         final ArrayDeque<Dispatch> out = new ArrayDeque<>();
         /** Dispatches abandoned that it may still work on; emptied by answers to later ones and by age. */
         final ArrayDeque<Dispatch> abandoned = new ArrayDeque<>();
-        /** How many dispatches it may have from this router, and its smoothed time of answer over the target. */
+        /** How many dispatches it may have, and its smoothed time of answer over the response target. */
         double window;
         double slowness;
         int strikes;
         double failedAt = Double.NEGATIVE_INFINITY;
         double returnedAt = Double.NEGATIVE_INFINITY;
         double errorShare;
-        double benchedUntil = Double.NEGATIVE_INFINITY;
         double benchedAt = Double.NEGATIVE_INFINITY;
         double probedAt = Double.NEGATIVE_INFINITY;
-        boolean probing;
         /** It is left alone until then: it was full, or failed too much. */
         double restUntil = Double.NEGATIVE_INFINITY;
         int fulls;
@@ -65,8 +63,10 @@
             this.window = window;
         }
 
+        /** By the newer evidence; the list's late word counts only until the node itself has spoken. */
         boolean claimsPrimary() {
-            return primaryAt > replicaAt;
+            boolean unheard = Math.max(primaryAt, replicaAt) == Double.NEGATIVE_INFINITY;
+            return unheard ? listing != null && listing.primary() : primaryAt > replicaAt;
         }
     }
 
@@ -80,11 +80,6 @@
         double forgotten;
     }
 
-    /** What was measured of one command group. */
-    private static final class Pace {
-        double latency;
-    }
-
     private record Wrote(Team team, double position) {
     }
 
@@ -92,7 +87,8 @@
     private final Random random;
     private final Map<Node, Row> rows = new LinkedHashMap<>();
     private final Map<Integer, Team> teams = new LinkedHashMap<>();
-    private final Map<CommandGroup, Pace> paces = new LinkedHashMap<>();
+    /** The usual time of an answer, a row a command group. */
+    private final Map<CommandGroup, Double> usual = new LinkedHashMap<>();
     /** The last write of each session, where this router must remember; emptied by age and by count. */
     private final Map<String, Wrote> wrote = new LinkedHashMap<>();
     private final double tightestGate;
@@ -108,10 +104,8 @@
         tightestGate = settings.groups().stream().filter(g -> g.level() == ReadLevel.BOUNDED)
                 .mapToDouble(g -> g.bound() * LAG_GATE).min().orElse(TIME_GATE);
         for (CommandGroup group : settings.groups()) {
-            Pace pace = new Pace();
             // A quarter of the response target until answers tell better: targets leave room for a queue.
-            pace.latency = group.responseTarget() / 4;
-            paces.put(group, pace);
+            usual.put(group, group.responseTarget() / 4);
         }
     }
 
@@ -119,9 +113,6 @@
 
     /** Where to send this command now: a dispatch, not yet, or never. */
     public Choice where(Command cmd, double now) {
-        if (now >= cmd.expires) {
-            return giveUp(cmd);
-        }
         boolean out = cmd.dispatches.stream().anyMatch(d -> d.outcome == null);
         // Guards against work for answers that earn nothing: what is past its target is given up at once.
         if (hopeless(cmd, now, out)) {
@@ -130,15 +121,12 @@
         if (out && !secondCopyDue(cmd, now)) {
             return notYet(false);
         }
-        if (cmd.dispatches.size() >= settings.mostDispatches() || !mayRepeat(cmd, now)) {
+        boolean extra = firstThatMayHaveRun(cmd) != null;
+        boolean spent = cmd.dispatches.size() >= settings.mostDispatches() || extra && extras < 1;
+        if (spent || !mayRepeat(cmd, now)) {
             return out ? notYet(false) : giveUp(cmd);
         }
-        Team team = team(cmd.nodeGroup);
-        boolean extra = mayHaveRun(cmd);
-        if (extra && extras < 1) {
-            return out ? notYet(false) : giveUp(cmd);
-        }
-        Row row = cmd.group.primaryOnly() ? pickPrimary(cmd, team, now) : pickReader(cmd, team, now);
+        Row row = cmd.group.primaryOnly() ? pickPrimary(cmd, now) : pickReader(cmd, team(cmd.nodeGroup), now);
         if (row == null) {
             return notYet(!out);
         }
@@ -160,7 +148,7 @@
     }
 
     private Choice send(Command cmd, Row row, double now) {
-        row.coldBudget -= paces.get(cmd.group).latency;
+        row.coldBudget -= usual.get(cmd.group);
         Dispatch dispatch = new Dispatch(cmd, row.node, now, usefulUntil(cmd));
         row.out.add(dispatch);
         return new Choice(Verdict.SEND, dispatch, 0, List.of());
@@ -169,19 +157,20 @@
     /** Long enough to average over the turns, short beside the time in which a node warms. */
     private static final double RATE_MEMORY = 4;
 
-    private static double decayed(double value, double elapsed, double memory) {
-        return value * Math.exp(-Math.max(0, elapsed) / memory);
+    private static double decayed(double rate, double elapsed) {
+        return rate * Math.exp(-elapsed / RATE_MEMORY);
     }
 
     /** No answer that earns anything can be expected any more. */
     private boolean hopeless(Command cmd, double now, boolean out) {
-        // What is out may come any moment. What is held needs the usual time of an answer, and unless lateness is paid
-        // it goes out within the first part of its target or not at all. Guards against dispatches that run into
-        // their limit because they were held too long, whose work is wasted.
+        // What is out may come any moment. What is held needs the usual time of an answer, and unless
+        // lateness is paid it goes out within the first part of its target or not at all. Guards against
+        // dispatches that run into their limit because they were held too long, whose work is wasted.
         double useful = usefulUntil(cmd);
         boolean heldTooLong = cmd.dispatches.isEmpty() && cmd.group.lateShare() == 0
                 && now > cmd.arrived + HOLD * (useful - cmd.arrived);
-        return out ? now >= useful : heldTooLong || now + paces.get(cmd.group).latency >= useful;
+        double least = Math.min(usual.get(cmd.group), cmd.group.responseTarget() / 2);
+        return out ? now >= useful : heldTooLong || now + least >= useful;
     }
 
     /** Of a target of about four times the work, this leaves the work and a queue as long again. */
@@ -194,14 +183,16 @@
 
     /** The final answer to a command that this router gives up: a throttle wherever the rules allow it. */
     private Choice giveUp(Command cmd) {
-        boolean harmless = cmd.group.effect() == Effect.REPLAYABLE || !mayHaveRun(cmd)
+        boolean harmless = cmd.group.effect() == Effect.REPLAYABLE || firstThatMayHaveRun(cmd) == null
                 || cmd.group.effect() == Effect.KEYED && cmd.group.repeatScope() == Scope.ALL;
         List<Dispatch> recall = wantedNoLonger(cmd);
         if (!harmless) {
             return new Choice(Verdict.FAIL, null, 0, recall);
         }
-        // About the time in which a full node works off its queue, spread so that clients do not return together.
-        double advice = Math.min(settings.longestAdvice(), cmd.group.responseTarget() * (0.5 + random.nextDouble()));
+        // About the time in which a full node works off its queue, spread so that clients don't return
+        // together.
+        double spread = 0.5 + random.nextDouble();
+        double advice = Math.min(settings.longestAdvice(), cmd.group.responseTarget() * spread);
         return new Choice(Verdict.THROTTLE, null, advice, recall);
     }
 
@@ -212,23 +203,23 @@
         return cmd.dispatches.stream().filter(d -> d.outcome == null).toList();
     }
 
-    private static boolean mayHaveRun(Command cmd) {
-        return cmd.dispatches.stream().anyMatch(d -> d.outcome == null || !d.outcome.neverRan);
-    }
-
     /** Rule 2: a command that may have run goes out again only as its effect allows. */
     private boolean mayRepeat(Command cmd, double now) {
-        if (cmd.group.effect() == Effect.REPLAYABLE || !mayHaveRun(cmd)) {
-            return true;
-        }
-        if (cmd.group.effect() == Effect.MUTATING) {
-            return false;
-        }
-        return now < firstThatMayHaveRun(cmd).sentAt + cmd.group.repeatWindow();
+        Dispatch first = firstThatMayHaveRun(cmd);
+        return first == null || switch (cmd.group.effect()) {
+            case REPLAYABLE -> true;
+            case KEYED -> now < first.sentAt + cmd.group.repeatWindow();
+            case MUTATING -> false;
+        };
     }
 
     private static Dispatch firstThatMayHaveRun(Command cmd) {
-        return cmd.dispatches.stream().filter(d -> d.outcome == null || !d.outcome.neverRan).findFirst().orElse(null);
+        for (Dispatch dispatch : cmd.dispatches) {
+            if (dispatch.outcome == null || !dispatch.outcome.neverRan) {
+                return dispatch;
+            }
+        }
+        return null;
     }
 
     /** Rule 2: repeats of a keyed command stay among the nodes that drop them. */
@@ -253,12 +244,11 @@
         if (last.outcome != null) {
             return false;
         }
-        double usual = paces.get(cmd.group).latency;
         Row row = rows.get(last.node);
         if (cmd.group.primaryOnly()) {
             return row != primary(cmd.nodeGroup);
         }
-        return silent(row, now) || row.strikes >= STRIKES || now - last.sentAt > LATE * usual;
+        return silent(row, now) || row.strikes >= STRIKES || now - last.sentAt > LATE * usual.get(cmd.group);
     }
 
     /** Three times the mean is past the 95th percentile of the usual spreads of work. */
@@ -266,23 +256,21 @@
 
     // ---- choosing a member ----
 
-    private Row pickPrimary(Command cmd, Team team, double now) {
+    private Row pickPrimary(Command cmd, double now) {
         Row row = primary(cmd.nodeGroup);
         // Guards against throwing writes at a dead or hung primary while its successor is elected.
-        if (row == null || now < row.restUntil || row.strikes > 0 || silent(row, now) || !open(row) || !dropsRepeats(cmd, row)) {
-            return null;
-        }
-        return hasRoom(row, 1, now) && withinColdBudget(row, now) ? row : null;
+        boolean well = row != null && row.strikes == 0 && usable(row, now);
+        return well && dropsRepeats(cmd, row) && withinColdBudget(row, now) ? row : null;
     }
 
     private Row pickReader(Command cmd, Team team, double now) {
         Row primary = primary(cmd.nodeGroup);
         if (cmd.group.level() == ReadLevel.ANY) {
-            double usual = paces.get(cmd.group).latency;
-            boolean stopsLog = usual > tightestGate;
+            double usualTime = usual.get(cmd.group);
+            boolean stopsLog = usualTime > tightestGate;
             Row behind = furthestBehind(team, primary, cmd, stopsLog, now);
-            boolean maySpill = !stopsLog || now + 2 * usual > cmd.arrived + cmd.group.responseTarget();
-            if (behind != null && usable(behind, cmd, now)) {
+            boolean maySpill = !stopsLog || now + 2 * usualTime > cmd.arrived + cmd.group.responseTarget();
+            if (behind != null && usableFor(cmd, behind, now)) {
                 return behind;
             } else if (behind != null && !maySpill) {
                 return null;
@@ -300,7 +288,7 @@
         if (settings.replicasCheck()) {
             Row ahead = null;
             for (Row row : team.rows) {
-                if (row != primary && !benched(row, cmd, now) && usable(row, cmd, now)
+                if (row != primary && !benched(row, cmd, now) && usableFor(cmd, row, now)
                         && (ahead == null || row.position > ahead.position)) {
                     ahead = row;
                 }
@@ -310,21 +298,22 @@
             }
         }
         // The primary keeps half its room for what it alone can take.
-        return primary != null && primary.strikes == 0 && usable(primary, cmd, now) && hasRoom(primary, 0.5, now)
-                ? primary : null;
+        boolean spare = primary != null && primary.strikes == 0 && usableFor(cmd, primary, now);
+        return spare && hasRoom(primary, 0.5, now) ? primary : null;
     }
 
     /**
-     * A read without a bound goes first to the replica furthest behind, if any lies outside the tightest lag gate;
-     * one so long that it might push a replica out of that gate goes to one replica, the same at every router, and
-     * waits for room there while it can. Guards against long reads that stop the log on all replicas in turn, and
-     * against spending fresh replicas on reads that need none.
+     * A read without a bound goes first to the replica furthest behind, if any is outside the tightest lag
+     * gate; one so long that it may push a replica out of that gate goes to one replica, the same at every
+     * router, and waits for room there while it can. Guards against long reads that stop the log on all
+     * replicas in turn, and against spending fresh replicas on reads that need none.
      */
     private Row furthestBehind(Team team, Row primary, Command cmd, boolean stopsLog, double now) {
         Row behind = null;
         for (Row row : team.rows) {
-            if (row == primary || now - row.heardAt > TIME_GATE || !open(row) || row.strikes > 0 || silent(row, now)
-                    || !stopsLog && (row.lag <= tightestGate || !usable(row, cmd, now))) {
+            boolean well = row.strikes == 0 && !row.closed && !silent(row, now);
+            boolean sink = stopsLog ? well : row.lag > tightestGate && usableFor(cmd, row, now);
+            if (row == primary || !sink || now - row.heardAt > TIME_GATE) {
                 continue;
             }
             double further = behind == null ? 1 : Math.max(0, row.lag - tightestGate)
@@ -338,18 +327,19 @@
 
     /** The two gates: measured lag, and time since this router heard of the replica. */
     private boolean calm(Row row, Command cmd, double now) {
-        if (benched(row, cmd, now) || now - row.heardAt > TIME_GATE || !usable(row, cmd, now)) {
+        if (benched(row, cmd, now) || now - row.heardAt > TIME_GATE || !usableFor(cmd, row, now)) {
             return false;
         }
         return cmd.group.level() != ReadLevel.BOUNDED || row.lag <= cmd.group.bound() * LAG_GATE;
     }
 
     /**
-     * A replica that refused sits out. Guards against one blip costing ten seconds: reads without a bound were never
-     * refused, and a position told since that lies within the lag gate shows that the replica has caught up.
+     * A replica that refused sits out. Guards against one blip costing ten seconds: reads without a bound
+     * were never refused, and a position told since that lies within the lag gate shows that it has caught
+     * up.
      */
     private boolean benched(Row row, Command cmd, double now) {
-        return now < row.benchedUntil && cmd.group.level() != ReadLevel.ANY
+        return now < row.benchedAt + BENCH && cmd.group.level() != ReadLevel.ANY
                 && row.position < row.benchedAt - cmd.group.bound() * LAG_GATE;
     }
 
@@ -375,23 +365,19 @@
         return Math.max(team.forgotten, last == null ? 0 : last.position);
     }
 
-    private boolean usable(Row row, Command cmd, double now) {
-        return open(row) && now >= row.restUntil && row.strikes < STRIKES && (row.strikes == 0 || row.out.isEmpty())
-                && !silent(row, now) && hasRoom(row, 1, now) && untried(cmd, row) && dropsRepeats(cmd, row)
-                && withinColdBudget(row, now);
+    private boolean usableFor(Command cmd, Row row, double now) {
+        boolean untried = cmd.dispatches.stream().noneMatch(d -> d.node.equals(row.node));
+        return untried && usable(row, now) && dropsRepeats(cmd, row) && withinColdBudget(row, now);
     }
 
-    /** One failure can be chance; two in a row without an answer between are a state. */
-    private static final int STRIKES = 2;
-
-    /** Rule 3: nothing new once told that a node drains or is gone; the grace is left unused. */
-    private static boolean open(Row row) {
-        return !row.closed;
+    /** A node with a failure against it gets one dispatch at a time. */
+    private boolean usable(Row row, double now) {
+        return !row.closed && now >= row.restUntil && row.strikes < STRIKES
+                && (row.strikes == 0 || row.out.isEmpty()) && !silent(row, now) && hasRoom(row, 1, now);
     }
 
-    private static boolean untried(Command cmd, Row row) {
-        return cmd.dispatches.stream().noneMatch(d -> d.node.equals(row.node));
-    }
+    /** One failure can be chance; two in a row without an answer between are a state. */
+    private static final int STRIKES = 2;
 
     /** Guards against filling a node again whose work goes on after the time limit or a recall. */
     private static boolean hasRoom(Row row, double part, double now) {
@@ -412,7 +398,7 @@
         if (oldest == null) {
             return false;
         }
-        double patience = Math.max(PATIENCE, 3 * paces.get(oldest.command.group).latency);
+        double patience = Math.max(PATIENCE, 3 * usual.get(oldest.command.group));
         return now - Math.max(row.answeredAt, oldest.sentAt) > patience;
     }
 
@@ -447,23 +433,27 @@
         double rate = warmth * settings.overloadFactor() * COLD_SAFETY * Math.max(warmRate, LEAST_RATE);
         double most = rate * COLD_BURST;
         double elapsed = now - row.coldBudgetAt;
-        row.coldBudget = Math.min(most, elapsed > settings.overloadFor() ? most : row.coldBudget + rate * elapsed);
+        boolean first = elapsed > settings.overloadFor();
+        row.coldBudget = first ? most : Math.min(most, row.coldBudget + rate * elapsed);
         row.coldBudgetAt = now;
         return row.coldBudget > 0;
     }
 
-    /** Warm nodes seldom bear more than their capacity, so half the multiple of their load leaves chance its room. */
+    /**
+     * Warm nodes seldom bear more than their capacity: half the multiple of their load leaves room for
+     * chance.
+     */
     private static final double COLD_SAFETY = 0.5;
     /** A budget that lay idle may be spent at once up to this many seconds of it. */
     private static final double COLD_BURST = 0.5;
-    /** Work a second that any node can do for one router: a twentieth of one core, when no warm node was seen. */
+    /** Work a second that any node can do for a router, a twentieth of a core, when no warm one was seen. */
     private static final double LEAST_RATE = 0.05;
 
     private Team team(int group) {
         return teams.computeIfAbsent(group, any -> new Team());
     }
 
-    /** The member with the newest evidence of being primary; the list's word counts where none has any. */
+    /** The member with the newest claim to be primary. */
     private Row primary(int group) {
         Row best = null;
         for (Row row : team(group).rows) {
@@ -471,13 +461,6 @@
                 best = row;
             }
         }
-        if (best == null) {
-            for (Row row : team(group).rows) {
-                if (row.listing != null && row.listing.primary() && row.replicaAt == Double.NEGATIVE_INFINITY) {
-                    best = row;
-                }
-            }
-        }
         return best;
     }
 
@@ -489,7 +472,7 @@
         dispatch.outcome = reply.outcome();
         Row row = rows.get(dispatch.node);
         row.out.remove(dispatch);
-        if (!reply.outcome().neverRan && reply.outcome() != Outcome.ANSWERED && reply.outcome() != Outcome.ERROR) {
+        if (reply.outcome() == Outcome.TIMED_OUT || reply.outcome() == Outcome.CANCELLED) {
             row.abandoned.add(dispatch);
         }
         learn(row, reply, now);
@@ -516,7 +499,7 @@
         } else if (reply.role() == Role.REPLICA) {
             row.replicaAt = now;
         }
-        // A report is as old as its position says; a replica's may be older, so it never outdoes a primary's claim.
+        // A report is as old as its position says; a replica's may be older still.
         if (reply.reportedRole() == Role.PRIMARY) {
             row.primaryAt = Math.max(row.primaryAt, reply.reportedPosition());
         } else if (reply.reportedRole() == Role.REPLICA) {
@@ -534,7 +517,7 @@
 
     /** Health and room of a node, by what became of a dispatch. */
     private void judge(Row row, Dispatch dispatch, Reply reply, double now) {
-        Pace pace = paces.get(dispatch.command.group);
+        double usualTime = usual.get(dispatch.command.group);
         double target = dispatch.command.group.responseTarget();
         switch (reply.outcome()) {
             case ANSWERED -> {
@@ -547,22 +530,25 @@
                 row.strikes = 0;
                 row.fulls = 0;
                 // Guards against a cold budget swollen by sends that full or hung nodes never worked on.
-                row.doneRate = decayed(row.doneRate, now - row.doneRateAt, RATE_MEMORY) + pace.latency / RATE_MEMORY;
+                row.doneRate = decayed(row.doneRate, now - row.doneRateAt) + usualTime / RATE_MEMORY;
                 row.doneRateAt = now;
                 row.errorShare *= 1 - ERROR_WEIGHT;
-                pace.latency += 0.02 * (reply.took() - pace.latency);
+                usual.put(dispatch.command.group, usualTime + 0.02 * (reply.took() - usualTime));
                 adapt(row, reply.took() / target);
+                if (row.slowness < 0.35 && row.out.size() + 1 >= row.window * 0.7) {
+                    row.window += 0.5 / row.window;
+                }
             }
             case TURNED_AWAY -> {
                 row.answeredAt = now;
                 if (!dispatch.command.group.primaryOnly()) {
-                    row.benchedUntil = now + BENCH;
                     row.benchedAt = now;
                 }
             }
             case FULL -> {
                 row.window = Math.max(LEAST_WINDOW, row.window * 0.8);
-                // Guards against full and hung nodes being asked over and over: each further one doubles the rest.
+                // Guards against full and hung nodes being asked over and over: each one more doubles the
+                // rest.
                 row.restUntil = now + Math.min(1, 0.05 * Math.pow(2, row.fulls++));
             }
             case ERROR -> {
@@ -578,7 +564,8 @@
             case CONNECT_FAILED, RESET -> strike(row, now);
             case TIMED_OUT, CANCELLED -> {
                 adapt(row, Math.max(row.slowness, reply.took() / target));
-                if (dispatch.sentAt > row.answeredAt && now - dispatch.sentAt > Math.max(PATIENCE, LATE * pace.latency)) {
+                boolean unheard = dispatch.sentAt > row.answeredAt;
+                if (unheard && reply.took() > Math.max(PATIENCE, LATE * usualTime)) {
                     strike(row, now);
                 }
             }
@@ -600,15 +587,13 @@
     }
 
     /**
-     * Keeps the usual time of answer at a node near two fifths of the response targets, which leaves the spread of
-     * work its room below the target. Guards against queues that make everything late and never empty.
+     * Keeps the usual time of answer at a node near two fifths of the response target, which leaves the
+     * spread of work its room below it. Guards against queues that make everything late and never empty.
      */
     private static void adapt(Row row, double slowness) {
         row.slowness += 0.1 * (Math.min(slowness, 2) - row.slowness);
         if (row.slowness > 0.45) {
             row.window = Math.max(LEAST_WINDOW, row.window * 0.97);
-        } else if (row.slowness < 0.35 && row.out.size() + 1 >= row.window * 0.7) {
-            row.window += 0.5 / row.window;
         }
     }
 
@@ -617,9 +602,11 @@
             return;
         }
         Wrote old = wrote.remove(cmd.session);
-        double position = Math.max(reply.position() > 0 ? reply.position() : now, old == null ? 0 : old.position);
+        double told = reply.position() > 0 ? reply.position() : now;
+        double position = old == null ? told : Math.max(told, old.position);
         wrote.put(cmd.session, new Wrote(team(cmd.nodeGroup), position));
-        // Forgetting never allows a stale read: every later session read of the group must cover what was dropped.
+        // Forgetting never allows a stale read: every later session read of the group must cover what is
+        // dropped.
         Iterator<Wrote> oldest = wrote.values().iterator();
         while (wrote.size() > MOST_SESSIONS || oldest.hasNext() && wrote.size() > 1) {
             Wrote first = oldest.next();
@@ -646,12 +633,11 @@
         for (Row row : rows.values()) {
             busy |= !row.out.isEmpty();
             if (settings.mayProbe() && probeDue(row, now)) {
-                row.probing = true;
                 row.probedAt = now;
                 probes.add(row.node);
             }
-            if (open(row) && row.strikes == 0 && warmth(row, now) >= 1) {
-                load += decayed(row.doneRate, now - row.doneRateAt, RATE_MEMORY);
+            if (!row.closed && row.strikes == 0 && warmth(row, now) >= 1) {
+                load += decayed(row.doneRate, now - row.doneRateAt);
                 warm++;
             }
         }
@@ -667,22 +653,20 @@
         return new Pause(busy ? 0.01 : 0.05, probes, watch);
     }
 
-    /** Rows about to be stale are probed, and lost ones; all members while their primary is not known or not answering. */
+    /** Rows that go stale are probed, and lost ones; all members while their primary is unknown or silent. */
     private boolean probeDue(Row row, double now) {
         if (row.listing == null) {
             return false;
         }
         double since = now - row.probedAt;
-        if (row.probing && since < 1) {
-            return false;
-        }
         Row primary = primary(row.node.group());
-        if (primary == null || primary.strikes > 0 || silent(primary, now) || !open(primary)) {
+        if (primary == null || primary.strikes > 0 || silent(primary, now) || primary.closed) {
             return since > 0.15;
         }
-        // Guards against a gate that stays empty because nothing is sent to those that it dropped: a row is probed
-        // before its position ceases to cover the tightest bound, not only when it passes the time gate.
-        return since > 0.5 && row.strikes > 0 || since > Math.max(0.15, tightestGate / 2) && now - row.heardAt > 2 * tightestGate;
+        // Guards against a gate that stays empty because nothing is sent to those that it dropped: a row is
+        // probed when its position ceases to cover the tightest bound, not only when it passes the time gate.
+        boolean uncovered = now - row.heardAt > Math.min(TIME_GATE, 2 * tightestGate);
+        return since > 0.5 && row.strikes > 0 || since > Math.max(0.15, tightestGate / 2) && uncovered;
     }
 
     // ---- news ----
@@ -728,7 +712,9 @@
 
     /** A call to the node list failed, or its watch broke; it is asked again, not all routers at once. */
     public void listFailed(double now) {
-        watchAt = now + 1 + 2 * random.nextDouble();
+        if (settings.listMustBeAsked()) {
+            watchAt = now + 1 + 2 * random.nextDouble();
+        }
     }
 
     /** A probe came back. */
@@ -737,11 +723,8 @@
         if (row == null) {
             return;
         }
-        row.probing = false;
         if (reply.outcome() != Outcome.ANSWERED) {
-            if (reply.outcome() != Outcome.FULL) {
-                strike(row, now);
-            }
+            strike(row, now);
             return;
         }
         learn(row, reply, now);
--- /dev/null
+++ b/src/test/java/clayhook/DecideTest.java
@@ -0,0 +1,300 @@
+package clayhook;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import clayhook.Choice.Verdict;
+import clayhook.CommandGroup.Effect;
+import clayhook.Listing.State;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class DecideTest {
+    private final Fleet fleet = new Fleet();
+
+    @Test
+    void boundedReadsTakeTurnsOverReplicasAndSpareThePrimary() {
+        Set<Node> met = new HashSet<>();
+        for (int i = 0; i < 4; i++) {
+            met.add(fleet.send(fleet.bounded).node);
+        }
+        assertEquals(Set.of(fleet.replica, fleet.other), met);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0.05, true", "0.2, false", "0.9, false"})
+    void aReplicaServesBoundedReadsOnlyWithinTheLagGate(double lag, boolean serves) {
+        fleet.now += 1;
+        fleet.tell(fleet.primary, Role.PRIMARY, fleet.now);
+        fleet.tell(fleet.other, Role.REPLICA, fleet.now - 1);
+        fleet.tell(fleet.replica, Role.REPLICA, fleet.now - lag);
+        assertEquals(serves ? fleet.replica : fleet.primary, fleet.send(fleet.bounded).node);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0.25, true", "0.35, false"})
+    void aPositionCoversABoundedReadNoLongerThanItsBound(double later, boolean serves) {
+        fleet.now += later;
+        fleet.tell(fleet.primary, Role.PRIMARY, fleet.now);
+        assertEquals(!serves, fleet.send(fleet.bounded).node.equals(fleet.primary));
+    }
+
+    @Test
+    void aReplicaUnheardForASecondIsDroppedAndProbed() {
+        fleet.now += 1.1;
+        fleet.tell(fleet.primary, Role.PRIMARY, fleet.now);
+        assertEquals(fleet.primary, fleet.send(fleet.any).node);
+        assertTrue(fleet.decide.pause(fleet.now).probes().containsAll(List.of(fleet.replica, fleet.other)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"-0.1, true", "0.1, false"})
+    void aCarriedMarkMustBeCovered(double wroteAfterPosition, boolean serves) {
+        Command read = fleet.command(fleet.session, fleet.now + wroteAfterPosition);
+        assertEquals(!serves, fleet.decide.where(read, fleet.now).dispatch().node.equals(fleet.primary));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, true", "60, true"})
+    void aRememberedWriteBindsLaterReadsEvenOnceForgotten(double later, boolean onPrimary) {
+        Fleet remembering = new Fleet(false, false);
+        Dispatch write = remembering.send(remembering.write);
+        double position = remembering.now + later;
+        remembering.answer(write, Outcome.ANSWERED, Role.PRIMARY, position);
+        remembering.now += later;
+        remembering.tellAll(position - 0.01);
+        remembering.answer(remembering.send(remembering.write), Outcome.ANSWERED, Role.PRIMARY, position);
+        Node node = remembering.send(remembering.session).node;
+        assertEquals(onPrimary, node.equals(remembering.primary));
+    }
+
+    @Test
+    void aReadWithoutABoundGoesToTheReplicaFurthestBehind() {
+        fleet.now += 9;
+        fleet.tellAll(fleet.now - 9);
+        fleet.tell(fleet.primary, Role.PRIMARY, fleet.now);
+        fleet.tell(fleet.replica, Role.REPLICA, fleet.now - 1);
+        fleet.tell(fleet.other, Role.REPLICA, fleet.now - 9);
+        for (int i = 0; i < 3; i++) {
+            assertEquals(fleet.other, fleet.send(fleet.any).node);
+        }
+    }
+
+    @Test
+    void longReadsKeepToOneReplica() {
+        for (int i = 0; i < 3; i++) {
+            assertEquals(fleet.other, fleet.send(fleet.report).node);
+        }
+    }
+
+    @Test
+    void withNoSurvivorACheckingReplicaFurthestAheadIsTriedFirst() {
+        Fleet checking = new Fleet(true, true);
+        checking.now += 5;
+        checking.tell(checking.primary, Role.PRIMARY, checking.now);
+        checking.tell(checking.other, Role.REPLICA, checking.now - 5);
+        checking.tell(checking.replica, Role.REPLICA, checking.now - 4);
+        assertEquals(checking.replica, checking.send(checking.bounded).node);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, false", "1, true"})
+    void aRefusalBenchesUntilAPositionShowsThatTheReplicaCaughtUp(double later, boolean back) {
+        Fleet checking = new Fleet(true, true);
+        checking.now += 2;
+        checking.tell(checking.primary, Role.PRIMARY, checking.now);
+        checking.tell(checking.replica, Role.REPLICA, checking.now - 1);
+        Dispatch refused = checking.send(checking.bounded);
+        checking.answer(refused, Outcome.TURNED_AWAY, Role.REPLICA, checking.now - 1);
+        checking.now += later;
+        checking.tell(checking.primary, Role.PRIMARY, checking.now);
+        checking.tell(refused.node, Role.REPLICA, later > 0 ? checking.now : checking.now - 1);
+        assertEquals(back, checking.nodesOf(checking.bounded, 3).contains(refused.node));
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = State.class, names = {"DRAINING", "GONE"})
+    void nothingNewGoesToANodeThatDrainsOrIsGone(State state) {
+        fleet.list(fleet.replica, state, 0);
+        assertEquals(Set.of(fleet.other), fleet.nodesOf(fleet.bounded, 4));
+    }
+
+    @Test
+    void aNodeMissingFromAWholeListIsGone() {
+        fleet.decide.listed(List.of(new Listing(fleet.primary, State.READY, true, 0),
+                new Listing(fleet.other, State.READY, false, 0)), true, fleet.now);
+        assertEquals(Set.of(fleet.other), fleet.nodesOf(fleet.any, 4));
+    }
+
+    @Test
+    void aColdNodeGetsOnlyItsBudget() {
+        fleet.list(fleet.replica, State.READY, fleet.now - 0.1);
+        fleet.list(fleet.other, State.DRAINING, 0);
+        int sent = 0;
+        for (int i = 0; i < 100; i++) {
+            Choice choice = fleet.decide.where(fleet.command(fleet.any, 0), fleet.now);
+            sent += choice.verdict() == Verdict.SEND && choice.dispatch().node.equals(fleet.replica) ? 1 : 0;
+        }
+        assertTrue(sent <= 1, "sent " + sent);
+    }
+
+    @Test
+    void hungNodesDoNotSwellTheColdBudget() {
+        fleet.list(fleet.other, State.DRAINING, 0);
+        for (int i = 0; i < 50; i++) {
+            fleet.now += 2;
+            fleet.tellAll(fleet.now);
+            fleet.answer(fleet.send(fleet.any), Outcome.FULL, Role.REPLICA, fleet.now);
+        }
+        fleet.list(fleet.replica, State.READY, fleet.now);
+        fleet.now += 2;
+        fleet.tellAll(fleet.now);
+        fleet.decide.pause(fleet.now);
+        assertTrue(fleet.sentTo(fleet.replica, fleet.any, 50) <= 1);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"REPLAYABLE, RESET, 0.1, SEND", "KEYED, RESET, 0.1, SEND", "KEYED, RESET, 1.5, FAIL",
+        "MUTATING, RESET, 0.1, FAIL", "MUTATING, TIMED_OUT, 0.1, FAIL", "MUTATING, FULL, 0.1, NOT_YET",
+        "MUTATING, ERROR, 0.1, FAIL"})
+    void whatMayHaveRunIsRepeatedOnlyAsItsEffectAllows(Effect effect, Outcome outcome, double later, Verdict verdict) {
+        Dispatch first = fleet.send(fleet.writes(effect));
+        fleet.now += later;
+        fleet.tellAll(fleet.now);
+        Choice next = fleet.answer(first, outcome, Role.PRIMARY, fleet.now);
+        if (verdict == Verdict.SEND) {
+            fleet.tellAll(fleet.now + 0.01);
+            fleet.answer(fleet.send(fleet.session), Outcome.ANSWERED, Role.REPLICA, fleet.now);
+            assertFalse(next.verdict() == Verdict.THROTTLE || next.verdict() == Verdict.FAIL);
+        } else {
+            assertEquals(verdict, next.verdict());
+        }
+    }
+
+    @Test
+    void aMutatingCommandThatIsOutIsNeverSentAgain() {
+        Dispatch write = fleet.send(fleet.writes(Effect.MUTATING));
+        fleet.now += 3;
+        fleet.tellAll(fleet.now);
+        assertEquals(Verdict.NOT_YET, fleet.decide.where(write.command, fleet.now).verdict());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"REPLAYABLE, THROTTLE", "MUTATING, FAIL", "KEYED, FAIL"})
+    void theFinalAnswerComesInTimeThoughNoOutcomeDoes(Effect effect, Verdict verdict) {
+        Dispatch write = fleet.send(fleet.writes(effect));
+        assertEquals(verdict, fleet.decide.where(write.command, write.command.expires).verdict());
+    }
+
+    @Test
+    void aReadThatEarnsNothingAnyMoreIsGivenUpAndRecalled() {
+        Dispatch read = fleet.send(fleet.bounded);
+        Choice choice = fleet.decide.where(read.command, fleet.now + fleet.bounded.responseTarget());
+        assertEquals(Verdict.THROTTLE, choice.verdict());
+        assertEquals(List.of(read), choice.recall());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0.05, NOT_YET", "0.2, THROTTLE"})
+    void aReadIsHeldForASmallPartOfItsTarget(double held, Verdict verdict) {
+        Command read = fleet.command(fleet.bounded, 0);
+        fleet.decide.listed(List.of(), true, fleet.now);
+        assertEquals(verdict, fleet.decide.where(read, fleet.now + held).verdict());
+    }
+
+    @Test
+    void writesWaitWhileThePrimaryIsSilentAndAllMembersAreProbed() {
+        fleet.send(fleet.write);
+        fleet.now += 1.5;
+        assertEquals(Verdict.NOT_YET, fleet.decide.where(fleet.command(fleet.write, 0), fleet.now).verdict());
+        assertEquals(3, fleet.decide.pause(fleet.now).probes().size());
+    }
+
+    @Test
+    void writesFollowTheNewerClaim() {
+        fleet.now += 1;
+        fleet.tell(fleet.other, Role.PRIMARY, fleet.now);
+        assertEquals(fleet.other, fleet.send(fleet.write).node);
+    }
+
+    @Test
+    void aWriteTurnedAwayByAFormerPrimaryWaitsForItsSuccessor() {
+        Choice choice = fleet.answer(fleet.send(fleet.write), Outcome.TURNED_AWAY, Role.REPLICA, fleet.now);
+        assertEquals(Verdict.NOT_YET, choice.verdict());
+        fleet.now += 0.1;
+        fleet.tell(fleet.other, Role.PRIMARY, fleet.now);
+        assertEquals(fleet.other, fleet.send(fleet.write).node);
+    }
+
+    @Test
+    void aSilentReplicaGetsNothingNewAndItsReadASecondCopyElsewhere() {
+        Dispatch read = fleet.send(fleet.bounded);
+        fleet.now += 0.32;
+        fleet.tellAll(fleet.now);
+        Choice copy = fleet.decide.where(read.command, fleet.now);
+        assertEquals(Verdict.SEND, copy.verdict());
+        assertNotEquals(read.node, copy.dispatch().node);
+    }
+
+    @Test
+    void aNodeThatIsFullRests() {
+        Dispatch read = fleet.send(fleet.any);
+        fleet.answer(read, Outcome.FULL, Role.REPLICA, fleet.now);
+        assertFalse(fleet.nodesOf(fleet.any, 4).contains(read.node));
+        fleet.now += 0.06;
+        assertTrue(fleet.nodesOf(fleet.any, 4).contains(read.node));
+    }
+
+    @Test
+    void quickErrorsDoNotDrawTraffic() {
+        for (int i = 0; i < 20; i++) {
+            Dispatch read = fleet.send(fleet.any);
+            boolean sick = read.node.equals(fleet.replica);
+            fleet.answer(read, sick ? Outcome.ERROR : Outcome.ANSWERED, Role.REPLICA, fleet.now);
+        }
+        assertEquals(Set.of(fleet.other), fleet.nodesOf(fleet.any, 4));
+    }
+
+    @Test
+    void abandonedDispatchesTakeRoomUntilALaterOneIsAnswered() {
+        fleet.list(fleet.other, State.DRAINING, 0);
+        fleet.list(fleet.primary, State.DRAINING, 0);
+        Dispatch last = fleet.send(fleet.any);
+        for (int i = 0; i < 7; i++) {
+            last = fleet.send(fleet.any);
+        }
+        for (int i = 0; i < 7; i++) {
+            fleet.answer(fleet.sent.get(i), Outcome.CANCELLED, Role.UNKNOWN, 0);
+        }
+        assertEquals(Verdict.NOT_YET, fleet.decide.where(fleet.command(fleet.any, 0), fleet.now).verdict());
+        fleet.answer(last, Outcome.ANSWERED, Role.REPLICA, fleet.now);
+        assertEquals(Verdict.SEND, fleet.decide.where(fleet.command(fleet.any, 0), fleet.now).verdict());
+    }
+
+    @Test
+    void slowAnswersNarrowTheWindow() {
+        fleet.list(fleet.other, State.DRAINING, 0);
+        for (int i = 0; i < 60; i++) {
+            Dispatch read = fleet.send(fleet.any);
+            fleet.decide.after(read, new Reply(Outcome.ANSWERED, 0.25, Role.REPLICA, fleet.now, Role.UNKNOWN, 0),
+                    true, fleet.now);
+        }
+        assertTrue(fleet.sentTo(fleet.replica, fleet.any, 20) < 8);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true, 1, false", "true, 3.1, true", "false, 3.1, false"})
+    void aFailedListCallIsRepeatedAfterAWhile(boolean mustAsk, double later, boolean asks) {
+        Fleet asking = new Fleet(true, false, mustAsk);
+        assertEquals(mustAsk, asking.decide.pause(asking.now).watchList());
+        asking.decide.listFailed(asking.now);
+        assertEquals(asks, asking.decide.pause(asking.now + later).watchList());
+    }
+}
