Let a jammed node rest half a second

Cause: with many routers one dispatch each is already a full node; slow ones stayed at 0.8 to 1.0 of the target with windows at their least and wasted all they did. Covers neighbours, pauses, replica lag, many routers; may hurt a primary for half a second.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -534,7 +534,7 @@
                 row.doneRateAt = now;
                 row.errorShare *= 1 - ERROR_WEIGHT;
                 usual.put(dispatch.command.group, usualTime + 0.02 * (reply.took() - usualTime));
-                adapt(row, reply.took() / target);
+                adapt(row, reply.took() / target, now);
                 if (row.slowness < 0.35 && row.out.size() + 1 >= row.window * 0.7) {
                     row.window += 0.5 / row.window;
                 }
@@ -563,7 +563,7 @@
             }
             case CONNECT_FAILED, RESET -> strike(row, now);
             case TIMED_OUT, CANCELLED -> {
-                adapt(row, Math.max(row.slowness, reply.took() / target));
+                adapt(row, Math.max(row.slowness, reply.took() / target), now);
                 boolean unheard = dispatch.sentAt > row.answeredAt;
                 if (unheard && reply.took() > Math.max(PATIENCE, LATE * usualTime)) {
                     strike(row, now);
@@ -574,8 +574,10 @@
     }
 
     /** For all routers together: a few for each core of a small machine. */
-    private static final double FIRST_WINDOW = 24;
+    private static final double FIRST_WINDOW = 16;
     private static final double LEAST_WINDOW = 1;
+    /** About two of the shorter response targets. */
+    private static final double JAM_REST = 0.5;
     /** The document's circuit break. */
     private static final double BENCH = 10;
     /** Half a dozen outcomes settle an opinion. */
@@ -590,11 +592,16 @@
      * Keeps the usual time of answer at a node near two fifths of the response target, which leaves the
      * spread of work its room below it. Guards against queues that make everything late and never empty.
      */
-    private static void adapt(Row row, double slowness) {
+    private static void adapt(Row row, double slowness, double now) {
         row.slowness += 0.1 * (Math.min(slowness, 2) - row.slowness);
         if (row.slowness > 0.45) {
             row.window = Math.max(LEAST_WINDOW, row.window * 0.97);
         }
+        // Guards against a node that stays jammed because each router keeps one dispatch there: it may drain.
+        if (row.slowness > 0.7 && row.window <= LEAST_WINDOW) {
+            row.restUntil = now + JAM_REST;
+            row.slowness = 0.5;
+        }
     }
 
     private void remember(Command cmd, Reply reply, double now) {
--- a/src/test/java/clayhook/DecideTest.java
+++ b/src/test/java/clayhook/DecideTest.java
@@ -289,6 +289,22 @@
         assertTrue(fleet.sentTo(fleet.replica, fleet.any, 20) < 8);
     }
 
+    @Test
+    void aJammedNodeRests() {
+        fleet.list(fleet.other, State.DRAINING, 0);
+        fleet.list(fleet.primary, State.DRAINING, 0);
+        Choice choice = fleet.decide.where(fleet.command(fleet.any, 0), fleet.now);
+        for (int i = 0; i < 99 && choice.verdict() == Verdict.SEND; i++) {
+            fleet.decide.after(choice.dispatch(), new Reply(Outcome.ANSWERED, 0.39, Role.REPLICA, fleet.now,
+                    Role.UNKNOWN, 0), true, fleet.now);
+            choice = fleet.decide.where(fleet.command(fleet.any, 0), fleet.now);
+        }
+        assertEquals(Verdict.NOT_YET, choice.verdict());
+        fleet.now += 0.6;
+        fleet.tellAll(fleet.now);
+        assertEquals(Verdict.SEND, fleet.decide.where(fleet.command(fleet.any, 0), fleet.now).verdict());
+    }
+
     @ParameterizedTest
     @CsvSource({"true, 1, false", "true, 3.1, true", "false, 3.1, false"})
     void aFailedListCallIsRepeatedAfterAWhile(boolean mustAsk, double later, boolean asks) {
