--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -163,12 +163,12 @@
 
     /** No answer that earns anything can be expected any more. */
     private boolean hopeless(Command cmd, double now, boolean out) {
-        // What is out may come any moment. What is held needs the usual time of an answer, and unless
-        // lateness is paid it goes out within the first part of its target or not at all. Guards against
+        // What is out may come any moment. What is held needs the usual time of an answer, and a read that
+        // other members may take goes out within the first part of its target or not at all. Guards against
         // dispatches that run into their limit because they were held too long, whose work is wasted.
         double useful = usefulUntil(cmd);
-        boolean heldTooLong = cmd.dispatches.isEmpty() && cmd.group.lateShare() == 0
-                && now > cmd.arrived + HOLD * (useful - cmd.arrived);
+        boolean heldTooLong = cmd.dispatches.isEmpty() && !cmd.group.primaryOnly()
+                && now > cmd.arrived + HOLD * Math.min(cmd.group.responseTarget(), cmd.expires - cmd.arrived);
         double least = Math.min(usual.get(cmd.group), cmd.group.responseTarget() / 2);
         return out ? now >= useful : heldTooLong || now + least >= useful;
     }
