Aim windows at 0.25 to 0.32 of the response target

Good for crowded replicas, whose log application shares the processor; a little dear where nodes have one slot a core.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -535,7 +535,7 @@
                 row.errorShare *= 1 - ERROR_WEIGHT;
                 usual.put(dispatch.command.group, usualTime + 0.02 * (reply.took() - usualTime));
                 adapt(row, reply.took() / target, now);
-                if (row.slowness < 0.3 && row.out.size() + 1 >= row.window * 0.7) {
+                if (row.slowness < 0.25 && row.out.size() + 1 >= row.window * 0.7) {
                     row.window += 0.5 / row.window;
                 }
             }
@@ -589,12 +589,12 @@
     }
 
     /**
-     * Keeps the usual time of answer at a node near a third of the response target, which leaves the
+     * Keeps the usual time of answer at a node under a third of the response target, which leaves the
      * spread of work its room below it. Guards against queues that make everything late and never empty.
      */
     private static void adapt(Row row, double slowness, double now) {
         row.slowness += 0.1 * (Math.min(slowness, 2) - row.slowness);
-        if (row.slowness > 0.38) {
+        if (row.slowness > 0.32) {
             row.window = Math.max(LEAST_WINDOW, row.window * 0.97);
         }
         // Guards against a node that stays jammed because each router keeps one dispatch there: it may drain.
