Ask throttled clients back while an answer still counts

Cause: advice of 0.5 to 1.5 targets brought clients back when their first try had passed its target, so that what they then got earned nothing. Covers all overload; may hurt where throttling itself is dear, which it is not here.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -189,9 +189,8 @@
         if (!harmless) {
             return new Choice(Verdict.FAIL, null, 0, recall);
         }
-        // About the time in which a full node works off its queue, spread so that clients don't return
-        // together.
-        double spread = 0.5 + random.nextDouble();
+        // Soon enough for an answer within the target, spread so that clients don't return together.
+        double spread = 0.1 + 0.2 * random.nextDouble();
         double advice = Math.min(settings.longestAdvice(), cmd.group.responseTarget() * spread);
         return new Choice(Verdict.THROTTLE, null, advice, recall);
     }
