Give up writes that found no room for half their target

They now wait half their target, without limit only while there is no primary; a hold is judged after looking for room.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -128,7 +128,7 @@
         }
         Row row = cmd.group.primaryOnly() ? pickPrimary(cmd, now) : pickReader(cmd, team(cmd.nodeGroup), now);
         if (row == null) {
-            return notYet(!out);
+            return out || !heldTooLong(cmd, now) ? notYet(!out) : giveUp(cmd);
         }
         if (extra) {
             extras--;
@@ -163,18 +163,27 @@
 
     /** No answer that earns anything can be expected any more. */
     private boolean hopeless(Command cmd, double now, boolean out) {
-        // What is out may come any moment. What is held needs the usual time of an answer, and a read that
-        // other members may take goes out within the first part of its target or not at all. Guards against
-        // dispatches that run into their limit because they were held too long, whose work is wasted.
-        double useful = usefulUntil(cmd);
-        boolean heldTooLong = cmd.dispatches.isEmpty() && !cmd.group.primaryOnly()
-                && now > cmd.arrived + HOLD * Math.min(cmd.group.responseTarget(), cmd.expires - cmd.arrived);
+        // What is out may come any moment; what is held needs the usual time of an answer.
         double least = Math.min(usual.get(cmd.group), cmd.group.responseTarget() / 2);
-        return out ? now >= useful : heldTooLong || now + least >= useful;
+        return now + (out ? 0 : least) >= usefulUntil(cmd);
+    }
+
+    /**
+     * Guards against dispatches that run into their limit because they were held too long, and against a line
+     * of writes in which all are late: what finds no room goes out within the first part of its target or not
+     * at all. While a group has no primary its writes may wait.
+     */
+    private boolean heldTooLong(Command cmd, double now) {
+        boolean write = cmd.group.primaryOnly();
+        double target = Math.min(cmd.group.responseTarget(), cmd.expires - cmd.arrived);
+        return cmd.dispatches.isEmpty() && (!write || primaryIsWell(cmd.nodeGroup, now))
+                && now > cmd.arrived + (write ? WRITE_HOLD : HOLD) * target;
     }
 
     /** Of a target of about four times the work, this leaves the work and a queue as long again. */
     private static final double HOLD = 0.15;
+    /** A line at the one node that takes writes is worth more patience, as there is no other. */
+    private static final double WRITE_HOLD = 0.5;
 
     private static double usefulUntil(Command cmd) {
         return cmd.group.lateShare() > 0 ? cmd.expires
@@ -236,11 +245,8 @@
 
     /** A second copy is sent when the newest is far later than usual or its node has fallen silent. */
     private boolean secondCopyDue(Command cmd, double now) {
-        if (!settings.secondCopies() || cmd.group.effect() == Effect.MUTATING) {
-            return false;
-        }
         Dispatch last = cmd.dispatches.get(cmd.dispatches.size() - 1);
-        if (last.outcome != null) {
+        if (!settings.secondCopies() || cmd.group.effect() == Effect.MUTATING || last.outcome != null) {
             return false;
         }
         Row row = rows.get(last.node);
@@ -257,9 +263,14 @@
 
     private Row pickPrimary(Command cmd, double now) {
         Row row = primary(cmd.nodeGroup);
-        // Guards against throwing writes at a dead or hung primary while its successor is elected.
-        boolean well = row != null && row.strikes == 0 && usable(row, now);
-        return well && dropsRepeats(cmd, row) && withinColdBudget(row, now) ? row : null;
+        boolean ready = primaryIsWell(cmd.nodeGroup, now) && usable(row, now);
+        return ready && dropsRepeats(cmd, row) && withinColdBudget(row, now) ? row : null;
+    }
+
+    /** Guards against throwing writes at a dead or hung primary while its successor is elected. */
+    private boolean primaryIsWell(int group, double now) {
+        Row row = primary(group);
+        return row != null && !row.closed && row.strikes == 0 && !silent(row, now);
     }
 
     private Row pickReader(Command cmd, Team team, double now) {
@@ -380,17 +391,11 @@
 
     /** Guards against filling a node again whose work goes on after the time limit or a recall. */
     private static boolean hasRoom(Row row, double part, double now) {
-        while (!row.abandoned.isEmpty() && stale(row.abandoned.peek(), now)) {
-            row.abandoned.poll();
-        }
+        // Windows keep queues well under one response target, so after two the dispatch has left its queue.
+        row.abandoned.removeIf(d -> now > d.sentAt + 2 * d.command.group.responseTarget());
         return row.out.size() + row.abandoned.size() < Math.max(1, row.window * part);
     }
 
-    /** Windows keep queues well under one response target, so after two the dispatch has left its queue. */
-    private static boolean stale(Dispatch abandoned, double now) {
-        return now > abandoned.sentAt + 2 * abandoned.command.group.responseTarget();
-    }
-
     /** Dispatches are out and nothing at all has come back for far longer than usual. */
     private boolean silent(Row row, double now) {
         Dispatch oldest = row.out.peek();
@@ -438,10 +443,7 @@
         return row.coldBudget > 0;
     }
 
-    /**
-     * Warm nodes seldom bear more than their capacity: half the multiple of their load leaves room for
-     * chance.
-     */
+    /** Warm nodes seldom bear more than they can: half the multiple of their load leaves room for chance. */
     private static final double COLD_SAFETY = 0.5;
     /** A budget that lay idle may be spent at once up to this many seconds of it. */
     private static final double COLD_BURST = 0.5;
@@ -487,9 +489,7 @@
 
     /** Takes over what a node told of its position and role. */
     private void learn(Row row, Reply reply, double now) {
-        boolean heard = reply.role() != Role.UNKNOWN || reply.reportedRole() != Role.UNKNOWN
-                || reply.outcome() == Outcome.ANSWERED;
-        if (heard) {
+        if (reply.outcome() == Outcome.ANSWERED || reply.role() != Role.UNKNOWN) {
             row.heardAt = now;
         }
         row.position = Math.max(row.position, Math.max(reply.position(), reply.reportedPosition()));
@@ -546,8 +546,7 @@
             }
             case FULL -> {
                 row.window = Math.max(LEAST_WINDOW, row.window * 0.8);
-                // Guards against full and hung nodes being asked over and over: each one more doubles the
-                // rest.
+                // Guards against asking full and hung nodes over and over: each one more doubles the rest.
                 row.restUntil = now + Math.min(1, 0.05 * Math.pow(2, row.fulls++));
             }
             case ERROR -> {
@@ -611,10 +610,9 @@
         double told = reply.position() > 0 ? reply.position() : now;
         double position = old == null ? told : Math.max(told, old.position);
         wrote.put(cmd.session, new Wrote(team(cmd.nodeGroup), position));
-        // Forgetting never allows a stale read: every later session read of the group must cover what is
-        // dropped.
+        // Forgetting never allows a stale read: later session reads of the group must cover what is dropped.
         Iterator<Wrote> oldest = wrote.values().iterator();
-        while (wrote.size() > MOST_SESSIONS || oldest.hasNext() && wrote.size() > 1) {
+        while (oldest.hasNext()) {
             Wrote first = oldest.next();
             if (wrote.size() <= MOST_SESSIONS && first.position > now - SESSION_MEMORY) {
                 break;
@@ -665,8 +663,7 @@
             return false;
         }
         double since = now - row.probedAt;
-        Row primary = primary(row.node.group());
-        if (primary == null || primary.strikes > 0 || silent(primary, now) || primary.closed) {
+        if (!primaryIsWell(row.node.group(), now)) {
             return since > 0.15;
         }
         // Guards against a gate that stays empty because nothing is sent to those that it dropped: a row is
--- a/src/test/java/clayhook/DecideTest.java
+++ b/src/test/java/clayhook/DecideTest.java
@@ -217,6 +217,19 @@
         assertEquals(3, fleet.decide.pause(fleet.now).probes().size());
     }
 
+    @ParameterizedTest
+    @CsvSource({"false, 0.1, NOT_YET", "false, 0.3, THROTTLE", "true, 0.3, NOT_YET"})
+    void writesWithoutRoomWaitShortlyUnlessThereIsNoPrimary(boolean unwell, double held, Verdict verdict) {
+        for (int i = 0; i < 6; i++) {
+            fleet.send(fleet.write);
+        }
+        Command waiting = fleet.command(fleet.write, 0);
+        if (unwell) {
+            fleet.list(fleet.primary, State.DRAINING, 0);
+        }
+        assertEquals(verdict, fleet.decide.where(waiting, fleet.now + held).verdict());
+    }
+
     @Test
     void writesFollowTheNewerClaim() {
         fleet.now += 1;
