--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -278,12 +278,10 @@
         if (cmd.group.level() == ReadLevel.ANY) {
             double usualTime = usual.get(cmd.group);
             boolean stopsLog = usualTime > tightestGate;
-            Row behind = furthestBehind(team, primary, cmd, stopsLog, now);
-            boolean maySpill = !stopsLog || now + 2 * usualTime > cmd.arrived + cmd.group.responseTarget();
-            if (behind != null && usableFor(cmd, behind, now)) {
-                return behind;
-            } else if (behind != null && !maySpill) {
-                return null;
+            boolean waits = stopsLog && now + 2 * usualTime < cmd.arrived + cmd.group.responseTarget();
+            Row behind = furthestBehind(team, primary, cmd, stopsLog, waits, now);
+            if (behind != null) {
+                return usableFor(cmd, behind, now) ? behind : null;
             }
         }
         int size = team.rows.size();
@@ -315,14 +313,15 @@
     /**
      * A read without a bound goes first to the replica furthest behind, if any is outside the tightest lag
      * gate; one so long that it may push a replica out of that gate goes to one replica, the same at every
-     * router, and waits for room there while it can. Guards against long reads that stop the log on all
-     * replicas in turn, and against spending fresh replicas on reads that need none.
+     * router, and waits for room there while it can; then the next takes it. Guards against long reads that
+     * stop the log on all replicas in turn, and against spending fresh replicas on reads that need none.
      */
-    private Row furthestBehind(Team team, Row primary, Command cmd, boolean stopsLog, double now) {
+    private Row furthestBehind(Team team, Row primary, Command cmd, boolean stopsLog, boolean waits,
+            double now) {
         Row behind = null;
         for (Row row : team.rows) {
             boolean well = row.strikes == 0 && !row.closed && !silent(row, now);
-            boolean sink = stopsLog ? well : row.lag > tightestGate && usableFor(cmd, row, now);
+            boolean sink = waits ? well : (stopsLog || row.lag > tightestGate) && usableFor(cmd, row, now);
             if (row == primary || !sink || now - row.heardAt > TIME_GATE) {
                 continue;
             }
