--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -352,7 +352,7 @@
                 && row.position < row.benchedAt - cmd.group.bound() * LAG_GATE;
     }
 
-    /** The design starts at half the bound; three quarters did a little better everywhere. One second is its own. */
+    /** One second, as the design starts; its half of the bound did a little worse everywhere than this. */
     private static final double TIME_GATE = 1;
     private static final double LAG_GATE = 0.75;
 
