--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -571,7 +571,7 @@
     }
 
     /** For all routers together: a few for each core of a small machine. */
-    private static final double FIRST_WINDOW = 16;
+    private static final double FIRST_WINDOW = 10;
     private static final double LEAST_WINDOW = 1;
     /** About two of the shorter response targets. */
     private static final double JAM_REST = 0.5;
