Let a replica's report end an old claim to be primary

A former primary that came back and was only probed went on being taken for the primary, as its position stood where its claim did.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -497,11 +497,12 @@
         } else if (reply.role() == Role.REPLICA) {
             row.replicaAt = now;
         }
-        // A report is as old as its position says; a replica's may be older still.
+        // A report is as old as its position says, but a replica's may be older. Guards against a former
+        // primary that comes back, its position where it stood, and goes on being taken for the primary.
         if (reply.reportedRole() == Role.PRIMARY) {
             row.primaryAt = Math.max(row.primaryAt, reply.reportedPosition());
         } else if (reply.reportedRole() == Role.REPLICA) {
-            row.replicaAt = Math.max(row.replicaAt, reply.reportedPosition());
+            row.replicaAt = Math.max(row.replicaAt, Math.max(reply.reportedPosition(), now - OLDEST_REPORT));
         }
         Team team = team(row.node.group());
         if (row.claimsPrimary()) {
@@ -513,6 +514,9 @@
         }
     }
 
+    /** Reports arrive within a few seconds even when they are late. */
+    private static final double OLDEST_REPORT = 5;
+
     /** Health and room of a node, by what became of a dispatch. */
     private void judge(Row row, Dispatch dispatch, Reply reply, double now) {
         double usualTime = usual.get(dispatch.command.group);
--- a/src/test/java/clayhook/DecideTest.java
+++ b/src/test/java/clayhook/DecideTest.java
@@ -235,6 +235,16 @@
         assertEquals(fleet.other, fleet.send(fleet.write).node);
     }
 
+    @ParameterizedTest
+    @CsvSource({"3, SEND", "8, NOT_YET"})
+    void aFormerPrimaryThatReportsAsReplicaIsBelievedOnceReportsOfItsReignAreOut(double later, Verdict verdict) {
+        fleet.now += 1;
+        fleet.tell(fleet.primary, Role.PRIMARY, fleet.now);
+        fleet.now += later;
+        fleet.tell(fleet.primary, Role.REPLICA, fleet.now - later - 0.5);
+        assertEquals(verdict, fleet.decide.where(fleet.command(fleet.write, 0), fleet.now).verdict());
+    }
+
     @Test
     void aWriteTurnedAwayByAFormerPrimaryWaitsForItsSuccessor() {
         Choice choice = fleet.answer(fleet.send(fleet.write), Outcome.TURNED_AWAY, Role.REPLICA, fleet.now);
