--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -92,6 +92,7 @@
     /** The last write of each session, where this router must remember; emptied by age and by count. */
     private final Map<String, Wrote> wrote = new LinkedHashMap<>();
     private final double tightestGate;
+    private final double leastWindow;
     private double extras = EXTRAS_CAP;
     private double warmRate;
     private double watchAt;
@@ -101,6 +102,7 @@
         this.settings = settings;
         random = new Random(seed);
         watchAt = settings.listMustBeAsked() ? 0 : Double.POSITIVE_INFINITY;
+        leastWindow = Math.max(1, LEAST_WINDOW / settings.routers());
         tightestGate = settings.groups().stream().filter(g -> g.level() == ReadLevel.BOUNDED)
                 .mapToDouble(g -> g.bound() * LAG_GATE).min().orElse(TIME_GATE);
         for (CommandGroup group : settings.groups()) {
@@ -548,7 +550,7 @@
                 }
             }
             case FULL -> {
-                row.window = Math.max(LEAST_WINDOW, row.window * 0.8);
+                row.window = Math.max(leastWindow, row.window * 0.8);
                 // Guards against asking full and hung nodes over and over: each one more doubles the rest.
                 row.restUntil = now + Math.min(1, 0.05 * Math.pow(2, row.fulls++));
             }
@@ -576,7 +578,8 @@
 
     /** For all routers together: a few for each core of a small machine. */
     private static final double FIRST_WINDOW = 10;
-    private static final double LEAST_WINDOW = 1;
+    /** Also for all together: any machine can do so many at once, and slow answers then have other causes. */
+    private static final double LEAST_WINDOW = 4;
     /** About two of the shorter response targets. */
     private static final double JAM_REST = 0.5;
     /** The document's circuit break. */
@@ -593,13 +596,13 @@
      * Keeps the usual time of answer at a node under a third of the response target, which leaves the
      * spread of work its room below it. Guards against queues that make everything late and never empty.
      */
-    private static void adapt(Row row, double slowness, double now) {
+    private void adapt(Row row, double slowness, double now) {
         row.slowness += 0.1 * (Math.min(slowness, 2) - row.slowness);
         if (row.slowness > 0.32) {
-            row.window = Math.max(LEAST_WINDOW, row.window * 0.97);
+            row.window = Math.max(leastWindow, row.window * 0.97);
         }
         // Guards against a node that stays jammed because each router keeps one dispatch there: it may drain.
-        if (row.slowness > 0.7 && row.window <= LEAST_WINDOW) {
+        if (row.slowness > 0.7 && row.window <= leastWindow) {
             row.restUntil = now + JAM_REST;
             row.slowness = 0.5;
         }
@@ -684,7 +687,7 @@
         }
         for (Listing entry : entries) {
             Row row = rows.computeIfAbsent(entry.node(), node -> {
-                Row made = new Row(node, Math.max(LEAST_WINDOW, FIRST_WINDOW / settings.routers()));
+                Row made = new Row(node, Math.max(leastWindow, FIRST_WINDOW / settings.routers()));
                 team(node.group()).rows.add(made);
                 return made;
             });
