--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -444,8 +444,8 @@
         return row.coldBudget > 0;
     }
 
-    /** Warm nodes seldom bear more than they can: half the multiple of their load leaves room for chance. */
-    private static final double COLD_SAFETY = 0.5;
+    /** Warm nodes seldom bear more than they can: this part leaves room for chance. */
+    private static final double COLD_SAFETY = 0.75;
     /** A budget that lay idle may be spent at once up to this many seconds of it. */
     private static final double COLD_BURST = 0.5;
     /** Work a second that any node can do for a router, a twentieth of a core, when no warm one was seen. */
