--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -43,6 +43,7 @@
         /** How many dispatches it may have, and its smoothed time of answer over the response target. */
         double window;
         double slowness;
+        /** Failures since the last answer, the time of the last, and of its return from being out. */
         int strikes;
         double failedAt = Double.NEGATIVE_INFINITY;
         double returnedAt = Double.NEGATIVE_INFINITY;
@@ -76,7 +77,7 @@
         int turn;
         /** The newest position told by its primary. */
         double head;
-        /** No remembered write older than this is forgotten unless every read of a session must cover it. */
+        /** The newest write forgotten; every session read must cover it. */
         double forgotten;
     }
 
@@ -116,7 +117,7 @@
     /** Where to send this command now: a dispatch, not yet, or never. */
     public Choice where(Command cmd, double now) {
         boolean out = cmd.dispatches.stream().anyMatch(d -> d.outcome == null);
-        // Guards against work for answers that earn nothing: what is past its target is given up at once.
+        // Guards against work for answers that earn nothing: what can earn nothing is given up at once.
         if (hopeless(cmd, now, out)) {
             return giveUp(cmd);
         }
@@ -438,6 +439,7 @@
         double rate = warmth * settings.overloadFactor() * COLD_SAFETY * Math.max(warmRate, LEAST_RATE);
         double most = rate * COLD_BURST;
         double elapsed = now - row.coldBudgetAt;
+        // What was sent while it was warm, or not asked about, is past.
         boolean first = elapsed > settings.overloadFor();
         row.coldBudget = first ? most : Math.min(most, row.coldBudget + rate * elapsed);
         row.coldBudgetAt = now;
--- a/src/test/java/clayhook/DecideTest.java
+++ b/src/test/java/clayhook/DecideTest.java
@@ -145,6 +145,18 @@
         assertTrue(sent <= 1, "sent " + sent);
     }
 
+    @Test
+    void whatANodeWasSentWhileWarmDoesNotCountOnceItIsCold() {
+        fleet.list(fleet.other, State.DRAINING, 0);
+        for (int i = 0; i < 50; i++) {
+            fleet.answer(fleet.send(fleet.any), Outcome.ANSWERED, Role.REPLICA, fleet.now);
+        }
+        fleet.now += 1;
+        fleet.tellAll(fleet.now);
+        fleet.list(fleet.replica, State.READY, fleet.now);
+        assertTrue(fleet.sentTo(fleet.replica, fleet.any, 100) > 0);
+    }
+
     @Test
     void hungNodesDoNotSwellTheColdBudget() {
         fleet.list(fleet.other, State.DRAINING, 0);
