--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -347,8 +347,7 @@
 
     /**
      * A replica that refused sits out. Guards against one blip costing ten seconds: reads without a bound
-     * were never refused, and a position told since that lies within the lag gate shows that it has caught
-     * up.
+     * were never refused, and a position told since, within the lag gate, shows that it has caught up.
      */
     private boolean benched(Row row, Command cmd, double now) {
         return now < row.benchedAt + BENCH && cmd.group.level() != ReadLevel.ANY
@@ -569,8 +568,7 @@
             case CONNECT_FAILED, RESET -> strike(row, now);
             case TIMED_OUT, CANCELLED -> {
                 adapt(row, Math.max(row.slowness, reply.took() / target), now);
-                boolean unheard = dispatch.sentAt > row.answeredAt;
-                if (unheard && reply.took() > Math.max(PATIENCE, LATE * usualTime)) {
+                if (dispatch.sentAt > row.answeredAt && reply.took() > Math.max(PATIENCE, LATE * usualTime)) {
                     strike(row, now);
                 }
             }
@@ -657,10 +655,8 @@
             warmRate = load / warm;
         }
         boolean watch = now >= watchAt;
-        if (watch) {
-            // Neither list nor failure within this time: the call is lost.
-            watchAt = now + 5;
-        }
+        // Neither list nor failure within five seconds: the call is lost.
+        watchAt = watch ? now + 5 : watchAt;
         waiting = false;
         return new Pause(busy ? 0.01 : 0.05, probes, watch);
     }
@@ -675,7 +671,7 @@
             return since > 0.15;
         }
         // Guards against a gate that stays empty because nothing is sent to those that it dropped: a row is
-        // probed when its position ceases to cover the tightest bound, not only when it passes the time gate.
+        // probed when its position ceases to cover the tightest bound, if that is before the time gate.
         boolean uncovered = now - row.heardAt > Math.min(TIME_GATE, 2 * tightestGate);
         return since > 0.5 && row.strikes > 0 || since > Math.max(0.15, tightestGate / 2) && uncovered;
     }
