--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -259,8 +259,8 @@
         return silent(row, now) || row.strikes >= STRIKES || now - last.sentAt > LATE * usual.get(cmd.group);
     }
 
-    /** Three times the mean is past the 95th percentile of the usual spreads of work. */
-    private static final double LATE = 3;
+    /** Far past the usual spreads of work: copies sent sooner cost more work than they saved. */
+    private static final double LATE = 4.5;
 
     // ---- choosing a member ----
 
