--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -246,7 +246,7 @@
         };
     }
 
-    /** A second copy is sent when the newest is far later than usual or its node has fallen silent. */
+    /** For a silent node or a replaced primary only: copies for lateness cost more work than they saved. */
     private boolean secondCopyDue(Command cmd, double now) {
         Dispatch last = cmd.dispatches.get(cmd.dispatches.size() - 1);
         if (!settings.secondCopies() || cmd.group.effect() == Effect.MUTATING || last.outcome != null) {
@@ -256,12 +256,9 @@
         if (cmd.group.primaryOnly()) {
             return row != primary(cmd.nodeGroup);
         }
-        return silent(row, now) || row.strikes >= STRIKES || now - last.sentAt > LATE * usual.get(cmd.group);
+        return silent(row, now) || row.strikes >= STRIKES;
     }
 
-    /** Far past the usual spreads of work: copies sent sooner cost more work than they saved. */
-    private static final double LATE = 4.5;
-
     // ---- choosing a member ----
 
     private Row pickPrimary(Command cmd, double now) {
@@ -403,12 +400,17 @@
         if (oldest == null) {
             return false;
         }
-        double patience = Math.max(PATIENCE, 3 * usual.get(oldest.command.group));
-        return now - Math.max(row.answeredAt, oldest.sentAt) > patience;
+        return now - Math.max(row.answeredAt, oldest.sentAt) > patience(oldest.command.group);
+    }
+
+    private double patience(CommandGroup group) {
+        return Math.max(PATIENCE, SILENCE * usual.get(group));
     }
 
     /** Above the pauses that processes make in ordinary service, below the shortest response targets. */
     private static final double PATIENCE = 0.2;
+    /** Three times the mean is past the 95th percentile of the usual spreads of work. */
+    private static final double SILENCE = 3;
 
     /** A node that was lost or is cold gets a growing part of its turns, so that it returns gradually. */
     private boolean takesTurn(Row row, double now) {
@@ -568,7 +570,7 @@
             case CONNECT_FAILED, RESET -> strike(row, now);
             case TIMED_OUT, CANCELLED -> {
                 adapt(row, Math.max(row.slowness, reply.took() / target), now);
-                if (dispatch.sentAt > row.answeredAt && reply.took() > Math.max(PATIENCE, LATE * usualTime)) {
+                if (dispatch.sentAt > row.answeredAt && reply.took() > patience(dispatch.command.group)) {
                     strike(row, now);
                 }
             }
