--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -183,8 +183,8 @@
                 && now > cmd.arrived + (write ? WRITE_HOLD : HOLD) * target;
     }
 
-    /** Of a target of about four times the work, this leaves the work and a queue as long again. */
-    private static final double HOLD = 0.15;
+    /** A few looks for room: a client that is asked back at once does better than one that is held. */
+    private static final double HOLD = 0.08;
     /** A line at the one node that takes writes is worth more patience, as there is no other. */
     private static final double WRITE_HOLD = 0.5;
 
