--- a/src/main/java/clayhook/Choice.java
+++ b/src/main/java/clayhook/Choice.java
@@ -13,4 +13,12 @@
 
     /** NOT_YET leaves the command in hand until this router is asked again; DONE says it has its final answer. */
     public enum Verdict { SEND, NOT_YET, THROTTLE, FAIL, DONE }
+
+    static Choice notYet() {
+        return new Choice(Verdict.NOT_YET, null, 0, List.of());
+    }
+
+    static Choice send(Dispatch dispatch) {
+        return new Choice(Verdict.SEND, dispatch, 0, List.of());
+    }
 }
--- a/src/main/java/clayhook/Command.java
+++ b/src/main/java/clayhook/Command.java
@@ -25,4 +25,18 @@
         this.arrived = arrived;
         this.expires = expires;
     }
+
+    /** The dispatches whose outcome is not known yet. */
+    List<Dispatch> out() {
+        return dispatches.stream().filter(d -> d.outcome == null).toList();
+    }
+
+    boolean tried(Node node) {
+        return dispatches.stream().anyMatch(d -> d.node.equals(node));
+    }
+
+    /** The first dispatch that is not known never to have run, or null. */
+    Dispatch firstThatMayHaveRun() {
+        return dispatches.stream().filter(d -> d.outcome == null || !d.outcome.neverRan).findFirst().orElse(null);
+    }
 }
--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -6,7 +6,7 @@
 import clayhook.CommandGroup.Scope;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Iterator;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,59 +14,60 @@
 
 /**
  * All decisions of one router. A front asks {@link #where} for each command taken, {@link #after} for each
- * outcome and {@link #pause} once it has told all it heard; when the pause is over it asks {@link #where}
- * again for every command in hand. News comes by {@link #listed}, {@link #listFailed} and {@link #probed}; a
- * killed router loses its object. The interface is the other types of this package; docs/design.md tells the
- * design's exceptions.
+ * outcome and {@link #pause} once it has told all it heard; after the pause it asks {@link #where} for every
+ * command in hand. News comes by {@link #listed}, {@link #listFailed} and {@link #probed}. The interface is
+ * the other types of this package; docs/design.md tells the exceptions from the design.
  */
 public final class Decide {
+    private static final double NEVER = Double.NEGATIVE_INFINITY;
 
     /** What this router knows of one member of a group; kept while the node list or a dispatch has it. */
     private static final class Row {
         final Node node;
         Listing listing;
-        /** Rule 3: it drains, or is gone where that binds, and gets nothing new; the grace is left unused. */
-        boolean closed;
         double position;
         /** How far it was behind its primary when it last told a position. */
         double lag;
         /** The last answer or probe, and the last answer to a dispatch. */
-        double heardAt = Double.NEGATIVE_INFINITY;
-        double answeredAt = Double.NEGATIVE_INFINITY;
+        double heardAt = NEVER, answeredAt = NEVER;
         /** The times of the newest evidence that it is primary, and that it is not. */
-        double primaryAt = Double.NEGATIVE_INFINITY;
-        double replicaAt = Double.NEGATIVE_INFINITY;
+        double primaryAt = NEVER, replicaAt = NEVER;
         /** Dispatches out, oldest first; each leaves with its outcome. */
         final ArrayDeque<Dispatch> out = new ArrayDeque<>();
         /** Dispatches abandoned that it may still work on; emptied by answers to later ones and by age. */
         final ArrayDeque<Dispatch> abandoned = new ArrayDeque<>();
         /** How many dispatches it may have, and its smoothed time of answer over the response target. */
-        double window;
-        double slowness;
-        /** Failures since the last answer, the time of the last, and of its return from being out. */
+        double window, slowness;
+        /** Commands that it last reported to hold. */
+        double load;
+        /** Connections that should stand to it, as long as they are used. */
+        int connections;
+        double usedAt = NEVER;
+        /** Failures since the last answer, or probe but for one. */
         int strikes;
-        double failedAt = Double.NEGATIVE_INFINITY;
-        double returnedAt = Double.NEGATIVE_INFINITY;
-        double errorShare;
-        double benchedAt = Double.NEGATIVE_INFINITY;
-        double probedAt = Double.NEGATIVE_INFINITY;
-        /** It is left alone until then: it was full, or failed too much. */
-        double restUntil = Double.NEGATIVE_INFINITY;
-        int fulls;
-        /** Mean work that it answered a second, and what a cold node may still be sent. */
-        double doneRate;
-        double doneRateAt;
-        double coldBudget;
-        double coldBudgetAt = Double.NEGATIVE_INFINITY;
+        double benchedAt = NEVER;
+        /** The last probe, and whether it is still out. */
+        double probedAt = NEVER;
+        boolean probing;
+        /** It is left alone until then, the longer the more it was full or failed since its last answer. */
+        double restUntil = NEVER;
+        int rests;
+        /** What it may still be sent while it is cold. */
+        double coldBudget, coldBudgetAt = NEVER;
 
         Row(Node node, double window) {
             this.node = node;
             this.window = window;
         }
 
+        /** Rule 3: it drains or is gone, and gets nothing new; the grace is left unused. */
+        boolean closed() {
+            return listing == null || listing.state() == Listing.State.DRAINING;
+        }
+
         /** By the newer evidence; the list's late word counts only until the node itself has spoken. */
         boolean claimsPrimary() {
-            boolean unheard = Math.max(primaryAt, replicaAt) == Double.NEGATIVE_INFINITY;
+            boolean unheard = primaryAt == NEVER && replicaAt == NEVER;
             return unheard ? listing != null && listing.primary() : primaryAt > replicaAt;
         }
     }
@@ -74,13 +75,33 @@
     /** A group of nodes that hold the same data. */
     private static final class Team {
         final List<Row> rows = new ArrayList<>();
+        /** Starts anywhere. Guards against all routers sending their first reads to the same member. */
         int turn;
+        final Pressure onReplicas = new Pressure(), onPrimary = new Pressure();
         /** The newest position told by its primary. */
         double head;
         /** The newest write forgotten; every session read must cover it. */
         double forgotten;
+
+        Team(Random random) {
+            turn = random.nextInt(1 << 16);
+        }
     }
 
+    /** Recent times of answers over the response target; late ones and full nodes count as one. */
+    private static final class Pressure {
+        double value, at = NEVER;
+
+        void add(double sample, double now) {
+            double weight = Math.max(0.1, Math.min(0.25, 1 - Math.exp((at - now) / PRESS_MEMORY)));
+            value += weight * (Math.min(1, sample) - value);
+            at = now;
+        }
+    }
+
+    /** An outcome weighs a tenth where many come, more the longer none has come; a burst lasts seconds. */
+    private static final double PRESS_MEMORY = 3;
+
     private record Wrote(Team team, double position) {
     }
 
@@ -90,20 +111,33 @@
     private final Map<Integer, Team> teams = new LinkedHashMap<>();
     /** The usual time of an answer, a row a command group. */
     private final Map<CommandGroup, Double> usual = new LinkedHashMap<>();
-    /** The last write of each session, where this router must remember; emptied by age and by count. */
+    /** The last write of each session, where this router must remember; the oldest go when they are many. */
     private final Map<String, Wrote> wrote = new LinkedHashMap<>();
     private final double tightestGate;
     private final double leastWindow;
-    private double extras = EXTRAS_CAP;
-    private double warmRate;
+    private final double extrasCap;
+    private double extras;
+    /** Members to be probed, until the next pause; and the probes that may still be sent. */
+    private final List<Node> looks = new ArrayList<>();
+    private double looksLeft = LOOKS_CAP;
+    /** What a dispatch takes longer when it opens a connection. */
+    private double connecting = CONNECT_USUAL;
+    /** The work that this router had answered a second, and when that was reckoned. */
+    private double doneRate, doneRateAt;
+    /** When it should be asked again, and since when it has been without standing still itself. */
+    private double dueAt = Double.POSITIVE_INFINITY, awakeSince;
     private double watchAt;
-    private boolean waiting;
+    private int out;
+    /** A command is held; and the one asked about waits for a look. */
+    private boolean holding, looking;
 
     public Decide(Settings settings, long seed) {
         this.settings = settings;
         random = new Random(seed);
         watchAt = settings.listMustBeAsked() ? 0 : Double.POSITIVE_INFINITY;
         leastWindow = Math.max(1, LEAST_WINDOW / settings.routers());
+        extrasCap = Math.max(1, EXTRAS_CAP / settings.routers());
+        extras = extrasCap;
         tightestGate = settings.groups().stream().filter(g -> g.level() == ReadLevel.BOUNDED)
                 .mapToDouble(g -> g.bound() * LAG_GATE).min().orElse(TIME_GATE);
         for (CommandGroup group : settings.groups()) {
@@ -116,65 +150,119 @@
 
     /** Where to send this command now: a dispatch, not yet, or never. */
     public Choice where(Command cmd, double now) {
-        boolean out = cmd.dispatches.stream().anyMatch(d -> d.outcome == null);
+        // Guards against taking this router's own stand for the silence of every node.
+        awakeSince = now > dueAt + OWN_PAUSE ? now : awakeSince;
+        boolean sent = !cmd.out().isEmpty();
+        boolean first = now == cmd.arrived && cmd.dispatches.isEmpty();
+        looksLeft = first ? Math.min(LOOKS_CAP, looksLeft + 1) : looksLeft;
         // Guards against work for answers that earn nothing: what can earn nothing is given up at once.
-        if (hopeless(cmd, now, out)) {
+        if (hopeless(cmd, now, sent) || first && shed(cmd)) {
             return giveUp(cmd);
         }
-        if (out && !secondCopyDue(cmd, now)) {
+        if (sent && !secondCopyDue(cmd, now)) {
             return notYet(false);
         }
-        boolean extra = firstThatMayHaveRun(cmd) != null;
-        boolean spent = cmd.dispatches.size() >= settings.mostDispatches() || extra && extras < 1;
-        if (spent || !mayRepeat(cmd, now)) {
-            return out ? notYet(false) : giveUp(cmd);
+        boolean extra = cmd.firstThatMayHaveRun() != null;
+        boolean spent = cmd.dispatches.size() >= settings.mostDispatches();
+        if (spent || extra && (extras < 1 || !mayRepeat(cmd, now))) {
+            return sent ? notYet(false) : giveUp(cmd);
         }
+        looking = false;
         Row row = cmd.group.primaryOnly() ? pickPrimary(cmd, now) : pickReader(cmd, team(cmd.nodeGroup), now);
         if (row == null) {
-            return out || !heldTooLong(cmd, now) ? notYet(!out) : giveUp(cmd);
-        }
-        if (extra) {
-            extras--;
-        } else if (cmd.dispatches.isEmpty()) {
-            extras = Math.min(EXTRAS_CAP, extras + EXTRAS_SHARE);
+            return sent || looking || !heldTooLong(cmd, now) ? notYet(!sent) : giveUp(cmd);
         }
+        extras = Math.min(extrasCap, extras + (extra ? -1 : cmd.dispatches.isEmpty() ? EXTRAS_SHARE : 0));
         return send(cmd, row, now);
     }
 
-    /** What trouble may add to the work: a fifth of the commands, and this many at once. */
+    /** What trouble may add to the work: a fifth of the commands, and for all routers this many at once. */
     private static final double EXTRAS_SHARE = 0.2;
-    private static final double EXTRAS_CAP = 30;
+    private static final double EXTRAS_CAP = 90;
+
+    /** Commands bring one probe each; a store of two or three looks at a group finds a new primary. */
+    private static final double LOOKS_CAP = 15;
+
+    /**
+     * Asks a member for its position and role. Guards against probing by routers times nodes: members are
+     * looked at when a command of their group needs it, so that probes go by commands, however many routers.
+     */
+    private boolean look(Row row, double now) {
+        if (!settings.mayProbe() || row.closed() || looksLeft < 1 || now < row.probedAt + LOOK_AGAIN) {
+            return false;
+        }
+        looksLeft--;
+        row.probedAt = now;
+        row.probing = true;
+        looks.add(row.node);
+        return true;
+    }
+
+    private static boolean lookedAt(Row row, double now) {
+        return row.probing && now < row.probedAt + LOOK_WAIT;
+    }
+
+    /** What a stale row is about to be sent waits for a look at it, where that can be had. */
+    private boolean awaitsLook(Row row, double now) {
+        looking = stale(row, now) && (lookedAt(row, now) || look(row, now));
+        return looking;
+    }
+
+    /** A few round trips; and about the time in which reports are made anew. */
+    private static final double LOOK_WAIT = 0.02;
+    private static final double LOOK_AGAIN = 0.15;
+
+    /** Guards against a gate that stays empty because nothing is sent to those that it dropped. */
+    private void lookNowAndThen(Row row, double now) {
+        if (row != null && random.nextDouble() < REFRESH) {
+            look(row, now);
+        }
+    }
+
+    /** One read in ten is often enough to keep a replica's row, or to find that it is back. */
+    private static final double REFRESH = 0.1;
 
     private Choice notYet(boolean held) {
-        waiting |= held;
-        return new Choice(Verdict.NOT_YET, null, 0, List.of());
+        holding |= held;
+        return Choice.notYet();
     }
 
     private Choice send(Command cmd, Row row, double now) {
         row.coldBudget -= usual.get(cmd.group);
-        Dispatch dispatch = new Dispatch(cmd, row.node, now, usefulUntil(cmd));
+        boolean connects = connects(row, now);
+        if (connects) {
+            row.connections = row.out.size() / settings.commandsAConnection() + 1;
+        }
+        row.usedAt = now;
+        Dispatch dispatch = new Dispatch(cmd, row.node, connects, now, usefulUntil(cmd));
         row.out.add(dispatch);
-        return new Choice(Verdict.SEND, dispatch, 0, List.of());
+        out++;
+        return Choice.send(dispatch);
     }
 
-    /** Long enough to average over the turns, short beside the time in which a node warms. */
-    private static final double RATE_MEMORY = 4;
-
-    private static double decayed(double rate, double elapsed) {
-        return rate * Math.exp(-elapsed / RATE_MEMORY);
+    /**
+     * A part of the reads is turned away on arrival while answers take most of the target. Guards against
+     * queues that no window holds down, since each of many routers has but a command or two out.
+     */
+    private boolean shed(Command cmd) {
+        double part = (team(cmd.nodeGroup).onReplicas.value - SHED_FROM) / (SHED_ALL - SHED_FROM);
+        return !cmd.group.primaryOnly() && random.nextDouble() < Math.min(MOST_SHED, part);
     }
 
-    /** No answer that earns anything can be expected any more. */
-    private boolean hopeless(Command cmd, double now, boolean out) {
-        // What is out may come any moment; what is held needs the usual time of an answer.
+    /** Above what work itself takes of the target, below where most answers come late; a few always test. */
+    private static final double SHED_FROM = 0.4;
+    private static final double SHED_ALL = 0.65;
+    private static final double MOST_SHED = 0.9;
+
+    /** Nothing can be earned any more: what is out may come any moment, what is held takes its time. */
+    private boolean hopeless(Command cmd, double now, boolean sent) {
         double least = Math.min(usual.get(cmd.group), cmd.group.responseTarget() / 2);
-        return now + (out ? 0 : least) >= usefulUntil(cmd);
+        return now + (sent ? 0 : least) >= usefulUntil(cmd);
     }
 
     /**
-     * Guards against dispatches that run into their limit because they were held too long, and against a line
-     * of writes in which all are late: what finds no room goes out within the first part of its target or not
-     * at all. While a group has no primary its writes may wait.
+     * Guards against dispatches held until they run into their limit, and against a line of writes all late:
+     * what finds no room goes out early or not at all. Without a primary, writes may wait.
      */
     private boolean heldTooLong(Command cmd, double now) {
         boolean write = cmd.group.primaryOnly();
@@ -189,61 +277,32 @@
     private static final double WRITE_HOLD = 0.5;
 
     private static double usefulUntil(Command cmd) {
-        return cmd.group.lateShare() > 0 ? cmd.expires
-                : Math.min(cmd.expires, cmd.arrived + cmd.group.responseTarget());
+        double inTime = cmd.arrived + cmd.group.responseTarget();
+        return cmd.group.lateShare() > 0 ? cmd.expires : Math.min(cmd.expires, inTime);
     }
 
     /** The final answer to a command that this router gives up: a throttle wherever the rules allow it. */
     private Choice giveUp(Command cmd) {
-        boolean harmless = cmd.group.effect() == Effect.REPLAYABLE || firstThatMayHaveRun(cmd) == null
+        boolean harmless = cmd.group.effect() == Effect.REPLAYABLE || cmd.firstThatMayHaveRun() == null
                 || cmd.group.effect() == Effect.KEYED && cmd.group.repeatScope() == Scope.ALL;
-        List<Dispatch> recall = wantedNoLonger(cmd);
-        if (!harmless) {
-            return new Choice(Verdict.FAIL, null, 0, recall);
-        }
         // Soon enough for an answer within the target, spread so that clients don't return together.
         double spread = 0.1 + 0.2 * random.nextDouble();
         double advice = Math.min(settings.longestAdvice(), cmd.group.responseTarget() * spread);
-        return new Choice(Verdict.THROTTLE, null, advice, recall);
-    }
-
-    private List<Dispatch> wantedNoLonger(Command cmd) {
-        if (!settings.mayCancel()) {
-            return List.of();
-        }
-        return cmd.dispatches.stream().filter(d -> d.outcome == null).toList();
+        return new Choice(harmless ? Verdict.THROTTLE : Verdict.FAIL, null, advice,
+                settings.mayCancel() ? cmd.out() : List.of());
     }
 
     /** Rule 2: a command that may have run goes out again only as its effect allows. */
     private boolean mayRepeat(Command cmd, double now) {
-        Dispatch first = firstThatMayHaveRun(cmd);
-        return first == null || switch (cmd.group.effect()) {
-            case REPLAYABLE -> true;
-            case KEYED -> now < first.sentAt + cmd.group.repeatWindow();
-            case MUTATING -> false;
-        };
+        return cmd.group.effect() == Effect.REPLAYABLE || cmd.group.effect() == Effect.KEYED
+                && now < cmd.firstThatMayHaveRun().sentAt + cmd.group.repeatWindow();
     }
 
-    private static Dispatch firstThatMayHaveRun(Command cmd) {
-        for (Dispatch dispatch : cmd.dispatches) {
-            if (dispatch.outcome == null || !dispatch.outcome.neverRan) {
-                return dispatch;
-            }
-        }
-        return null;
-    }
-
-    /** Rule 2: repeats of a keyed command stay among the nodes that drop them. */
+    /** Rule 2: repeats of a keyed command stay among the nodes that drop them; all here are of its group. */
     private static boolean dropsRepeats(Command cmd, Row row) {
-        Dispatch first = cmd.group.effect() == Effect.KEYED ? firstThatMayHaveRun(cmd) : null;
-        if (first == null) {
-            return true;
-        }
-        return switch (cmd.group.repeatScope()) {
-            case ALL -> true;
-            case ZONE -> first.node.zone().equals(row.node.zone());
-            case GROUP -> first.node.group() == row.node.group();
-        };
+        Dispatch first = cmd.group.effect() == Effect.KEYED ? cmd.firstThatMayHaveRun() : null;
+        return first == null || cmd.group.repeatScope() != Scope.ZONE
+                || first.node.zone().equals(row.node.zone());
     }
 
     /** For a silent node or a replaced primary only: copies for lateness cost more work than they saved. */
@@ -256,6 +315,9 @@
         if (cmd.group.primaryOnly()) {
             return row != primary(cmd.nodeGroup);
         }
+        if (overdue(row, now)) {
+            look(row, now);
+        }
         return silent(row, now) || row.strikes >= STRIKES;
     }
 
@@ -263,94 +325,93 @@
 
     private Row pickPrimary(Command cmd, double now) {
         Row row = primary(cmd.nodeGroup);
-        boolean ready = primaryIsWell(cmd.nodeGroup, now) && usable(row, now);
-        return ready && dropsRepeats(cmd, row) && withinColdBudget(row, now) ? row : null;
+        if (!primaryIsWell(cmd.nodeGroup, now)) {
+            team(cmd.nodeGroup).rows.forEach(member -> look(member, now));
+            return null;
+        }
+        // Guards against sending the first write of every router to a primary that is one no more.
+        boolean ready = !awaitsLook(row, now) && usable(row, now) && dropsRepeats(cmd, row);
+        return ready && withinColdBudget(row, cmd.group, now) ? row : null;
     }
 
     /** Guards against throwing writes at a dead or hung primary while its successor is elected. */
     private boolean primaryIsWell(int group, double now) {
         Row row = primary(group);
-        return row != null && !row.closed && row.strikes == 0 && !silent(row, now);
+        return row != null && !row.closed() && row.strikes < STRIKES && !overdue(row, now);
     }
 
     private Row pickReader(Command cmd, Team team, double now) {
         Row primary = primary(cmd.nodeGroup);
-        if (cmd.group.level() == ReadLevel.ANY) {
-            double usualTime = usual.get(cmd.group);
-            boolean stopsLog = usualTime > tightestGate;
-            boolean waits = stopsLog && now + 2 * usualTime < cmd.arrived + cmd.group.responseTarget();
-            Row behind = furthestBehind(team, primary, cmd, stopsLog, waits, now);
-            if (behind != null) {
-                return usableFor(cmd, behind, now) ? behind : null;
+        if (cmd.group.level() == ReadLevel.ANY && usual.get(cmd.group) > tightestGate) {
+            Row keeper = keeperOfLongReads(team, primary, cmd, now);
+            if (keeper != null) {
+                return !awaitsLook(keeper, now) && usableFor(cmd, keeper, now) ? keeper : null;
             }
         }
         int size = team.rows.size();
+        Row unseen = null;
         for (int i = 1; i <= size; i++) {
             int at = (team.turn + i) % size;
             Row row = team.rows.get(at);
-            if (row != primary && calm(row, cmd, now) && covers(row, team, cmd, now) && takesTurn(row, now)) {
+            if (row.strikes >= STRIKES) {
+                lookNowAndThen(row, now);
+            } else if (row == primary) {
+                continue;
+            } else if (stale(row, now) || !covers(row, team, cmd, now)) {
+                looking |= lookedAt(row, now);
+                unseen = unseen == null && !row.closed() && now >= row.probedAt + LOOK_AGAIN ? row : unseen;
+            } else if (calm(row, cmd, now) && takesTurn(row, now)) {
                 team.turn = at;
+                looking = false;
+                lookNowAndThen(unseen, now);
                 return row;
             }
         }
-        if (settings.replicasCheck()) {
-            Row ahead = null;
-            for (Row row : team.rows) {
-                if (row != primary && !benched(row, cmd, now) && usableFor(cmd, row, now)
-                        && (ahead == null || row.position > ahead.position)) {
-                    ahead = row;
-                }
-            }
-            if (ahead != null) {
-                return ahead;
-            }
+        looking = looking || unseen != null && look(unseen, now);
+        if (looking) {
+            return null;
         }
-        // The primary keeps half its room for what it alone can take.
-        boolean spare = primary != null && primary.strikes == 0 && usableFor(cmd, primary, now);
-        return spare && hasRoom(primary, 0.5, now) ? primary : null;
+        Row ahead = !settings.replicasCheck() ? null : team.rows.stream()
+                .filter(row -> row != primary && !benched(row, cmd, now) && usableFor(cmd, row, now))
+                .max(Comparator.comparingDouble(row -> row.position)).orElse(null);
+        if (ahead != null) {
+            return ahead;
+        }
+        // The primary keeps half its room for what it alone can take, and all of it once it is slow.
+        boolean spare = primary != null && primary.strikes == 0 && team.onPrimary.value < QUICK;
+        return spare && hasRoom(primary, 0.5, now) && usableFor(cmd, primary, now) ? primary : null;
     }
 
     /**
-     * A read without a bound goes first to the replica furthest behind, if any is outside the tightest lag
-     * gate; one so long that it may push a replica out of that gate goes to one replica, the same at every
-     * router, and waits for room there while it can; then the next takes it. Guards against long reads that
-     * stop the log on all replicas in turn, and against spending fresh replicas on reads that need none.
+     * Long reads go to one replica, the same at every router, and wait for room there while they can; then to
+     * the next. Guards against reads that stop the log on all replicas in turn.
      */
-    private Row furthestBehind(Team team, Row primary, Command cmd, boolean stopsLog, boolean waits,
-            double now) {
-        Row behind = null;
-        for (Row row : team.rows) {
-            boolean well = row.strikes == 0 && !row.closed && !silent(row, now);
-            boolean sink = waits ? well : (stopsLog || row.lag > tightestGate) && usableFor(cmd, row, now);
-            if (row == primary || !sink || now - row.heardAt > TIME_GATE) {
-                continue;
-            }
-            double further = behind == null ? 1 : Math.max(0, row.lag - tightestGate)
-                    - Math.max(0, behind.lag - tightestGate);
-            if (further > 0 || further == 0 && row.node.id().compareTo(behind.node.id()) < 0) {
-                behind = row;
-            }
-        }
-        return behind;
+    private Row keeperOfLongReads(Team team, Row primary, Command cmd, double now) {
+        boolean waits = now + 2 * usual.get(cmd.group) < cmd.arrived + cmd.group.responseTarget();
+        return team.rows.stream().filter(row -> row != primary && (!waits ? usableFor(cmd, row, now)
+                : row.strikes == 0 && !row.closed() && !silent(row, now)))
+                .min(Comparator.comparing(row -> row.node.id())).orElse(null);
     }
 
     /** The two gates: measured lag, and time since this router heard of the replica. */
     private boolean calm(Row row, Command cmd, double now) {
-        if (benched(row, cmd, now) || now - row.heardAt > TIME_GATE || !usableFor(cmd, row, now)) {
-            return false;
-        }
-        return cmd.group.level() != ReadLevel.BOUNDED || row.lag <= cmd.group.bound() * LAG_GATE;
+        return !benched(row, cmd, now) && !stale(row, now) && usableFor(cmd, row, now)
+                && (cmd.group.level() != ReadLevel.BOUNDED || row.lag <= cmd.group.bound() * LAG_GATE);
     }
 
     /**
-     * A replica that refused sits out. Guards against one blip costing ten seconds: reads without a bound
-     * were never refused, and a position told since, within the lag gate, shows that it has caught up.
+     * A replica that refused sits out. Guards against one blip costing ten seconds: a position told since,
+     * within the lag gate, shows that it has caught up.
      */
     private boolean benched(Row row, Command cmd, double now) {
         return now < row.benchedAt + BENCH && cmd.group.level() != ReadLevel.ANY
                 && row.position < row.benchedAt - cmd.group.bound() * LAG_GATE;
     }
 
+    private static boolean stale(Row row, double now) {
+        return now - row.heardAt > TIME_GATE;
+    }
+
     /** One second, as the design starts; its half of the bound did a little worse everywhere than this. */
     private static final double TIME_GATE = 1;
     private static final double LAG_GATE = 0.75;
@@ -374,13 +435,13 @@
     }
 
     private boolean usableFor(Command cmd, Row row, double now) {
-        boolean untried = cmd.dispatches.stream().noneMatch(d -> d.node.equals(row.node));
-        return untried && usable(row, now) && dropsRepeats(cmd, row) && withinColdBudget(row, now);
+        return !cmd.tried(row.node) && usable(row, now) && dropsRepeats(cmd, row)
+                && withinColdBudget(row, cmd.group, now);
     }
 
     /** A node with a failure against it gets one dispatch at a time. */
     private boolean usable(Row row, double now) {
-        return !row.closed && now >= row.restUntil && row.strikes < STRIKES
+        return !row.closed() && now >= row.restUntil && row.strikes < STRIKES
                 && (row.strikes == 0 || row.out.isEmpty()) && !silent(row, now) && hasRoom(row, 1, now);
     }
 
@@ -394,32 +455,44 @@
         return row.out.size() + row.abandoned.size() < Math.max(1, row.window * part);
     }
 
-    /** Dispatches are out and nothing at all has come back for far longer than usual. */
+    /** Guards against second copies of what is merely slow: one dispatch overdue is no silence by itself. */
     private boolean silent(Row row, double now) {
+        return overdue(row, now) && (row.out.size() > 1 || row.probing && now > row.probedAt + LOOK_WAIT);
+    }
+
+    /** Dispatches are out and nothing has come back for far longer than usual. */
+    private boolean overdue(Row row, double now) {
         Dispatch oldest = row.out.peek();
-        if (oldest == null) {
-            return false;
-        }
-        return now - Math.max(row.answeredAt, oldest.sentAt) > patience(oldest.command.group);
+        return oldest != null && now - Math.max(awakeSince, Math.max(row.answeredAt, oldest.sentAt))
+                > patience(oldest.command.group);
     }
 
     private double patience(CommandGroup group) {
         return Math.max(PATIENCE, SILENCE * usual.get(group));
     }
-
-    /** Above the pauses that processes make in ordinary service, below the shortest response targets. */
+    /** Above ordinary pauses, below the shortest targets; the 95th percentile of usual spreads of work. */
     private static final double PATIENCE = 0.2;
-    /** Three times the mean is past the 95th percentile of the usual spreads of work. */
     private static final double SILENCE = 3;
 
-    /** A node that was lost or is cold gets a growing part of its turns, so that it returns gradually. */
+    /** A part of its turns for a node that is cold, crowded, or would have to be connected to. */
     private boolean takesTurn(Row row, double now) {
-        double part = Math.min(warmth(row, now), 0.2 + 0.8 * (now - row.returnedAt) / RETURN_TIME);
+        // Guards against a node crowded by other routers or slow for another cause, if it reports that.
+        double usualLoad = team(row.node.group()).rows.stream().filter(r -> !r.claimsPrimary())
+                .mapToDouble(r -> r.load).average().orElse(0);
+        double part = Math.min(warmth(row, now), (usualLoad + 1) / (row.load + 1));
+        // Guards against opening connections all over while that is slow and takes more than the work itself.
+        part = connects(row, now) ? Math.min(part, Math.pow(CONNECT_USUAL / connecting, 2)) : part;
         return part >= 1 || random.nextDouble() < part;
     }
 
-    /** A few seconds show whether a node that is back holds. */
-    private static final double RETURN_TIME = 4;
+    /** Seconds: a few round trips and some work. */
+    private static final double CONNECT_USUAL = 0.02;
+
+    /** A dispatch to it now would open a connection. */
+    private boolean connects(Row row, double now) {
+        return row.out.size() >= row.connections * settings.commandsAConnection()
+                || now - row.usedAt > settings.connectionIdle();
+    }
 
     /** The part of its capacity that a node has at the least, by the time since its listed start. */
     private double warmth(Row row, double now) {
@@ -432,41 +505,42 @@
     }
 
     /** Rule 4: work for a cold node stays within this router's share of what would push it over. */
-    private boolean withinColdBudget(Row row, double now) {
+    private boolean withinColdBudget(Row row, CommandGroup group, double now) {
         double warmth = warmth(row, now);
         if (warmth >= 1) {
             return true;
         }
-        double rate = warmth * settings.overloadFactor() * COLD_SAFETY * Math.max(warmRate, LEAST_RATE);
-        double most = rate * COLD_BURST;
-        double elapsed = now - row.coldBudgetAt;
-        // What was sent while it was warm, or not asked about, is past.
-        boolean first = elapsed > settings.overloadFor();
-        row.coldBudget = first ? most : Math.min(most, row.coldBudget + rate * elapsed);
+        long bearers = rows.values().stream().filter(r -> r.strikes < STRIKES && !r.closed()).count();
+        double share = Math.max(LEAST_RATE / settings.routers(), doneRate(now) / Math.max(1, bearers));
+        double rate = warmth * settings.overloadFactor() * COLD_SAFETY * share;
+        // What was sent before its start is past. Guards against the first commands of many routers coming at
+        // once: a share of less than one command starts at any place in its turn.
+        row.coldBudget = row.coldBudgetAt < row.listing.startedAt() ? -random.nextDouble() * usual.get(group)
+                : Math.min(0, row.coldBudget + rate * (now - row.coldBudgetAt));
         row.coldBudgetAt = now;
-        return row.coldBudget > 0;
+        return row.coldBudget >= 0;
     }
 
     /** Warm nodes seldom bear more than they can: this part leaves room for chance. */
     private static final double COLD_SAFETY = 0.75;
-    /** A budget that lay idle may be spent at once up to this many seconds of it. */
-    private static final double COLD_BURST = 0.5;
-    /** Work a second that any node can do for a router, a twentieth of a core, when no warm one was seen. */
-    private static final double LEAST_RATE = 0.05;
+    /** Work a second that any node can do for all routers, part of a core, when no answer came lately. */
+    private static final double LEAST_RATE = 0.15;
+
+    private double doneRate(double now) {
+        return doneRate * Math.exp((doneRateAt - now) / RATE_MEMORY);
+    }
+
+    /** Long enough to average over the turns, short beside the time in which a node warms. */
+    private static final double RATE_MEMORY = 4;
 
     private Team team(int group) {
-        return teams.computeIfAbsent(group, any -> new Team());
+        return teams.computeIfAbsent(group, any -> new Team(random));
     }
 
     /** The member with the newest claim to be primary. */
     private Row primary(int group) {
-        Row best = null;
-        for (Row row : team(group).rows) {
-            if (row.claimsPrimary() && (best == null || row.primaryAt > best.primaryAt)) {
-                best = row;
-            }
-        }
-        return best;
+        return team(group).rows.stream().filter(Row::claimsPrimary)
+                .max(Comparator.comparingDouble(row -> row.primaryAt)).orElse(null);
     }
 
     // ---- what to do after an outcome ----
@@ -477,16 +551,24 @@
         dispatch.outcome = reply.outcome();
         Row row = rows.get(dispatch.node);
         row.out.remove(dispatch);
+        out--;
+        if (dispatch.connects && reply.took() > 0) {
+            double extra = reply.took() - usual.get(cmd.group);
+            boolean told = reply.outcome() == Outcome.ANSWERED || reply.outcome() == Outcome.CONNECT_FAILED;
+            connecting = told ? Math.max(CONNECT_USUAL, connecting + 0.1 * (extra - connecting)) : connecting;
+        }
         if (reply.outcome() == Outcome.TIMED_OUT || reply.outcome() == Outcome.CANCELLED) {
             row.abandoned.add(dispatch);
+            row.connections = Math.max(0, row.connections - 1);
         }
         learn(row, reply, now);
         judge(row, dispatch, reply, now);
-        if (reply.outcome() == Outcome.ANSWERED && cmd.group.level() == ReadLevel.WRITE) {
+        if (reply.outcome() == Outcome.ANSWERED && cmd.group.level() == ReadLevel.WRITE && cmd.session != null
+                && !settings.marksCarried()) {
             remember(cmd, reply, now);
         }
         if (over || reply.outcome() == Outcome.ANSWERED) {
-            return new Choice(Verdict.DONE, null, 0, wantedNoLonger(cmd));
+            return new Choice(Verdict.DONE, null, 0, settings.mayCancel() ? cmd.out() : List.of());
         }
         return where(cmd, now);
     }
@@ -509,14 +591,12 @@
         } else if (reply.reportedRole() == Role.REPLICA) {
             row.replicaAt = Math.max(row.replicaAt, Math.max(reply.reportedPosition(), now - OLDEST_REPORT));
         }
+        row.load = reply.load() >= 0 ? reply.load() : row.load;
         Team team = team(row.node.group());
-        if (row.claimsPrimary()) {
-            team.head = Math.max(team.head, row.position);
-        }
+        team.head = row.claimsPrimary() ? Math.max(team.head, row.position) : team.head;
         // Measured when told: a replica that was not asked for a while has not fallen behind by that.
-        if (reply.position() > 0 || reply.reportedPosition() > 0) {
-            row.lag = team.head - row.position;
-        }
+        boolean told = reply.position() > 0 || reply.reportedPosition() > 0;
+        row.lag = told ? team.head - row.position : row.lag;
     }
 
     /** Reports arrive within a few seconds even when they are late. */
@@ -524,57 +604,48 @@
 
     /** Health and room of a node, by what became of a dispatch. */
     private void judge(Row row, Dispatch dispatch, Reply reply, double now) {
-        double usualTime = usual.get(dispatch.command.group);
-        double target = dispatch.command.group.responseTarget();
+        CommandGroup group = dispatch.command.group;
+        Team team = team(row.node.group());
+        Pressure pressure = row.claimsPrimary() ? team.onPrimary : team.onReplicas;
+        double slowness = reply.took() / group.responseTarget();
         switch (reply.outcome()) {
             case ANSWERED -> {
                 row.answeredAt = now;
                 // Queues are served in order: what went out before this dispatch has left the queue too.
                 row.abandoned.removeIf(d -> d.sentAt <= dispatch.sentAt);
-                if (row.strikes >= STRIKES) {
-                    row.returnedAt = now;
-                }
                 row.strikes = 0;
-                row.fulls = 0;
+                row.rests = 0;
                 // Guards against a cold budget swollen by sends that full or hung nodes never worked on.
-                row.doneRate = decayed(row.doneRate, now - row.doneRateAt) + usualTime / RATE_MEMORY;
-                row.doneRateAt = now;
-                row.errorShare *= 1 - ERROR_WEIGHT;
-                usual.put(dispatch.command.group, usualTime + 0.02 * (reply.took() - usualTime));
-                adapt(row, reply.took() / target, now);
-                if (row.slowness < 0.25 && row.out.size() + 1 >= row.window * 0.7) {
+                doneRate = doneRate(now) + usual.get(group) / RATE_MEMORY;
+                doneRateAt = now;
+                usual.merge(group, reply.took(), (old, took) -> old + 0.02 * (took - old));
+                pressure.add(slowness, now);
+                adapt(row, slowness);
+                if (row.slowness < QUICK && row.out.size() + 1 >= row.window * 0.7) {
                     row.window += 0.5 / row.window;
                 }
             }
             case TURNED_AWAY -> {
                 row.answeredAt = now;
-                if (!dispatch.command.group.primaryOnly()) {
-                    row.benchedAt = now;
-                }
+                row.benchedAt = group.primaryOnly() ? row.benchedAt : now;
             }
             case FULL -> {
+                pressure.add(1, now);
                 row.window = Math.max(leastWindow, row.window * 0.8);
-                // Guards against asking full and hung nodes over and over: each one more doubles the rest.
-                row.restUntil = now + Math.min(1, 0.05 * Math.pow(2, row.fulls++));
+                rest(row, 0, now);
             }
             case ERROR -> {
                 row.answeredAt = now;
-                row.errorShare += ERROR_WEIGHT * (1 - row.errorShare);
-                // Guards against quick errors drawing traffic: a node that fails half its commands sits out.
-                if (row.errorShare > 0.5) {
-                    row.restUntil = now + 2;
-                    row.returnedAt = now + 2;
-                    row.errorShare = 0.4;
-                }
+                rest(row, 0, now);
             }
-            case CONNECT_FAILED, RESET -> strike(row, now);
+            case CONNECT_FAILED, RESET -> rest(row, 1, now);
             case TIMED_OUT, CANCELLED -> {
-                adapt(row, Math.max(row.slowness, reply.took() / target), now);
-                if (dispatch.sentAt > row.answeredAt && reply.took() > patience(dispatch.command.group)) {
-                    strike(row, now);
+                pressure.add(reply.outcome() == Outcome.TIMED_OUT ? 1 : slowness, now);
+                adapt(row, Math.max(row.slowness, slowness));
+                if (dispatch.sentAt > row.answeredAt && reply.took() > patience(group)) {
+                    rest(row, 1, now);
                 }
             }
-            case NOT_SENT -> { }
         }
     }
 
@@ -582,101 +653,62 @@
     private static final double FIRST_WINDOW = 10;
     /** Also for all together: any machine can do so many at once, and slow answers then have other causes. */
     private static final double LEAST_WINDOW = 4;
-    /** About two of the shorter response targets. */
-    private static final double JAM_REST = 0.5;
     /** The document's circuit break. */
     private static final double BENCH = 10;
-    /** Half a dozen outcomes settle an opinion. */
-    private static final double ERROR_WEIGHT = 0.15;
 
-    private static void strike(Row row, double now) {
-        row.strikes++;
-        row.failedAt = now;
+    /** Guards against asking full, failing, hung or dead nodes over and over: each time doubles the rest. */
+    private static void rest(Row row, int strikes, double now) {
+        row.strikes += strikes;
+        row.restUntil = now + Math.min(1, 0.05 * Math.pow(2, row.rests++));
     }
 
-    /**
-     * Keeps the usual time of answer at a node under a third of the response target, which leaves the
-     * spread of work its room below it. Guards against queues that make everything late and never empty.
-     */
-    private void adapt(Row row, double slowness, double now) {
+    /** Of the response target: the rest is for the spread of work, which is wide. */
+    private static final double QUICK = 0.25;
+    private static final double SLOW = 0.32;
+
+    /** Keeps answers under a third of the target. Guards against queues that make all late for long. */
+    private void adapt(Row row, double slowness) {
         row.slowness += 0.1 * (Math.min(slowness, 2) - row.slowness);
-        if (row.slowness > 0.32) {
+        if (row.slowness > SLOW) {
             row.window = Math.max(leastWindow, row.window * 0.97);
         }
-        // Guards against a node that stays jammed because each router keeps one dispatch there: it may drain.
-        if (row.slowness > 0.7 && row.window <= leastWindow) {
-            row.restUntil = now + JAM_REST;
-            row.slowness = 0.5;
-        }
     }
 
     private void remember(Command cmd, Reply reply, double now) {
-        if (settings.marksCarried() || cmd.session == null) {
-            return;
-        }
-        Wrote old = wrote.remove(cmd.session);
-        double told = reply.position() > 0 ? reply.position() : now;
-        double position = old == null ? told : Math.max(told, old.position);
-        wrote.put(cmd.session, new Wrote(team(cmd.nodeGroup), position));
+        Wrote told = new Wrote(team(cmd.nodeGroup), reply.position() > 0 ? reply.position() : now);
+        wrote.merge(cmd.session, told, (a, b) -> a.position > b.position ? a : b);
         // Forgetting never allows a stale read: later session reads of the group must cover what is dropped.
-        Iterator<Wrote> oldest = wrote.values().iterator();
-        while (oldest.hasNext()) {
-            Wrote first = oldest.next();
-            if (wrote.size() <= MOST_SESSIONS && first.position > now - SESSION_MEMORY) {
-                break;
-            }
-            first.team.forgotten = Math.max(first.team.forgotten, first.position);
-            oldest.remove();
+        if (wrote.size() > MOST_SESSIONS) {
+            Wrote oldest = wrote.remove(wrote.keySet().iterator().next());
+            oldest.team.forgotten = Math.max(oldest.team.forgotten, oldest.position);
         }
     }
 
-    /** Replicas are seldom further behind than this; the count bounds the memory whatever comes. */
-    private static final double SESSION_MEMORY = 20;
+    /** More than write in the time that replicas are seldom behind; it bounds the memory whatever comes. */
     private static final int MOST_SESSIONS = 20_000;
 
     // ---- how long to wait ----
 
     /** How long to wait until this router is asked again about all it holds, and what else is due. */
     public Pause pause(double now) {
-        var probes = new ArrayList<Node>();
-        double load = 0;
-        int warm = 0;
-        boolean busy = waiting;
-        for (Row row : rows.values()) {
-            busy |= !row.out.isEmpty();
-            if (settings.mayProbe() && probeDue(row, now)) {
-                row.probedAt = now;
-                probes.add(row.node);
-            }
-            if (!row.closed && row.strikes == 0 && warmth(row, now) >= 1) {
-                load += decayed(row.doneRate, now - row.doneRateAt);
-                warm++;
-            }
-        }
-        if (warm > 0) {
-            warmRate = load / warm;
-        }
         boolean watch = now >= watchAt;
         // Neither list nor failure within five seconds: the call is lost.
         watchAt = watch ? now + 5 : watchAt;
-        waiting = false;
-        return new Pause(busy ? 0.01 : 0.05, probes, watch);
+        double seconds = !looks.isEmpty() ? LOOK_PAUSE : holding || out > 0 ? BUSY_PAUSE : IDLE_PAUSE;
+        dueAt = now + seconds;
+        var pause = new Pause(seconds, List.copyOf(looks), watch);
+        looks.clear();
+        holding = false;
+        return pause;
     }
 
-    /** Rows that go stale are probed, and lost ones; all members while their primary is unknown or silent. */
-    private boolean probeDue(Row row, double now) {
-        if (row.listing == null) {
-            return false;
-        }
-        double since = now - row.probedAt;
-        if (!primaryIsWell(row.node.group(), now)) {
-            return since > 0.15;
-        }
-        // Guards against a gate that stays empty because nothing is sent to those that it dropped: a row is
-        // probed when its position ceases to cover the tightest bound, if that is before the time gate.
-        boolean uncovered = now - row.heardAt > Math.min(TIME_GATE, 2 * tightestGate);
-        return since > 0.5 && row.strikes > 0 || since > Math.max(0.15, tightestGate / 2) && uncovered;
-    }
+    /** A round trip; a small part of the shortest targets; nothing to do but to mind the list. */
+    private static final double LOOK_PAUSE = 0.004;
+    private static final double BUSY_PAUSE = 0.01;
+    private static final double IDLE_PAUSE = 1;
+
+    /** Half of the least patience with others. */
+    private static final double OWN_PAUSE = 0.1;
 
     // ---- news ----
 
@@ -691,39 +723,28 @@
                 team(node.group()).rows.add(made);
                 return made;
             });
-            row.listing = entry;
-            switch (entry.state()) {
-                case READY -> row.closed = false;
-                case DRAINING -> row.closed = true;
-                case GONE -> delist(row);
+            if (entry.state() == Listing.State.GONE) {
+                delist(row);
+            } else {
+                row.listing = entry;
             }
         }
-        rows.values().removeIf(row -> {
-            boolean empty = row.listing == null && row.out.isEmpty();
-            if (empty) {
-                team(row.node.group()).rows.remove(row);
-            }
-            return empty;
-        });
+        rows.values().removeIf(row -> row.listing == null && row.out.isEmpty()
+                && team(row.node.group()).rows.remove(row));
         // The cached list comes before anything was asked; any later one shows that the watch stands.
         if (watchAt > 0) {
             watchAt = Double.POSITIVE_INFINITY;
         }
     }
 
-    /** Rule 3, and where the list's word that a node is gone binds nobody, it changes nothing. */
+    /** Where the list's word that a node is gone binds nobody, it counts only of a node that drained. */
     private void delist(Row row) {
-        if (settings.goneBinds()) {
-            row.listing = null;
-            row.closed = true;
-        }
+        row.listing = settings.goneBinds() || row.closed() ? null : row.listing;
     }
 
     /** A call to the node list failed, or its watch broke; it is asked again, not all routers at once. */
     public void listFailed(double now) {
-        if (settings.listMustBeAsked()) {
-            watchAt = now + 1 + 2 * random.nextDouble();
-        }
+        watchAt = settings.listMustBeAsked() ? now + 1 + 2 * random.nextDouble() : watchAt;
     }
 
     /** A probe came back. */
@@ -732,16 +753,12 @@
         if (row == null) {
             return;
         }
+        row.probing = false;
         if (reply.outcome() != Outcome.ANSWERED) {
-            strike(row, now);
+            rest(row, 1, now);
             return;
         }
         learn(row, reply, now);
-        if (reply.reportedRole() == Role.PRIMARY && reply.reportedPosition() > row.failedAt) {
-            row.strikes = 0;
-        } else if (row.strikes >= STRIKES) {
-            row.returnedAt = now;
-            row.strikes = 1;
-        }
+        row.strikes = Math.min(row.strikes, 1);
     }
 }
--- a/src/main/java/clayhook/Reply.java
+++ b/src/main/java/clayhook/Reply.java
@@ -6,7 +6,8 @@
  * @param took the time since the send
  * @param position the log position that the node told with this answer
  * @param reportedPosition the same from its load report, as old as that report
+ * @param load the commands that the node reported to hold or to have waiting; below 0 where it told none
  */
 public record Reply(Outcome outcome, double took, Role role, double position, Role reportedRole,
-        double reportedPosition) {
+        double reportedPosition, double load) {
 }
--- a/src/main/java/clayhook/Settings.java
+++ b/src/main/java/clayhook/Settings.java
@@ -13,9 +13,11 @@
  * @param warmAfter a node has its full capacity this long after its start
  * @param overloadFactor a cold node falls over when it is sent more than this multiple of its capacity
  * @param overloadFor the window over which that is reckoned
+ * @param commandsAConnection how many dispatches a connection carries at once
+ * @param connectionIdle an unused connection closes after this long
  */
 public record Settings(int routers, String zone, List<CommandGroup> groups, boolean listMustBeAsked,
         boolean goneBinds, boolean replicasCheck, boolean marksCarried, boolean mayProbe, boolean mayCancel,
         boolean secondCopies, boolean adviceHeeded, double longestAdvice, int mostDispatches, double coldShare,
-        double warmAfter, double overloadFactor, double overloadFor) {
+        double warmAfter, double overloadFactor, double overloadFor, int commandsAConnection, double connectionIdle) {
 }
--- a/src/main/java/clayhook/sim/Configuration.java
+++ b/src/main/java/clayhook/sim/Configuration.java
@@ -45,7 +45,8 @@
                 flag("limits.probing", true), flag("limits.may_cancel", true), flag("limits.parallel_tries", true),
                 flag("limits.retry_after", false), seconds("limits.max_retry_after"),
                 (int) number("limits.most_tries", 1), number("rules.start_capacity", 1),
-                seconds("rules.warm_after"), number("rules.overload_factor", 1), seconds("rules.overload_for"));
+                seconds("rules.warm_after"), number("rules.overload_factor", 1), seconds("rules.overload_for"),
+                (int) Math.max(1, number("limits.multiplex", 1)), number("limits.conn_idle", 15 * NANOS) / NANOS);
     }
 
     private List<CommandGroup> groups() throws BadInput {
