Let pressure fade into that of all groups; reads without a bound go round replicas behind first

Cause: at 300 routers a primary or a group is heard of once in many seconds, so its own pressure says nothing and fallback reads filled primaries. Pressure now fades into that of all groups while nothing comes. Where replicas check reads none is held for a look.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -77,25 +77,41 @@
         final List<Row> rows = new ArrayList<>();
         /** Starts anywhere. Guards against all routers sending their first reads to the same member. */
         int turn;
-        final Pressure onReplicas = new Pressure(), onPrimary = new Pressure();
+        final Pressure onReplicas, onPrimary;
         /** The newest position told by its primary. */
         double head;
         /** The newest write forgotten; every session read must cover it. */
         double forgotten;
 
-        Team(Random random) {
-            turn = random.nextInt(1 << 16);
+        Team(int turn, Pressure onReplicas, Pressure onPrimary) {
+            this.turn = turn;
+            this.onReplicas = new Pressure(onReplicas);
+            this.onPrimary = new Pressure(onPrimary);
         }
     }
 
     /** Recent times of answers over the response target; late ones and full nodes count as one. */
     private static final class Pressure {
-        double value, at = NEVER;
+        /** The same of all node groups, into which it fades while nothing comes; null for that itself. */
+        final Pressure overall;
+        double last, at = NEVER;
+
+        Pressure(Pressure overall) {
+            this.overall = overall;
+        }
+
+        double value(double now) {
+            double rest = overall == null ? last : overall.last;
+            return rest + (last - rest) * Math.exp((at - now) / PRESS_MEMORY);
+        }
 
         void add(double sample, double now) {
             double weight = Math.max(0.1, Math.min(0.25, 1 - Math.exp((at - now) / PRESS_MEMORY)));
-            value += weight * (Math.min(1, sample) - value);
+            last = value(now) + weight * (Math.min(1, sample) - value(now));
             at = now;
+            if (overall != null) {
+                overall.add(sample, now);
+            }
         }
     }
 
@@ -127,6 +143,7 @@
     /** When it should be asked again, and since when it has been without standing still itself. */
     private double dueAt = Double.POSITIVE_INFINITY, awakeSince;
     private double watchAt;
+    private final Pressure onReplicas = new Pressure(null), onPrimary = new Pressure(null);
     private int out;
     /** A command is held; and the one asked about waits for a look. */
     private boolean holding, looking;
@@ -156,7 +173,7 @@
         boolean first = now == cmd.arrived && cmd.dispatches.isEmpty();
         looksLeft = first ? Math.min(LOOKS_CAP, looksLeft + 1) : looksLeft;
         // Guards against work for answers that earn nothing: what can earn nothing is given up at once.
-        if (hopeless(cmd, now, sent) || first && shed(cmd)) {
+        if (hopeless(cmd, now, sent) || first && shed(cmd, now)) {
             return giveUp(cmd);
         }
         if (sent && !secondCopyDue(cmd, now)) {
@@ -180,13 +197,10 @@
     private static final double EXTRAS_SHARE = 0.2;
     private static final double EXTRAS_CAP = 90;
 
-    /** Commands bring one probe each; a store of two or three looks at a group finds a new primary. */
+    /** A command brings one probe; a store of two or three looks at a group finds a new primary. */
     private static final double LOOKS_CAP = 15;
 
-    /**
-     * Asks a member for its position and role. Guards against probing by routers times nodes: members are
-     * looked at when a command of their group needs it, so that probes go by commands, however many routers.
-     */
+    /** Guards against probing by routers times nodes: members are looked at when a command needs it. */
     private boolean look(Row row, double now) {
         if (!settings.mayProbe() || row.closed() || looksLeft < 1 || now < row.probedAt + LOOK_AGAIN) {
             return false;
@@ -240,12 +254,9 @@
         return Choice.send(dispatch);
     }
 
-    /**
-     * A part of the reads is turned away on arrival while answers take most of the target. Guards against
-     * queues that no window holds down, since each of many routers has but a command or two out.
-     */
-    private boolean shed(Command cmd) {
-        double part = (team(cmd.nodeGroup).onReplicas.value - SHED_FROM) / (SHED_ALL - SHED_FROM);
+    /** Guards against queues that no window holds down, since each of many routers has but a dispatch out. */
+    private boolean shed(Command cmd, double now) {
+        double part = (team(cmd.nodeGroup).onReplicas.value(now) - SHED_FROM) / (SHED_ALL - SHED_FROM);
         return !cmd.group.primaryOnly() && random.nextDouble() < Math.min(MOST_SHED, part);
     }
 
@@ -260,10 +271,7 @@
         return now + (sent ? 0 : least) >= usefulUntil(cmd);
     }
 
-    /**
-     * Guards against dispatches held until they run into their limit, and against a line of writes all late:
-     * what finds no room goes out early or not at all. Without a primary, writes may wait.
-     */
+    /** Guards against dispatches held into their limit and lines of late writes; they wait for a primary. */
     private boolean heldTooLong(Command cmd, double now) {
         boolean write = cmd.group.primaryOnly();
         double target = Math.min(cmd.group.responseTarget(), cmd.expires - cmd.arrived);
@@ -330,8 +338,8 @@
             return null;
         }
         // Guards against sending the first write of every router to a primary that is one no more.
-        boolean ready = !awaitsLook(row, now) && usable(row, now) && dropsRepeats(cmd, row);
-        return ready && withinColdBudget(row, cmd.group, now) ? row : null;
+        return !awaitsLook(row, now) && usable(row, now) && dropsRepeats(cmd, row)
+                && withinColdBudget(row, cmd.group, now) ? row : null;
     }
 
     /** Guards against throwing writes at a dead or hung primary while its successor is elected. */
@@ -350,13 +358,15 @@
         }
         int size = team.rows.size();
         Row unseen = null;
-        for (int i = 1; i <= size; i++) {
+        // Reads without a bound go round those outside the gate first, which spares the others.
+        for (int i = cmd.group.level() == ReadLevel.ANY ? 1 : size + 1; i <= 2 * size; i++) {
             int at = (team.turn + i) % size;
             Row row = team.rows.get(at);
+            if (row == primary || i <= size && row.lag <= tightestGate) {
+                continue;
+            }
             if (row.strikes >= STRIKES) {
                 lookNowAndThen(row, now);
-            } else if (row == primary) {
-                continue;
             } else if (stale(row, now) || !covers(row, team, cmd, now)) {
                 looking |= lookedAt(row, now);
                 unseen = unseen == null && !row.closed() && now >= row.probedAt + LOOK_AGAIN ? row : unseen;
@@ -368,7 +378,7 @@
             }
         }
         looking = looking || unseen != null && look(unseen, now);
-        if (looking) {
+        if (looking && !settings.replicasCheck()) {
             return null;
         }
         Row ahead = !settings.replicasCheck() ? null : team.rows.stream()
@@ -378,14 +388,11 @@
             return ahead;
         }
         // The primary keeps half its room for what it alone can take, and all of it once it is slow.
-        boolean spare = primary != null && primary.strikes == 0 && team.onPrimary.value < QUICK;
+        boolean spare = primary != null && primary.strikes == 0 && team.onPrimary.value(now) < QUICK;
         return spare && hasRoom(primary, 0.5, now) && usableFor(cmd, primary, now) ? primary : null;
     }
 
-    /**
-     * Long reads go to one replica, the same at every router, and wait for room there while they can; then to
-     * the next. Guards against reads that stop the log on all replicas in turn.
-     */
+    /** Guards against long reads that stop the log on all replicas in turn: they keep to one everywhere. */
     private Row keeperOfLongReads(Team team, Row primary, Command cmd, double now) {
         boolean waits = now + 2 * usual.get(cmd.group) < cmd.arrived + cmd.group.responseTarget();
         return team.rows.stream().filter(row -> row != primary && (!waits ? usableFor(cmd, row, now)
@@ -399,10 +406,7 @@
                 && (cmd.group.level() != ReadLevel.BOUNDED || row.lag <= cmd.group.bound() * LAG_GATE);
     }
 
-    /**
-     * A replica that refused sits out. Guards against one blip costing ten seconds: a position told since,
-     * within the lag gate, shows that it has caught up.
-     */
+    /** Guards against one blip costing ten seconds: a position told since, within the gate, ends it. */
     private boolean benched(Row row, Command cmd, double now) {
         return now < row.benchedAt + BENCH && cmd.group.level() != ReadLevel.ANY
                 && row.position < row.benchedAt - cmd.group.bound() * LAG_GATE;
@@ -460,7 +464,6 @@
         return overdue(row, now) && (row.out.size() > 1 || row.probing && now > row.probedAt + LOOK_WAIT);
     }
 
-    /** Dispatches are out and nothing has come back for far longer than usual. */
     private boolean overdue(Row row, double now) {
         Dispatch oldest = row.out.peek();
         return oldest != null && now - Math.max(awakeSince, Math.max(row.answeredAt, oldest.sentAt))
@@ -534,7 +537,7 @@
     private static final double RATE_MEMORY = 4;
 
     private Team team(int group) {
-        return teams.computeIfAbsent(group, any -> new Team(random));
+        return teams.computeIfAbsent(group, any -> new Team(random.nextInt(1 << 16), onReplicas, onPrimary));
     }
 
     /** The member with the newest claim to be primary. */
@@ -613,8 +616,7 @@
                 row.answeredAt = now;
                 // Queues are served in order: what went out before this dispatch has left the queue too.
                 row.abandoned.removeIf(d -> d.sentAt <= dispatch.sentAt);
-                row.strikes = 0;
-                row.rests = 0;
+                row.strikes = row.rests = 0;
                 // Guards against a cold budget swollen by sends that full or hung nodes never worked on.
                 doneRate = doneRate(now) + usual.get(group) / RATE_MEMORY;
                 doneRateAt = now;
