--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -77,16 +77,22 @@
         final List<Row> rows = new ArrayList<>();
         /** Starts anywhere. Guards against all routers sending their first reads to the same member. */
         int turn;
-        final Pressure onReplicas, onPrimary;
+        /** On its replicas, of reads without a bound and of others, as they go elsewhere; on its primary. */
+        final Pressure ofAny, ofOthers, onPrimary;
         /** The newest position told by its primary. */
         double head;
         /** The newest write forgotten; every session read must cover it. */
         double forgotten;
 
-        Team(int turn, Pressure onReplicas, Pressure onPrimary) {
+        Team(int turn, Team all) {
             this.turn = turn;
-            this.onReplicas = new Pressure(onReplicas);
-            this.onPrimary = new Pressure(onPrimary);
+            ofAny = new Pressure(all == null ? null : all.ofAny);
+            ofOthers = new Pressure(all == null ? null : all.ofOthers);
+            onPrimary = new Pressure(all == null ? null : all.onPrimary);
+        }
+
+        Pressure of(CommandGroup group) {
+            return group.level() == ReadLevel.ANY ? ofAny : ofOthers;
         }
     }
 
@@ -143,7 +149,8 @@
     /** When it should be asked again, and since when it has been without standing still itself. */
     private double dueAt = Double.POSITIVE_INFINITY, awakeSince;
     private double watchAt;
-    private final Pressure onReplicas = new Pressure(null), onPrimary = new Pressure(null);
+    /** Stands for all groups: it has no members, but the pressures that theirs fade into. */
+    private final Team all = new Team(0, null);
     private int out;
     /** A command is held; and the one asked about waits for a look. */
     private boolean holding, looking;
@@ -158,8 +165,7 @@
         tightestGate = settings.groups().stream().filter(g -> g.level() == ReadLevel.BOUNDED)
                 .mapToDouble(g -> g.bound() * LAG_GATE).min().orElse(TIME_GATE);
         for (CommandGroup group : settings.groups()) {
-            // A quarter of the response target until answers tell better: targets leave room for a queue.
-            usual.put(group, group.responseTarget() / 4);
+            usual.put(group, group.responseTarget() / 4); // until answers tell better
         }
     }
 
@@ -175,8 +181,7 @@
         // Guards against work for answers that earn nothing: what can earn nothing is given up at once.
         if (hopeless(cmd, now, sent) || first && shed(cmd, now)) {
             return giveUp(cmd);
-        }
-        if (sent && !secondCopyDue(cmd, now)) {
+        } else if (sent && !secondCopyDue(cmd, now)) {
             return notYet(false);
         }
         boolean extra = cmd.firstThatMayHaveRun() != null;
@@ -244,9 +249,7 @@
     private Choice send(Command cmd, Row row, double now) {
         row.coldBudget -= usual.get(cmd.group);
         boolean connects = connects(row, now);
-        if (connects) {
-            row.connections = row.out.size() / settings.commandsAConnection() + 1;
-        }
+        row.connections = connects ? row.out.size() / settings.commandsAConnection() + 1 : row.connections;
         row.usedAt = now;
         Dispatch dispatch = new Dispatch(cmd, row.node, connects, now, usefulUntil(cmd));
         row.out.add(dispatch);
@@ -256,7 +259,7 @@
 
     /** Guards against queues that no window holds down, since each of many routers has but a dispatch out. */
     private boolean shed(Command cmd, double now) {
-        double part = (team(cmd.nodeGroup).onReplicas.value(now) - SHED_FROM) / (SHED_ALL - SHED_FROM);
+        double part = (team(cmd.nodeGroup).of(cmd.group).value(now) - SHED_FROM) / (SHED_ALL - SHED_FROM);
         return !cmd.group.primaryOnly() && random.nextDouble() < Math.min(MOST_SHED, part);
     }
 
@@ -294,8 +297,8 @@
         boolean harmless = cmd.group.effect() == Effect.REPLAYABLE || cmd.firstThatMayHaveRun() == null
                 || cmd.group.effect() == Effect.KEYED && cmd.group.repeatScope() == Scope.ALL;
         // Soon enough for an answer within the target, spread so that clients don't return together.
-        double spread = 0.1 + 0.2 * random.nextDouble();
-        double advice = Math.min(settings.longestAdvice(), cmd.group.responseTarget() * spread);
+        double soon = cmd.group.responseTarget() * (0.1 + 0.2 * random.nextDouble());
+        double advice = Math.min(settings.longestAdvice(), soon);
         return new Choice(harmless ? Verdict.THROTTLE : Verdict.FAIL, null, advice,
                 settings.mayCancel() ? cmd.out() : List.of());
     }
@@ -369,7 +372,8 @@
                 lookNowAndThen(row, now);
             } else if (stale(row, now) || !covers(row, team, cmd, now)) {
                 looking |= lookedAt(row, now);
-                unseen = unseen == null && !row.closed() && now >= row.probedAt + LOOK_AGAIN ? row : unseen;
+                boolean better = unseen == null || near(row) && !near(unseen);
+                unseen = better && !row.closed() && now >= row.probedAt + LOOK_AGAIN ? row : unseen;
             } else if (calm(row, cmd, now) && takesTurn(row, now)) {
                 team.turn = at;
                 looking = false;
@@ -381,8 +385,8 @@
         if (looking && !settings.replicasCheck()) {
             return null;
         }
-        Row ahead = !settings.replicasCheck() ? null : team.rows.stream()
-                .filter(row -> row != primary && !benched(row, cmd, now) && usableFor(cmd, row, now))
+        Row ahead = team.rows.stream().filter(row -> settings.replicasCheck() && row != primary
+                && !benched(row, cmd, now) && usableFor(cmd, row, now))
                 .max(Comparator.comparingDouble(row -> row.position)).orElse(null);
         if (ahead != null) {
             return ahead;
@@ -412,6 +416,11 @@
                 && row.position < row.benchedAt - cmd.group.bound() * LAG_GATE;
     }
 
+    /** Looks choose members of the own zone first, since what is fresh is sent reads. */
+    private boolean near(Row row) {
+        return row.node.zone().equals(settings.zone());
+    }
+
     private static boolean stale(Row row, double now) {
         return now - row.heardAt > TIME_GATE;
     }
@@ -449,7 +458,7 @@
                 && (row.strikes == 0 || row.out.isEmpty()) && !silent(row, now) && hasRoom(row, 1, now);
     }
 
-    /** One failure can be chance; two in a row without an answer between are a state. */
+    /** One failure can be chance; two in a row are a state. */
     private static final int STRIKES = 2;
 
     /** Guards against filling a node again whose work goes on after the time limit or a recall. */
@@ -491,7 +500,6 @@
     /** Seconds: a few round trips and some work. */
     private static final double CONNECT_USUAL = 0.02;
 
-    /** A dispatch to it now would open a connection. */
     private boolean connects(Row row, double now) {
         return row.out.size() >= row.connections * settings.commandsAConnection()
                 || now - row.usedAt > settings.connectionIdle();
@@ -537,10 +545,9 @@
     private static final double RATE_MEMORY = 4;
 
     private Team team(int group) {
-        return teams.computeIfAbsent(group, any -> new Team(random.nextInt(1 << 16), onReplicas, onPrimary));
+        return teams.computeIfAbsent(group, any -> new Team(random.nextInt(1 << 16), all));
     }
 
-    /** The member with the newest claim to be primary. */
     private Row primary(int group) {
         return team(group).rows.stream().filter(Row::claimsPrimary)
                 .max(Comparator.comparingDouble(row -> row.primaryAt)).orElse(null);
@@ -576,7 +583,6 @@
         return where(cmd, now);
     }
 
-    /** Takes over what a node told of its position and role. */
     private void learn(Row row, Reply reply, double now) {
         if (reply.outcome() == Outcome.ANSWERED || reply.role() != Role.UNKNOWN) {
             row.heardAt = now;
@@ -605,11 +611,10 @@
     /** Reports arrive within a few seconds even when they are late. */
     private static final double OLDEST_REPORT = 5;
 
-    /** Health and room of a node, by what became of a dispatch. */
     private void judge(Row row, Dispatch dispatch, Reply reply, double now) {
         CommandGroup group = dispatch.command.group;
         Team team = team(row.node.group());
-        Pressure pressure = row.claimsPrimary() ? team.onPrimary : team.onReplicas;
+        Pressure pressure = row.claimsPrimary() ? team.onPrimary : team.of(group);
         double slowness = reply.took() / group.responseTarget();
         switch (reply.outcome()) {
             case ANSWERED -> {
@@ -636,10 +641,7 @@
                 row.window = Math.max(leastWindow, row.window * 0.8);
                 rest(row, 0, now);
             }
-            case ERROR -> {
-                row.answeredAt = now;
-                rest(row, 0, now);
-            }
+            case ERROR -> rest(row, 0, now);
             case CONNECT_FAILED, RESET -> rest(row, 1, now);
             case TIMED_OUT, CANCELLED -> {
                 pressure.add(reply.outcome() == Outcome.TIMED_OUT ? 1 : slowness, now);
