Bring six probes for ten commands; let stale rows that cover serve when probes are scarce

The store is now kept for reads that no row covers. Also covers dead members (copies and rests find them); could hurt where members die often and commands are rare: they are then met by dispatches, not probes.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -177,7 +177,7 @@
         awakeSince = now > dueAt + OWN_PAUSE ? now : awakeSince;
         boolean sent = !cmd.out().isEmpty();
         boolean first = now == cmd.arrived && cmd.dispatches.isEmpty();
-        looksLeft = first ? Math.min(LOOKS_CAP, looksLeft + 1) : looksLeft;
+        looksLeft = first ? Math.min(LOOKS_CAP, looksLeft + LOOKS_SHARE) : looksLeft;
         // Guards against work for answers that earn nothing: what can earn nothing is given up at once.
         if (hopeless(cmd, now, sent) || first && shed(cmd, now)) {
             return giveUp(cmd);
@@ -202,7 +202,8 @@
     private static final double EXTRAS_SHARE = 0.2;
     private static final double EXTRAS_CAP = 90;
 
-    /** A command brings one probe; a store of two or three looks at a group finds a new primary. */
+    /** Probes a command brings: most reads find a fresh row; the store is two or three looks at a group. */
+    private static final double LOOKS_SHARE = 0.6;
     private static final double LOOKS_CAP = 15;
 
     /** Guards against probing by routers times nodes: members are looked at when a command needs it. */
@@ -370,7 +371,7 @@
             }
             if (row.strikes >= STRIKES) {
                 lookNowAndThen(row, now);
-            } else if (stale(row, now) || !covers(row, team, cmd, now)) {
+            } else if (stale(row, now) && looksLeft > LOOKS_CAP / 2 || !covers(row, team, cmd, now)) {
                 looking |= lookedAt(row, now);
                 boolean better = unseen == null || near(row) && !near(unseen);
                 unseen = better && !row.closed() && now >= row.probedAt + LOOK_AGAIN ? row : unseen;
@@ -404,9 +405,9 @@
                 .min(Comparator.comparing(row -> row.node.id())).orElse(null);
     }
 
-    /** The two gates: measured lag, and time since this router heard of the replica. */
+    /** The lag gate, the bench and the health of a replica; the time gate stands where looks are asked. */
     private boolean calm(Row row, Command cmd, double now) {
-        return !benched(row, cmd, now) && !stale(row, now) && usableFor(cmd, row, now)
+        return !benched(row, cmd, now) && usableFor(cmd, row, now)
                 && (cmd.group.level() != ReadLevel.BOUNDED || row.lag <= cmd.group.bound() * LAG_GATE);
     }
 
@@ -416,7 +417,6 @@
                 && row.position < row.benchedAt - cmd.group.bound() * LAG_GATE;
     }
 
-    /** Looks choose members of the own zone first, since what is fresh is sent reads. */
     private boolean near(Row row) {
         return row.node.zone().equals(settings.zone());
     }
--- a/src/test/java/clayhook/DecideTest.java
+++ b/src/test/java/clayhook/DecideTest.java
@@ -57,6 +57,18 @@
         assertEquals(looked, fleet.decide.where(read, fleet.now).dispatch().node);
     }
 
+    @Test
+    void aStaleReplicaServesWhatItCoversOnceProbesAreScarce() {
+        for (int i = 0; i < 30; i++) {
+            fleet.now += 0.2;
+            fleet.decide.where(fleet.command(fleet.bounded, 0), fleet.now);
+            fleet.decide.pause(fleet.now);
+        }
+        Choice choice = fleet.decide.where(fleet.command(fleet.session, 0), fleet.now);
+        assertEquals(Verdict.SEND, choice.verdict());
+        assertNotEquals(fleet.primary, choice.dispatch().node);
+    }
+
     @Test
     void probesGoByCommandsAndNotByNodes() {
         fleet.now += 2;
