--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -203,7 +203,7 @@
     private static final double EXTRAS_CAP = 90;
 
     /** Probes a command brings: most reads find a fresh row; the store is two or three looks at a group. */
-    private static final double LOOKS_SHARE = 0.6;
+    private static final double LOOKS_SHARE = 0.45;
     private static final double LOOKS_CAP = 15;
 
     /** Guards against probing by routers times nodes: members are looked at when a command needs it. */
