--- a/src/main/java/clayhook/sim/Configuration.java
+++ b/src/main/java/clayhook/sim/Configuration.java
@@ -33,10 +33,6 @@
         return (long) number("domain.origin_time", 0);
     }
 
-    boolean tellsPosition() {
-        return flag("domain.tells_position", true);
-    }
-
     Settings settings() throws BadInput {
         return new Settings((int) number("balancers", 1), text("zone", ""), groups(),
                 text("discovery", "automatic").equals("subscribe"), !flag("rules.gone_is_advice", false),
--- a/src/main/java/clayhook/sim/Instance.java
+++ b/src/main/java/clayhook/sim/Instance.java
@@ -39,7 +39,6 @@
     }
 
     private final long origin;
-    private final boolean tellsPosition;
     private final Settings settings;
     private final Map<String, CommandGroup> groups = new HashMap<>();
     private final Map<String, Node> nodes = new HashMap<>();
@@ -51,7 +50,6 @@
         long seed = line.whole("seed");
         var configuration = new Configuration(line);
         origin = configuration.origin();
-        tellsPosition = configuration.tellsPosition();
         settings = configuration.settings();
         for (CommandGroup group : settings.groups()) {
             groups.put(group.name(), group);
