--- a/src/main/java/clayhook/Command.java
+++ b/src/main/java/clayhook/Command.java
@@ -3,8 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** One command in hand. Times are clock times in seconds. */
-public final class Command {
+/** One command in hand; each front adds what it needs of its own. Times are clock times in seconds. */
+public class Command {
     public final CommandGroup group;
     public final int nodeGroup;
     /** The session it belongs to, or null. */
@@ -15,6 +15,8 @@
     /** When the client gives up. */
     public final double expires;
     public final List<Dispatch> dispatches = new ArrayList<>();
+    /** It has its final answer, or its client has gone. */
+    public boolean over;
 
     public Command(CommandGroup group, int nodeGroup, String session, double wroteAt, double arrived,
             double expires) {
@@ -26,6 +28,11 @@
         this.expires = expires;
     }
 
+    /** Nothing is owed for it any more and no outcome is to come. */
+    public boolean finished() {
+        return over && out().isEmpty();
+    }
+
     /** The dispatches whose outcome is not known yet. */
     List<Dispatch> out() {
         return dispatches.stream().filter(d -> d.outcome == null).toList();
--- /dev/null
+++ b/src/main/java/clayhook/config/LoadReport.java
@@ -0,0 +1,50 @@
+package clayhook.config;
+
+import clayhook.Role;
+
+/**
+ * What a node reports of itself. The simulator and the sockets use the same fields, some under two names.
+ *
+ * @param position its log position in clock seconds; 0 where it told none
+ * @param load the commands that it holds or that wait there; below 0 where it told none
+ */
+public record LoadReport(Role role, double position, double load) {
+    public static final LoadReport NONE = new LoadReport(Role.UNKNOWN, 0, -1);
+
+    /** Reads name and value pairs; {@code origin} is the clock time of position 0. */
+    public static LoadReport parse(String text, char sign, double origin) {
+        if (text == null || text.isEmpty()) {
+            return NONE;
+        }
+        Role role = Role.UNKNOWN;
+        double position = 0;
+        double load = -1;
+        for (String pair : text.split(",")) {
+            int at = pair.indexOf(sign);
+            if (at < 0) {
+                throw new IllegalArgumentException("has a report value '" + pair + "' without a name");
+            }
+            double value = decimal(pair.substring(at + 1));
+            switch (pair.substring(0, at).trim()) {
+                case "x0" -> position = origin + value;
+                case "x1" -> role = value > 0.5 ? Role.PRIMARY : Role.REPLICA;
+                case "rif", "inflight", "q", "queue" -> load = Math.max(load, value);
+                default -> { }
+            }
+        }
+        return new LoadReport(role, position, load);
+    }
+
+    private static double decimal(String text) {
+        double value;
+        try {
+            value = Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            value = Double.NaN;
+        }
+        if (!Double.isFinite(value)) {
+            throw new IllegalArgumentException("has '" + text + "' in its report, not a number");
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/config/SettingsReader.java
@@ -0,0 +1,132 @@
+package clayhook.config;
+
+import clayhook.CommandGroup;
+import clayhook.CommandGroup.Effect;
+import clayhook.CommandGroup.ReadLevel;
+import clayhook.CommandGroup.Scope;
+import clayhook.Settings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Reads, checks and defaults the settings that a router is handed at its start. Unknown keys are passed over. */
+public final class SettingsReader {
+    private static final double NANOS = 1e9;
+    private final Map<String, String> values;
+
+    /** Takes one value a path, such as {@code rules.warm_after}; lists are joined by commas. */
+    public SettingsReader(Map<String, String> values) {
+        this.values = values;
+    }
+
+    public Settings settings() throws BadConfig {
+        return new Settings((int) atLeast(1, "balancers", 1), text("zone", ""), groups(),
+                text("discovery", "automatic").equals("subscribe"), !flag("rules.gone_is_advice", false),
+                !text("domain.when_behind", "off").equals("off"),
+                !text("domain.write_marks", "remembered").equals("remembered"),
+                flag("limits.probing", true), flag("limits.may_cancel", true), flag("limits.parallel_tries", true),
+                flag("limits.retry_after", false), seconds("limits.max_retry_after"),
+                (int) atLeast(1, "limits.most_tries", 1), number("rules.start_capacity", 1),
+                seconds("rules.warm_after"), number("rules.overload_factor", 1), seconds("rules.overload_for"),
+                (int) Math.max(1, number("limits.multiplex", 1)), number("limits.conn_idle", 15 * NANOS) / NANOS);
+    }
+
+    /** The clock time from which the simulator reckons positions, in nanoseconds. */
+    public long origin() throws BadConfig {
+        return (long) number("domain.origin_time", 0);
+    }
+
+    /** A connection that does not stand after so many seconds has failed. */
+    public double connectTimeout() throws BadConfig {
+        return number("limits.dial_timeout", NANOS / 4) / NANOS;
+    }
+
+    private List<CommandGroup> groups() throws BadConfig {
+        String[] levels = text("domain.read_level", "").split(",");
+        String[] bounds = text("domain.max_age", "").split(",");
+        var groups = new ArrayList<CommandGroup>();
+        int count = (int) number("grades.count", 0);
+        for (int i = 0; i < count; i++) {
+            String path = "grades." + i + ".";
+            double clientTimeout = seconds(path + "hard_limit");
+            groups.add(new CommandGroup(text(path + "name", ""), effect(path + "effect"),
+                    level(i < levels.length ? levels[i] : "any"), seconds(path + "aim"), clientTimeout,
+                    number(path + "value", 1), number(path + "late_worth", 0),
+                    scope(path + "group"), seconds(path + "repeat_window"),
+                    i < bounds.length && !bounds[i].isEmpty() ? parse("domain.max_age", bounds[i]) / NANOS : 0));
+        }
+        return groups;
+    }
+
+    private Effect effect(String key) throws BadConfig {
+        String word = text(key, "");
+        return switch (word) {
+            case "idempotent" -> Effect.REPLAYABLE;
+            case "deduplicated" -> Effect.KEYED;
+            case "at_most_once" -> Effect.MUTATING;
+            default -> throw new BadConfig(key + ": unknown effect '" + word + "'");
+        };
+    }
+
+    private Scope scope(String key) throws BadConfig {
+        String word = text(key, "all");
+        return switch (word) {
+            case "all" -> Scope.ALL;
+            case "zone" -> Scope.ZONE;
+            case "cell" -> Scope.GROUP;
+            default -> throw new BadConfig(key + ": unknown group of repeats '" + word + "'");
+        };
+    }
+
+    private static ReadLevel level(String word) throws BadConfig {
+        return switch (word) {
+            case "write" -> ReadLevel.WRITE;
+            case "fresh" -> ReadLevel.FRESH;
+            case "session" -> ReadLevel.SESSION;
+            case "bounded" -> ReadLevel.BOUNDED;
+            case "any", "", "-" -> ReadLevel.ANY;
+            default -> throw new BadConfig("domain.read_level: unknown read level '" + word + "'");
+        };
+    }
+
+    private String text(String key, String absent) {
+        return values.getOrDefault(key, absent);
+    }
+
+    private boolean flag(String key, boolean absent) throws BadConfig {
+        String value = values.get(key);
+        if (value != null && !List.of("true", "false", "1", "0").contains(value)) {
+            throw new BadConfig(key + ": '" + value + "' is neither true nor false");
+        }
+        return value == null ? absent : value.equals("true") || value.equals("1");
+    }
+
+    private double seconds(String key) throws BadConfig {
+        return atLeast(0, key, 0) / NANOS;
+    }
+
+    private double atLeast(double least, String key, double absent) throws BadConfig {
+        double value = number(key, absent);
+        if (value < least) {
+            throw new BadConfig(key + ": " + values.get(key) + " is less than " + (long) least);
+        }
+        return value;
+    }
+
+    private double number(String key, double absent) throws BadConfig {
+        String value = values.get(key);
+        return value == null ? absent : parse(key, value);
+    }
+
+    private static double parse(String key, String value) throws BadConfig {
+        try {
+            double parsed = Double.parseDouble(value);
+            if (Double.isFinite(parsed)) {
+                return parsed;
+            }
+        } catch (NumberFormatException e) {
+            // told below, as for a number that is none
+        }
+        throw new BadConfig(key + ": '" + value + "' is not a number");
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/discovery/NodeList.java
@@ -0,0 +1,79 @@
+package clayhook.discovery;
+
+import clayhook.Listing.State;
+import clayhook.config.Json;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** The list of nodes, or what changed in it, as discovery tells it. */
+public record NodeList(long version, boolean whole, List<Entry> entries) {
+
+    /** @param startedAt when its process last started, in seconds; 0 for long ago */
+    public record Entry(String id, String host, int port, String zone, int group, State state, boolean primary,
+            double startedAt) {
+    }
+
+    /** Throws IllegalArgumentException naming what cannot be understood. */
+    public static NodeList parse(String text) {
+        return of(Json.parse(text));
+    }
+
+    /** The same of a part of a larger text. */
+    public static NodeList of(Object json) {
+        if (!(json instanceof Map<?, ?> map) || !(map.get("targets") instanceof List<?> targets)
+                || !(map.get("all") instanceof Boolean whole)) {
+            throw new IllegalArgumentException("a list of nodes needs rev, all and targets");
+        }
+        var entries = new ArrayList<Entry>();
+        for (Object target : targets) {
+            if (!(target instanceof Map<?, ?> entry)) {
+                throw new IllegalArgumentException("targets: an entry is no object");
+            }
+            entries.add(entry(entry));
+        }
+        return new NodeList((long) number(map, "rev"), whole, List.copyOf(entries));
+    }
+
+    private static Entry entry(Map<?, ?> entry) {
+        State state = switch (text(entry, "state")) {
+            case "up" -> State.READY;
+            case "draining" -> State.DRAINING;
+            case "removed" -> State.GONE;
+            default -> throw new IllegalArgumentException("state: unknown '" + entry.get("state") + "'");
+        };
+        String endpoint = text(entry, "endpoint");
+        int colon = endpoint.lastIndexOf(':');
+        int port = colon < 0 ? 0 : port(endpoint.substring(colon + 1));
+        if (colon < 1 || port < 1) {
+            throw new IllegalArgumentException("endpoint: '" + endpoint + "' is no address and port");
+        }
+        return new Entry(text(entry, "uid"), endpoint.substring(0, colon), port, text(entry, "az"),
+                (int) number(entry, "pod_group"), state, "primary".equals(entry.get("role")),
+                entry.containsKey("boot_ms") ? number(entry, "boot_ms") / 1000 : 0);
+    }
+
+    /** 0 for what is no port. */
+    public static int port(String text) {
+        try {
+            int port = Integer.parseInt(text);
+            return port > 0xffff ? 0 : Math.max(0, port);
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    private static String text(Map<?, ?> entry, String key) {
+        if (entry.get(key) instanceof String text && !text.isEmpty()) {
+            return text;
+        }
+        throw new IllegalArgumentException(key + " is missing or no text");
+    }
+
+    private static double number(Map<?, ?> entry, String key) {
+        if (entry.get(key) instanceof Double number) {
+            return number;
+        }
+        throw new IllegalArgumentException(key + " is missing or no number");
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/hand/Hand.java
@@ -0,0 +1,113 @@
+package clayhook.hand;
+
+import clayhook.Choice;
+import clayhook.Choice.Verdict;
+import clayhook.Command;
+import clayhook.Decide;
+import clayhook.Dispatch;
+import clayhook.Pause;
+import clayhook.Reply;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** The commands in hand and the time to ask about them again. It asks the module and decides nothing itself. */
+public final class Hand {
+    /** More than a clock of seconds since 1970 is rounded by, in a double. */
+    private static final double ROUNDING = 1e-6;
+
+    /** What the module wants done with a command. */
+    public record Order(Command command, Choice choice) {
+    }
+
+    /**
+     * What is to be carried out now.
+     *
+     * @param wake settle again after so many seconds; 0 if an earlier call already asked for that in time
+     */
+    public record Turn(List<Order> orders, Pause pause, double wake) {
+    }
+
+    private final Decide decide;
+    /** Each leaves with its final answer and the last outcome of its dispatches. */
+    private final Set<Command> held = new LinkedHashSet<>();
+    private List<Order> orders = new ArrayList<>();
+    private double dueAt = Double.POSITIVE_INFINITY;
+
+    public Hand(Decide decide) {
+        this.decide = decide;
+    }
+
+    public void taken(Command command, double now) {
+        held.add(command);
+        order(command, decide.where(command, now));
+    }
+
+    /** A dispatch ended; {@code over} tells that this gave the command its final answer. */
+    public void ended(Dispatch dispatch, Reply reply, boolean over, double now) {
+        Command command = dispatch.command;
+        command.over |= over;
+        order(command, decide.after(dispatch, reply, command.over, now));
+    }
+
+    /** The client has gone: nothing is owed any more. */
+    public void left(Command command) {
+        command.over = true;
+        release(command);
+    }
+
+    /** Ends a command that could not be decided; false if it has its final answer already. */
+    public boolean givenUp(Command command) {
+        boolean owed = !command.over;
+        left(command);
+        return owed;
+    }
+
+    /** The dispatches whose time limit has passed. */
+    public List<Dispatch> overdue(double now) {
+        return held.stream().flatMap(command -> command.dispatches.stream())
+                .filter(dispatch -> dispatch.outcome == null && now >= dispatch.limit).toList();
+    }
+
+    /** Asks again about every command in hand, if it is time, and returns all that was decided since. */
+    public Turn settle(double now) {
+        if (now >= dueAt - ROUNDING) {
+            dueAt = Double.POSITIVE_INFINITY;
+            for (Command command : List.copyOf(held)) {
+                if (!command.over) {
+                    order(command, decide.where(command, now));
+                }
+            }
+        }
+        Pause pause = decide.pause(now);
+        boolean sooner = now + pause.seconds() < dueAt;
+        dueAt = sooner ? now + pause.seconds() : dueAt;
+        var turn = new Turn(orders, pause, sooner ? pause.seconds() : 0);
+        orders = new ArrayList<>();
+        return turn;
+    }
+
+    /** How many commands are held or out. */
+    public int size() {
+        return held.size();
+    }
+
+    private void order(Command command, Choice choice) {
+        if (choice.verdict() == Verdict.SEND) {
+            command.dispatches.add(choice.dispatch());
+        } else if (choice.verdict() == Verdict.THROTTLE || choice.verdict() == Verdict.FAIL) {
+            command.over = true;
+        }
+        if (choice.verdict() != Verdict.NOT_YET) {
+            orders.add(new Order(command, choice));
+        }
+        release(command);
+    }
+
+    private void release(Command command) {
+        if (command.finished()) {
+            held.remove(command);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/nodes/Nodes.java
@@ -0,0 +1,183 @@
+package clayhook.nodes;
+
+import clayhook.Dispatch;
+import clayhook.Node;
+import clayhook.Outcome;
+import clayhook.Reply;
+import clayhook.Role;
+import clayhook.protocol.NodeDecoder;
+import clayhook.protocol.NodeMessage;
+import clayhook.protocol.Statement;
+import clayhook.serve.Clock;
+import clayhook.serve.Descriptors;
+import clayhook.serve.Log;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Sends dispatches and probes to nodes over pooled connections and tells how each ended. */
+public final class Nodes {
+    /** Connections are closed after this part of the time at which nodes do so at the latest. */
+    private static final double IDLE_PART = 0.6;
+    /** Reads the load report; it is a probe, as is the plain query where nodes do not report. */
+    private static final byte[] PROBE = "SHOW load".getBytes(java.nio.charset.StandardCharsets.UTF_8);
+
+    /** Hears how attempts ended. */
+    public interface Listener {
+        /** {@code answer} holds the messages for the client after an answer. */
+        void ended(Dispatch dispatch, Reply reply, byte[] answer);
+
+        void probed(Node node, Reply reply);
+
+        /** Whether a dispatch that waited for its connection may still go out. */
+        boolean mayGo(Dispatch dispatch);
+    }
+
+    private final Listener listener;
+    private final Clock clock;
+    private final Descriptors descriptors;
+    private final double connectTimeout;
+    private final double idle;
+    private final Bootstrap bootstrap;
+    /** Nodes leave with the list. */
+    private final Map<String, Pool> pools = new HashMap<>();
+    /** Each leaves with its outcome. */
+    private final Map<Dispatch, Attempt> attempts = new HashMap<>();
+
+    public Nodes(EventLoopGroup loop, Clock clock, Descriptors descriptors, double connectTimeout, double idle,
+            Listener listener) {
+        this.listener = listener;
+        this.clock = clock;
+        this.descriptors = descriptors;
+        this.connectTimeout = connectTimeout;
+        this.idle = idle * IDLE_PART;
+        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(connectTimeout * 1000));
+    }
+
+    /** The node of that id, at that address. */
+    public Node at(String id, String zone, int group, InetSocketAddress address) {
+        Pool pool = pools.computeIfAbsent(id, any -> new Pool(this, new Node(id, zone, group), address));
+        pool.moved(address);
+        return pool.node;
+    }
+
+    public void send(Dispatch dispatch, Statement statement) {
+        var attempt = new Attempt(dispatch.node, dispatch, statement, clock.now());
+        attempts.put(dispatch, attempt);
+        pools.get(dispatch.node.id()).add(attempt);
+    }
+
+    public void probe(Node node) {
+        Pool pool = pools.get(node.id());
+        if (!pool.probing) {
+            pool.probing = true;
+            pool.add(new Attempt(node, null, null, clock.now()));
+        }
+    }
+
+    /** The time to wait for a dispatch is over. */
+    public void expire(Dispatch dispatch) {
+        Attempt attempt = attempts.get(dispatch);
+        if (attempt != null) {
+            pools.get(dispatch.node.id()).abandon(attempt, new Ending.Silent(attempt.stage));
+        }
+    }
+
+    public void recall(Dispatch dispatch) {
+        Attempt attempt = attempts.get(dispatch);
+        if (attempt != null) {
+            pools.get(dispatch.node.id()).abandon(attempt, new Ending.CalledOff(attempt.stage));
+        }
+    }
+
+    /** Closes what has been opening or idle for too long. */
+    public void sweep() {
+        double now = clock.now();
+        for (Pool pool : pools.values()) {
+            pool.sweep(now - connectTimeout, now - idle);
+        }
+    }
+
+    /** What to write for an attempt now, or null if it may not go out any more and has ended. */
+    byte[] query(Attempt attempt) {
+        if (attempt.dispatch == null) {
+            return PROBE;
+        }
+        if (!listener.mayGo(attempt.dispatch)) {
+            ended(attempt, new Ending.CalledOff(attempt.stage), null);
+            return null;
+        }
+        return attempt.statement.withWait(attempt.dispatch.limit - clock.now());
+    }
+
+    /** Gives the longest idle connection of any node back, if there is one. */
+    public boolean giveBack() {
+        Pool oldest = null;
+        for (Pool pool : pools.values()) {
+            oldest = oldest == null || pool.oldestIdle() < oldest.oldestIdle() ? pool : oldest;
+        }
+        return oldest != null && oldest.oldestIdle() < Double.POSITIVE_INFINITY
+                && oldest.closeIdle(Math.nextUp(oldest.oldestIdle())) > 0;
+    }
+
+    boolean mayOpen() {
+        return descriptors.takeForNode();
+    }
+
+    void connect(NodeConnection connection, InetSocketAddress address) {
+        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline().addLast(new NodeDecoder(), connection);
+            }
+        }).connect(address);
+        connecting.addListener(done -> {
+            if (!done.isSuccess()) {
+                connection.close();
+            }
+        });
+    }
+
+    void opened(double took) {
+        Log.count("opened");
+    }
+
+    void closed() {
+        descriptors.give();
+    }
+
+    double now() {
+        return clock.now();
+    }
+
+    void ended(Attempt attempt, Ending ending, NodeConnection by) {
+        double took = clock.now() - (attempt.dispatch == null ? attempt.startedAt : attempt.dispatch.sentAt);
+        Reply reply = by == null ? new Reply(ending.outcome(), took, Role.UNKNOWN, 0, Role.UNKNOWN, 0, -1)
+                : by.reply(ending, took);
+        if (attempt.dispatch == null) {
+            listener.probed(attempt.node, reply);
+        } else {
+            attempts.remove(attempt.dispatch);
+            listener.ended(attempt.dispatch, reply, reply.outcome() == Outcome.ANSWERED ? by.answer() : null);
+        }
+    }
+
+    void refused(Node node, NodeMessage.ErrorResponse error) {
+        if (error.code().equals("08P01")) {
+            log("node " + node.id() + " calls a statement malformed: " + error.text());
+        }
+    }
+
+    void log(String line) {
+        Log.warn("node", line);
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/nodes/Pool.java
@@ -0,0 +1,124 @@
+package clayhook.nodes;
+
+import clayhook.Node;
+import clayhook.protocol.NodeMessage;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/** The connections to one node, and the attempts that wait for one. */
+final class Pool {
+    final Node node;
+    InetSocketAddress address;
+    private final Nodes nodes;
+    /** Newest first. */
+    private final ArrayDeque<NodeConnection> idle = new ArrayDeque<>();
+    private final Set<NodeConnection> opening = new LinkedHashSet<>();
+    private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
+    boolean probing;
+
+    Pool(Nodes nodes, Node node, InetSocketAddress address) {
+        this.nodes = nodes;
+        this.node = node;
+        this.address = address;
+    }
+
+    /** Another address: the old connections carry on what they have and get nothing new. */
+    void moved(InetSocketAddress to) {
+        if (!to.equals(address)) {
+            address = to;
+            closeIdle(Double.POSITIVE_INFINITY);
+        }
+    }
+
+    void add(Attempt attempt) {
+        waiting.add(attempt);
+        serve();
+    }
+
+    private void serve() {
+        while (!waiting.isEmpty() && !idle.isEmpty()) {
+            Attempt next = waiting.poll();
+            byte[] query = nodes.query(next);
+            if (query != null) {
+                idle.poll().start(next, query);
+            }
+        }
+        while (opening.size() < waiting.size()) {
+            if (!nodes.mayOpen()) {
+                ended(waiting.poll(), new Ending.Broken(Stage.NOT_CONNECTED), null);
+                continue;
+            }
+            var connection = new NodeConnection(this, nodes.now());
+            opening.add(connection);
+            nodes.connect(connection, address);
+        }
+    }
+
+    void opened(NodeConnection connection) {
+        opening.remove(connection);
+        nodes.opened(nodes.now() - connection.openedAt);
+        freed(connection);
+    }
+
+    void freed(NodeConnection connection) {
+        connection.idleSince = nodes.now();
+        idle.push(connection);
+        serve();
+    }
+
+    /** A connection ended; one that never came up takes the attempt that has waited longest with it. */
+    void closed(NodeConnection connection, boolean up, String refusal) {
+        idle.remove(connection);
+        nodes.closed();
+        if (opening.remove(connection) && !up && waiting.size() > opening.size()) {
+            ended(waiting.poll(), refusal != null && refusal.equals("53300") ? new Ending.Refused(refusal)
+                    : new Ending.Broken(Stage.NOT_CONNECTED), null);
+        }
+    }
+
+    void ended(Attempt attempt, Ending ending, NodeConnection by) {
+        probing &= attempt.dispatch != null;
+        nodes.ended(attempt, ending, by);
+    }
+
+    /** Stops waiting for an attempt. */
+    void abandon(Attempt attempt, Ending ending) {
+        if (attempt.connection != null) {
+            attempt.connection.abandon(ending);
+        } else if (waiting.remove(attempt)) {
+            ended(attempt, ending, null);
+        }
+    }
+
+    /** Closes connections that have been opening, and those that stood idle, since before these times. */
+    void sweep(double openedBefore, double idleBefore) {
+        List.copyOf(opening).stream().filter(c -> c.openedAt < openedBefore).forEach(NodeConnection::close);
+        closeIdle(idleBefore);
+    }
+
+    /** Closes the connections idle since before that time; returns how many. */
+    int closeIdle(double before) {
+        var old = new ArrayList<NodeConnection>();
+        while (!idle.isEmpty() && idle.peekLast().idleSince < before) {
+            old.add(idle.pollLast());
+        }
+        old.forEach(NodeConnection::close);
+        return old.size();
+    }
+
+    double oldestIdle() {
+        return idle.isEmpty() ? Double.POSITIVE_INFINITY : idle.peekLast().idleSince;
+    }
+
+    void refused(NodeMessage.ErrorResponse error) {
+        nodes.refused(node, error);
+    }
+
+    void log(String line) {
+        nodes.log(line);
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/nodes/Stage.java
@@ -0,0 +1,11 @@
+package clayhook.nodes;
+
+/** How far an attempt had come. */
+enum Stage {
+    NOT_CONNECTED, PARTLY_WRITTEN, WRITTEN, ANSWERING;
+
+    /** The last byte of the request was written. */
+    boolean mayHaveRun() {
+        return this == WRITTEN || this == ANSWERING;
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/protocol/ClientDecoder.java
@@ -0,0 +1,82 @@
+package clayhook.protocol;
+
+import io.netty.buffer.ByteBuf;
+
+/** Decodes what a client sends. */
+public final class ClientDecoder extends FrameDecoder {
+    private static final int CANCEL = 80877102;
+    private static final int SSL = 80877103;
+    private static final int GSS = 80877104;
+    /** As long as the reference server takes it. */
+    private static final int LONGEST_STARTUP = 10_000;
+    private boolean started;
+
+    @Override
+    boolean typed() {
+        return started;
+    }
+
+    @Override
+    int longestUntyped() {
+        return LONGEST_STARTUP;
+    }
+
+    @Override
+    Object malformed(String why) {
+        return new ClientMessage.Malformed("08P01", why);
+    }
+
+    @Override
+    Object message(char type, ByteBuf body) {
+        if (!started) {
+            return first(body.readInt());
+        }
+        return switch (type) {
+            case 'Q' -> query(body);
+            case 'X' -> new ClientMessage.Terminate();
+            case 'S' -> new ClientMessage.Sync();
+            case 'P', 'B', 'D', 'E', 'C' -> new ClientMessage.Extended();
+            case 'F' -> new ClientMessage.FunctionCall();
+            case 'H', 'd', 'c', 'f' -> new ClientMessage.Ignored();
+            default -> malformed("an unknown message of type " + (int) type);
+        };
+    }
+
+    private Object first(int version) {
+        if (version == SSL || version == GSS) {
+            return new ClientMessage.EncryptionRequest();
+        } else if (version == CANCEL) {
+            return new ClientMessage.CancelRequest();
+        } else if (version >>> 16 != 3) {
+            return new ClientMessage.Malformed("0A000", "protocol version " + (version >>> 16) + " is not supported");
+        }
+        started = true;
+        return new ClientMessage.Startup(version & 0xffff);
+    }
+
+    private static Object query(ByteBuf body) {
+        int length = body.bytesBefore((byte) 0);
+        if (length < 0) {
+            throw new IllegalArgumentException("a query without its end");
+        }
+        byte[] text = new byte[length];
+        body.readBytes(text);
+        if (blank(text)) {
+            return new ClientMessage.EmptyQuery();
+        }
+        try {
+            return new ClientMessage.Query(Statement.parse(text));
+        } catch (IllegalArgumentException e) {
+            return new ClientMessage.UnreadableQuery(e.getMessage());
+        }
+    }
+
+    private static boolean blank(byte[] text) {
+        for (byte b : text) {
+            if (b > ' ' && b != ';' || b < 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/protocol/ClientMessage.java
@@ -0,0 +1,47 @@
+package clayhook.protocol;
+
+/** What a client may send. */
+public sealed interface ClientMessage {
+    /** Asks for the session; {@code minor} is the version of the protocol after 3. */
+    record Startup(int minor) implements ClientMessage {
+    }
+
+    /** Asks for an encrypted connection, which there is none of. */
+    record EncryptionRequest() implements ClientMessage {
+    }
+
+    record CancelRequest() implements ClientMessage {
+    }
+
+    record EmptyQuery() implements ClientMessage {
+    }
+
+    record Query(Statement statement) implements ClientMessage {
+    }
+
+    /** A query that cannot be read; the session goes on. */
+    record UnreadableQuery(String why) implements ClientMessage {
+    }
+
+    /** A message of the extended query protocol: all up to the next Sync get one error. */
+    record Extended() implements ClientMessage {
+    }
+
+    record Sync() implements ClientMessage {
+    }
+
+    /** Calls a function, which there is none of. */
+    record FunctionCall() implements ClientMessage {
+    }
+
+    /** Flush, and the copy messages outside a copy: the specification passes them over. */
+    record Ignored() implements ClientMessage {
+    }
+
+    record Terminate() implements ClientMessage {
+    }
+
+    /** Nothing after it can be understood. */
+    record Malformed(String code, String why) implements ClientMessage {
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/protocol/Encoder.java
@@ -0,0 +1,91 @@
+package clayhook.protocol;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+
+/** Encodes what goes to clients and nodes. */
+public final class Encoder {
+    private static final byte[] READY = {'Z', 0, 0, 0, 5, 'I'};
+
+    private Encoder() {
+    }
+
+    /** The session stands; {@code minor} is the version of the protocol that the client asked for. */
+    public static ByteBuf welcome(int minor) {
+        ByteBuf out = Unpooled.buffer(128);
+        if (minor > 0) {
+            out.writeByte('v').writeInt(12).writeInt(3 << 16).writeInt(0);
+        }
+        out.writeByte('R').writeInt(8).writeInt(0);
+        parameter(out, "server_version", "15.0");
+        parameter(out, "client_encoding", "UTF8");
+        parameter(out, "standard_conforming_strings", "on");
+        out.writeByte('K').writeInt(12).writeInt(0).writeInt(0);
+        return out.writeBytes(READY);
+    }
+
+    private static void parameter(ByteBuf out, String name, String value) {
+        byte[] first = name.getBytes(UTF_8);
+        byte[] second = value.getBytes(UTF_8);
+        out.writeByte('S').writeInt(4 + first.length + 1 + second.length + 1);
+        out.writeBytes(first).writeByte(0).writeBytes(second).writeByte(0);
+    }
+
+    public static ByteBuf noEncryption() {
+        return Unpooled.buffer(1).writeByte('N');
+    }
+
+    public static ByteBuf emptyQueryResponse() {
+        return Unpooled.buffer(16).writeByte('I').writeInt(4).writeBytes(READY);
+    }
+
+    public static ByteBuf ready() {
+        return Unpooled.wrappedBuffer(READY);
+    }
+
+    /** The messages of an answer as the node gave them, and that the session is ready again. */
+    public static ByteBuf answer(byte[] messages) {
+        return Unpooled.buffer(messages.length + READY.length).writeBytes(messages).writeBytes(READY);
+    }
+
+    /** An error; {@code detail} may be null. After a fatal one the connection ends. */
+    public static ByteBuf error(boolean fatal, String code, String text, String detail) {
+        ByteBuf out = Unpooled.buffer(128).writeByte('E').writeInt(0);
+        String severity = fatal ? "FATAL" : "ERROR";
+        field(out, 'S', severity);
+        field(out, 'V', severity);
+        field(out, 'C', code);
+        field(out, 'M', text);
+        if (detail != null) {
+            field(out, 'D', detail);
+        }
+        out.writeByte(0);
+        out.setInt(1, out.writerIndex() - 1);
+        return fatal ? out : out.writeBytes(READY);
+    }
+
+    private static void field(ByteBuf out, char name, String value) {
+        out.writeByte(name).writeBytes(value.getBytes(UTF_8)).writeByte(0);
+    }
+
+    /** An error without the readiness that follows elsewhere; for messages up to a Sync. */
+    public static ByteBuf extendedError(String code, String text) {
+        ByteBuf out = error(false, code, text, null);
+        return out.writerIndex(out.writerIndex() - READY.length);
+    }
+
+    public static ByteBuf startup() {
+        ByteBuf out = Unpooled.buffer(48).writeInt(0).writeInt(3 << 16);
+        for (String word : new String[] {"user", "clayhook", "database", "core"}) {
+            out.writeBytes(word.getBytes(UTF_8)).writeByte(0);
+        }
+        out.writeByte(0);
+        return out.setInt(0, out.writerIndex());
+    }
+
+    public static ByteBuf query(byte[] text) {
+        return Unpooled.buffer(text.length + 6).writeByte('Q').writeInt(text.length + 5).writeBytes(text).writeByte(0);
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/protocol/FrameDecoder.java
@@ -0,0 +1,65 @@
+package clayhook.protocol;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** Cuts the stream into messages: a type, a length that counts itself, a body. Holds only what has come. */
+abstract class FrameDecoder extends ByteToMessageDecoder {
+    /** Values hold 64 KiB, and twice that in hex digits; the rest is for the statement around them. */
+    private static final int LONGEST = 160 * 1024;
+    private boolean broken;
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
+        if (broken) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
+        int header = typed() ? 1 : 0;
+        if (in.readableBytes() < header + 4) {
+            return;
+        }
+        int length = in.getInt(in.readerIndex() + header);
+        if (length < 4 || length > (typed() ? LONGEST : longestUntyped())) {
+            broken = true;
+            out.add(malformed("a message of length " + Integer.toUnsignedString(length)));
+            return;
+        }
+        if (in.readableBytes() < header + length) {
+            return;
+        }
+        ByteBuf message = in.readSlice(header + length);
+        char type = typed() ? (char) (message.readByte() & 0xff) : 0;
+        message.skipBytes(4);
+        try {
+            out.add(message(type, message));
+        } catch (IndexOutOfBoundsException | IllegalArgumentException e) {
+            broken = true;
+            out.add(malformed("a message of type '" + type + "' that cannot be read"));
+        }
+    }
+
+    /** Whether the next message has a type. */
+    abstract boolean typed();
+
+    abstract int longestUntyped();
+
+    /** The message whose body is to be read; its header has been. */
+    abstract Object message(char type, ByteBuf body);
+
+    abstract Object malformed(String why);
+
+    /** Text up to its closing zero. */
+    static String text(ByteBuf body) {
+        int length = body.bytesBefore((byte) 0);
+        if (length < 0) {
+            throw new IllegalArgumentException("text without its end");
+        }
+        String text = body.readCharSequence(length, StandardCharsets.UTF_8).toString();
+        body.skipBytes(1);
+        return text;
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/serve/Log.java
@@ -0,0 +1,53 @@
+package clayhook.serve;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Few lines: each kind at most once a second, with a count of those left out; and a summary now and then. */
+public final class Log {
+    private static final System.Logger LOGGER = System.getLogger("clayhook");
+    private static final long SECOND = 1_000_000_000L;
+
+    private static final class Kind {
+        private long loggedAt = System.nanoTime() - SECOND;
+        private int left;
+    }
+
+    /** One a kind of line. */
+    private static final Map<String, Kind> KINDS = new TreeMap<>();
+    /** Emptied by each summary. */
+    private static final Map<String, Integer> COUNTS = new TreeMap<>();
+
+    private Log() {
+    }
+
+    public static synchronized void info(String line) {
+        LOGGER.log(System.Logger.Level.INFO, line);
+    }
+
+    public static synchronized void warn(String kind, String line) {
+        Kind of = KINDS.computeIfAbsent(kind, any -> new Kind());
+        if (System.nanoTime() - of.loggedAt < SECOND) {
+            of.left++;
+            return;
+        }
+        LOGGER.log(System.Logger.Level.WARNING, line + (of.left > 0 ? " (" + of.left + " alike left out)" : ""));
+        of.left = 0;
+        of.loggedAt = System.nanoTime();
+    }
+
+    public static synchronized void fault(String line, Throwable cause) {
+        LOGGER.log(System.Logger.Level.ERROR, line, cause);
+    }
+
+    public static synchronized void count(String what) {
+        COUNTS.merge(what, 1, Integer::sum);
+    }
+
+    /** What was counted since the last call. */
+    static synchronized String counts() {
+        String text = COUNTS.toString();
+        COUNTS.clear();
+        return text;
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/serve/Router.java
@@ -0,0 +1,235 @@
+package clayhook.serve;
+
+import clayhook.Choice;
+import clayhook.Choice.Verdict;
+import clayhook.Command;
+import clayhook.CommandGroup;
+import clayhook.Decide;
+import clayhook.Dispatch;
+import clayhook.Listing;
+import clayhook.Node;
+import clayhook.Outcome;
+import clayhook.Reply;
+import clayhook.Settings;
+import clayhook.config.Configuration;
+import clayhook.discovery.DiscoveryClient;
+import clayhook.discovery.NodeList;
+import clayhook.front.ClientCommand;
+import clayhook.front.Front;
+import clayhook.front.Session;
+import clayhook.hand.Hand;
+import clayhook.nodes.Nodes;
+import clayhook.protocol.Statement;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleConsumer;
+
+/** The loop: gathers what is ready, hands it to the module in one go, carries out what came back. */
+public final class Router implements Session.Listener, Nodes.Listener, DiscoveryClient.Listener {
+    /** Time between summaries in the log. */
+    private static final double SUMMARY = 10;
+    /** A turn this much later than it was asked for is logged: the process stood still. */
+    private static final double PAUSE = 0.1;
+
+    private final EventLoop loop;
+    private final Clock clock = new Clock();
+    private final Settings settings;
+    private final Map<String, CommandGroup> groups = new HashMap<>();
+    private final Decide decide;
+    private final Hand hand;
+    private final Nodes nodes;
+    private final DiscoveryClient discovery;
+    private final Front front;
+    private final Descriptors descriptors;
+    /** The commands that sessions wait for; each leaves with its final answer. */
+    private final Map<Session, ClientCommand> waiting = new HashMap<>();
+    /** What came in since the last turn; lists go before the rest. */
+    private List<DoubleConsumer> lists = new ArrayList<>();
+    private List<DoubleConsumer> rest = new ArrayList<>();
+    /** Answers to be passed on at the end of the turn. */
+    private final Map<ClientCommand, byte[]> answers = new HashMap<>();
+    private boolean turning;
+    private ScheduledFuture<?> wake;
+    private double wakeAt = Double.POSITIVE_INFINITY;
+    private double summaryAt;
+
+    public Router(EventLoopGroup group, Configuration configuration) throws InterruptedException {
+        loop = group.next();
+        settings = configuration.settings();
+        settings.groups().forEach(g -> groups.put(g.name(), g));
+        descriptors = new Descriptors(configuration.sockets());
+        decide = new Decide(settings, configuration.seed());
+        hand = new Hand(decide);
+        nodes = new Nodes(group, clock, descriptors, configuration.connectTimeout(), settings.connectionIdle(), this);
+        discovery = new DiscoveryClient(group, configuration.discovery(), configuration.known().version(), this);
+        decide.listed(listings(configuration.known()), true, clock.now());
+        descriptors.giveBackBy(this::giveBack);
+        front = new Front(group, configuration.listen(), descriptors, this);
+        loop.execute(this::turn);
+    }
+
+    private boolean giveBack() {
+        return nodes.giveBack() || front.giveBack();
+    }
+
+    private void tell(List<DoubleConsumer> inbox, DoubleConsumer news) {
+        inbox.add(news);
+        if (!turning) {
+            turning = true;
+            loop.execute(this::turn);
+        }
+    }
+
+    // ---- what is heard ----
+
+    @Override
+    public void taken(Session session, Statement statement) {
+        CommandGroup group = groups.get(statement.group);
+        if (group == null) {
+            Log.warn("client", "unknown command group " + statement.group);
+            loop.execute(() -> session.rejected("unknown command group"));
+            return;
+        }
+        tell(rest, now -> {
+            var command = new ClientCommand(group, statement, session, now);
+            waiting.put(session, command);
+            hand.taken(command, now);
+        });
+    }
+
+    @Override
+    public void left(Session session) {
+        tell(rest, now -> {
+            ClientCommand command = waiting.remove(session);
+            if (command != null) {
+                Log.count("left");
+                hand.left(command);
+            }
+        });
+    }
+
+    @Override
+    public void ended(Session session) {
+        // its command, if any, has left before
+    }
+
+    @Override
+    public void ended(Dispatch dispatch, Reply reply, byte[] answer) {
+        Log.count(reply.outcome().toString());
+        tell(rest, now -> {
+            var command = (ClientCommand) dispatch.command;
+            boolean answers = reply.outcome() == Outcome.ANSWERED && !command.over;
+            if (answers) {
+                this.answers.put(command, answer);
+            }
+            hand.ended(dispatch, reply, answers, now);
+        });
+    }
+
+    @Override
+    public void probed(Node node, Reply reply) {
+        Log.count("probe " + reply.outcome());
+        tell(rest, now -> decide.probed(node, reply, now));
+    }
+
+    @Override
+    public boolean mayGo(Dispatch dispatch) {
+        return !dispatch.command.over && clock.now() < dispatch.limit;
+    }
+
+    @Override
+    public void listed(NodeList list) {
+        tell(lists, now -> decide.listed(listings(list), list.whole(), now));
+    }
+
+    @Override
+    public void listFailed() {
+        tell(lists, decide::listFailed);
+    }
+
+    private List<Listing> listings(NodeList list) {
+        var listings = new ArrayList<Listing>();
+        for (NodeList.Entry entry : list.entries()) {
+            Node node = nodes.at(entry.id(), entry.zone(), entry.group(),
+                    new InetSocketAddress(entry.host(), entry.port()));
+            listings.add(new Listing(node, entry.state(), entry.primary(), entry.startedAt()));
+        }
+        return listings;
+    }
+
+    // ---- the turn ----
+
+    private void turn() {
+        double now = clock.now();
+        if (now > wakeAt + PAUSE) {
+            Log.warn("pause", String.format("stood still for %.0f ms", (now - wakeAt) * 1000));
+        }
+        hand.overdue(now).forEach(nodes::expire);
+        List<DoubleConsumer> first = lists;
+        List<DoubleConsumer> then = rest;
+        lists = new ArrayList<>();
+        rest = new ArrayList<>();
+        turning = false;
+        first.forEach(news -> news.accept(now));
+        then.forEach(news -> news.accept(now));
+        Hand.Turn turn = hand.settle(now);
+        turn.orders().forEach(order -> carryOut(order.command(), order.choice()));
+        turn.pause().probes().forEach(nodes::probe);
+        if (turn.pause().watchList()) {
+            discovery.watch();
+        }
+        if (turn.wake() > 0) {
+            wake(now, turn.wake());
+        }
+        nodes.sweep();
+        if (now >= summaryAt) {
+            summaryAt = now + SUMMARY;
+            Log.info("summary: clients " + front.size() + ", in hand " + hand.size() + ", descriptors at most "
+                    + descriptors.peak() + ", " + Log.counts());
+        }
+    }
+
+    private void wake(double now, double seconds) {
+        if (wake != null) {
+            wake.cancel(false);
+        }
+        wakeAt = now + seconds;
+        wake = loop.schedule(this::turn, (long) (seconds * 1e9), TimeUnit.NANOSECONDS);
+    }
+
+    private void carryOut(Command command, Choice choice) {
+        var order = (ClientCommand) command;
+        choice.recall().forEach(nodes::recall);
+        if (choice.verdict() == Verdict.SEND) {
+            nodes.send(choice.dispatch(), order.statement);
+            return;
+        }
+        Log.count(choice.verdict() + " " + order.group.name());
+        byte[] answer = answers.remove(order);
+        if (!waiting.remove(order.session, order)) {
+            return;
+        }
+        if (choice.verdict() == Verdict.THROTTLE) {
+            order.session.throttled(settings.adviceHeeded() ? choice.advice() : 0);
+        } else if (choice.verdict() == Verdict.FAIL) {
+            order.session.failed();
+        } else if (answer != null) {
+            order.session.answered(answer);
+        }
+    }
+
+    // ---- the end ----
+
+    /** Takes no more connections and ends the sessions as their commands are answered; false while some are left. */
+    boolean endIdle() {
+        front.close();
+        return front.endIdle();
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/serve/Server.java
@@ -0,0 +1,38 @@
+package clayhook.serve;
+
+import clayhook.config.Configuration;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.Callable;
+
+/** One router from its start to its end. */
+public final class Server {
+    /** After a request to end, new connections keep coming for up to 0.4 s. */
+    private static final long STILL_OPEN_MS = 500;
+    /** The platform kills no sooner than this after the longest client timeout. */
+    private static final long AFTER_TIMEOUT_MS = 600;
+    private static final long LOOK_MS = 20;
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Router router;
+    private final long longest;
+
+    public Server(Configuration configuration) throws InterruptedException {
+        router = new Router(group, configuration);
+        longest = (long) (1000 * configuration.settings().groups().stream()
+                .mapToDouble(g -> g.clientTimeout()).max().orElse(3));
+    }
+
+    /** Serves on for a moment, answers what it has taken, then closes; returns when all is over. */
+    public void end() throws Exception {
+        Log.info("ending: serves on for " + STILL_OPEN_MS + " ms");
+        long until = System.nanoTime() + (longest + AFTER_TIMEOUT_MS) * 1_000_000;
+        Thread.sleep(STILL_OPEN_MS);
+        Callable<Boolean> ended = router::endIdle;
+        while (!group.submit(ended).get() && System.nanoTime() < until) {
+            Thread.sleep(LOOK_MS);
+        }
+        Log.info("ended");
+    }
+}
--- a/src/main/java/clayhook/sim/Adapter.java
+++ b/src/main/java/clayhook/sim/Adapter.java
@@ -87,8 +87,8 @@
         }
         guarded(who, () -> {
             switch (word) {
-                case "ARRIVAL" -> instance.arrival(line, now, reply);
-                case "RESPONSE" -> instance.response(line, now, reply);
+                case "ARRIVAL" -> instance.arrival(line, now);
+                case "RESPONSE" -> instance.response(line, now);
                 case "HEALTH" -> instance.health(line, now);
                 case "GONE" -> instance.gone(line.text("id"));
                 case "DISCOVERY" -> discovery(instance, line, now);
--- a/src/main/java/clayhook/sim/Instance.java
+++ b/src/main/java/clayhook/sim/Instance.java
@@ -9,32 +9,29 @@
 import clayhook.Listing;
 import clayhook.Node;
 import clayhook.Outcome;
-import clayhook.Pause;
 import clayhook.Reply;
 import clayhook.Role;
 import clayhook.Settings;
+import clayhook.config.LoadReport;
+import clayhook.hand.Hand;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
-/** One router: the commands it holds, by their ids, and the module that decides for them. */
+/** One router: the ids of its commands and nodes, and the module that decides for them. */
 final class Instance {
     private static final long NANOS = 1_000_000_000L;
 
-    /** A command with its id; it stays until it has its final answer and every dispatch its outcome. */
-    private static final class Held {
+    private static final class Identified extends Command {
         private final String id;
-        private final Command command;
-        private final long expires;
-        private boolean concluded;
-        private int out;
+        private final long notAfter;
 
-        private Held(String id, Command command, long expires) {
+        private Identified(String id, CommandGroup group, int shard, String session, double wroteAt, long now,
+                long notAfter) {
+            super(group, shard, session, wroteAt, seconds(now), seconds(notAfter));
             this.id = id;
-            this.command = command;
-            this.expires = expires;
+            this.notAfter = notAfter;
         }
     }
 
@@ -42,9 +39,10 @@
     private final Settings settings;
     private final Map<String, CommandGroup> groups = new HashMap<>();
     private final Map<String, Node> nodes = new HashMap<>();
-    private final Map<String, Held> held = new LinkedHashMap<>();
+    /** Each leaves with its final answer and the last outcome of its dispatches. */
+    private final Map<String, Identified> commands = new HashMap<>();
     private final Decide decide;
-    private long nextTimer = Long.MAX_VALUE;
+    private final Hand hand;
 
     Instance(Line line) throws BadInput {
         long seed = line.whole("seed");
@@ -55,9 +53,10 @@
             groups.put(group.name(), group);
         }
         decide = new Decide(settings, seed);
+        hand = new Hand(decide);
     }
 
-    void arrival(Line line, long now, StringBuilder out) throws BadInput {
+    void arrival(Line line, long now) throws BadInput {
         String id = line.text("id");
         String service = line.text("service");
         CommandGroup group = groups.get(service);
@@ -66,37 +65,32 @@
         }
         line.maybe("team");
         String session = line.maybe("session");
-        long expires = line.whole("not_after");
+        long notAfter = line.whole("not_after");
         line.maybe("size_hint");
         int shard = (int) line.whole("shard");
         double wroteAgo = line.number("wrote_ms_ago", 0);
         double wroteAt = wroteAgo > 0 ? seconds(now) - wroteAgo / 1000 : 0;
-        var command = new Command(group, shard, session, wroteAt, seconds(now), seconds(expires));
-        var entry = new Held(id, command, expires);
-        held.put(id, entry);
-        carryOut(entry, decide.where(command, seconds(now)), out);
+        var command = new Identified(id, group, shard, session, wroteAt, now, notAfter);
+        commands.put(id, command);
+        hand.taken(command, seconds(now));
     }
 
-    void response(Line line, long now, StringBuilder out) throws BadInput {
-        Held entry = held.get(line.text("id"));
+    void response(Line line, long now) throws BadInput {
+        Identified command = commands.get(line.text("id"));
         int number = (int) line.whole("send_no");
         line.text("node");
         Outcome outcome = outcome(line);
         double took = (double) line.whole("time_taken") / NANOS;
         boolean terminal = line.whole("terminal", 0) != 0;
         Reply reply = reply(line, outcome, took, line.whole("stand", 0));
-        if (entry == null || number < 0 || number >= entry.command.dispatches.size()) {
+        if (command == null || number < 0 || number >= command.dispatches.size()) {
             throw line.bad("answers a dispatch that was never sent");
         }
-        Dispatch dispatch = entry.command.dispatches.get(number);
+        Dispatch dispatch = command.dispatches.get(number);
         if (dispatch.outcome != null) {
             throw line.bad("answers a dispatch a second time");
         }
-        entry.out--;
-        boolean over = entry.concluded || terminal;
-        Choice choice = decide.after(dispatch, reply, over, seconds(now));
-        entry.concluded = over;
-        carryOut(entry, choice, out);
+        hand.ended(dispatch, reply, terminal, seconds(now));
     }
 
     void health(Line line, long now) throws BadInput {
@@ -124,63 +118,51 @@
     }
 
     void gone(String id) {
-        Held entry = held.get(id);
-        if (entry != null && !entry.concluded) {
-            entry.concluded = true;
-            release(entry);
+        Identified command = commands.get(id);
+        if (command != null) {
+            hand.left(command);
+            release(command);
         }
     }
 
-    /** Asks again about every command in hand once the module's pause is over; sets the next timer. */
+    /** Carries out what was decided in this batch; sets the next timer. */
     void settle(long now, StringBuilder out) {
-        if (now >= nextTimer) {
-            nextTimer = Long.MAX_VALUE;
-            for (Held entry : new ArrayList<>(held.values())) {
-                if (!entry.concluded) {
-                    carryOut(entry, decide.where(entry.command, seconds(now)), out);
-                }
-            }
-        }
-        Pause pause = decide.pause(seconds(now));
-        for (Node node : pause.probes()) {
+        Hand.Turn turn = hand.settle(seconds(now));
+        for (Hand.Order order : turn.orders()) {
+            carryOut((Identified) order.command(), order.choice(), out);
+        }
+        for (Node node : turn.pause().probes()) {
             out.append("TOUCH ").append(node.id()).append('\n');
         }
-        if (pause.watchList()) {
+        if (turn.pause().watchList()) {
             out.append("KEEP_INFORMED 1\n");
         }
-        long delay = Math.max(1, Math.round(pause.seconds() * NANOS));
-        if (nextTimer == Long.MAX_VALUE || now + delay < nextTimer) {
-            nextTimer = now + delay;
-            out.append("SCHEDULE wake ").append(delay).append('\n');
+        if (turn.wake() > 0) {
+            out.append("SCHEDULE wake ").append(Math.max(1, Math.round(turn.wake() * NANOS))).append('\n');
         }
     }
 
-    private void carryOut(Held entry, Choice first, StringBuilder out) {
-        Choice choice = first;
+    private void carryOut(Identified command, Choice choice, StringBuilder out) {
         for (Dispatch dispatch : choice.recall()) {
-            int number = entry.command.dispatches.indexOf(dispatch);
-            out.append("RECALL ").append(entry.id).append(' ').append(number).append('\n');
+            int number = command.dispatches.indexOf(dispatch);
+            out.append("RECALL ").append(command.id).append(' ').append(number).append('\n');
         }
         if (choice.verdict() == Verdict.SEND) {
-            entry.command.dispatches.add(choice.dispatch());
-            entry.out++;
-            long limit = Math.min(entry.expires, Math.round(choice.dispatch().limit * NANOS));
-            out.append("CALL_OUT ").append(entry.id).append(' ').append(limit).append(' ')
+            long limit = Math.min(command.notAfter, Math.round(choice.dispatch().limit * NANOS));
+            out.append("CALL_OUT ").append(command.id).append(' ').append(limit).append(' ')
                     .append(choice.dispatch().node.id()).append('\n');
         } else if (choice.verdict() == Verdict.THROTTLE) {
-            entry.concluded = true;
-            out.append("REJECT ").append(entry.id).append(' ')
+            out.append("REJECT ").append(command.id).append(' ')
                     .append(settings.adviceHeeded() ? Math.round(choice.advice() * NANOS) : 0).append('\n');
         } else if (choice.verdict() == Verdict.FAIL) {
-            entry.concluded = true;
-            out.append("REPORT_FAILURE ").append(entry.id).append('\n');
+            out.append("REPORT_FAILURE ").append(command.id).append('\n');
         }
-        release(entry);
+        release(command);
     }
 
-    private void release(Held entry) {
-        if (entry.concluded && entry.out == 0) {
-            held.remove(entry.id);
+    private void release(Identified command) {
+        if (command.finished()) {
+            commands.remove(command.id);
         }
     }
 
@@ -208,33 +190,12 @@
         };
         long told = stand / 4;
         double position = told > 0 ? seconds(origin + told * 1_000_000) : 0;
-        Role reportedRole = Role.UNKNOWN;
-        double reportedPosition = 0;
-        double load = -1;
         String metrics = line.maybe("metrics");
-        if (metrics != null) {
-            for (String pair : metrics.split(",")) {
-                int sign = pair.indexOf(':');
-                if (sign < 0) {
-                    throw line.bad("has a report value '" + pair + "' without a name");
-                }
-                double value = decimal(line, pair.substring(sign + 1));
-                switch (pair.substring(0, sign)) {
-                    case "x0" -> reportedPosition = seconds(origin) + value;
-                    case "x1" -> reportedRole = value > 0.5 ? Role.PRIMARY : Role.REPLICA;
-                    case "rif", "q" -> load = Math.max(load, value);
-                    default -> { }
-                }
-            }
-        }
-        return new Reply(outcome, took, role, position, reportedRole, reportedPosition, load);
-    }
-
-    private static double decimal(Line line, String text) throws BadInput {
         try {
-            return Double.parseDouble(text);
-        } catch (NumberFormatException e) {
-            throw line.bad("has '" + text + "' in its report, not a number");
+            LoadReport report = LoadReport.parse(metrics, ':', seconds(origin));
+            return new Reply(outcome, took, role, position, report.role(), report.position(), report.load());
+        } catch (IllegalArgumentException e) {
+            throw line.bad(e.getMessage());
         }
     }
 
