--- a/src/main/java/clayhook/cli/Main.java
+++ b/src/main/java/clayhook/cli/Main.java
@@ -2,6 +2,8 @@
 
 import clayhook.config.BadConfig;
 import clayhook.config.Configuration;
+import clayhook.config.Json;
+import clayhook.rehearsal.Rehearsal;
 import clayhook.serve.Log;
 import clayhook.serve.Server;
 import clayhook.sim.Adapter;
@@ -11,27 +13,54 @@
 import java.io.InputStreamReader;
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 
 /** The command line. */
 public final class Main {
+    /** Settings of every kind of command group. */
+    private static final String REHEARSED = """
+            {"name": "rehearsal", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1", "settings": {
+            "balancers": 1, "zone": "a", "discovery": "subscribe", "report": {"how": "inline"},
+            "domain": {"read_level": ["bounded", "any", "write"], "max_age": [200000000, 0, 0],
+            "when_behind": "wait", "write_marks": "carried"}, "limits": {"most_tries": 3},
+            "grades": [
+            {"name": "bounded", "effect": "idempotent", "aim": 250000000, "hard_limit": 500000000},
+            {"name": "any", "effect": "idempotent", "aim": 250000000, "hard_limit": 500000000},
+            {"name": "write", "effect": "deduplicated", "group": "cell", "aim": 250000000, "hard_limit": 500000000,
+            "repeat_window": 1000000000}]}}
+            """;
+
     private Main() {
     }
 
     public static void main(String[] args) {
-        if (args.length == 1 && args[0].equals("serve")) {
-            serve();
-        } else {
-            System.exit(args.length == 1 && args[0].equals("adapter") ? adapter() : usage());
+        switch (args.length == 1 ? args[0] : "") {
+            case "serve" -> serve();
+            case "adapter" -> System.exit(adapter());
+            case "rehearse" -> System.exit(rehearse());
+            default -> System.exit(usage());
         }
     }
 
     private static int usage() {
-        System.err.println("usage: java -jar clayhook.jar adapter|serve");
+        System.err.println("usage: java -jar clayhook.jar adapter|serve|rehearse");
         System.err.println("  adapter   speak the simulator's wire on standard input and output");
         System.err.println("  serve     route on sockets, as the file named by LB_CONFIG says");
+        System.err.println("  rehearse  serve stand-ins for a moment; the build keeps the classes that this loads");
         return 2;
     }
 
+    /** Not for service: the build makes the archive of classes from what this loads. */
+    private static int rehearse() {
+        try {
+            Rehearsal.run(Configuration.of(Json.parse(REHEARSED), Map.of()));
+            return 0;
+        } catch (Exception e) {
+            System.err.println("clayhook: " + e);
+            return 1;
+        }
+    }
+
     private static int adapter() {
         var in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8), 1 << 16);
         var out = new PrintWriter(System.out, false, StandardCharsets.UTF_8);
--- a/src/main/java/clayhook/config/Configuration.java
+++ b/src/main/java/clayhook/config/Configuration.java
@@ -41,7 +41,8 @@
         }
     }
 
-    static Configuration of(Object json, Map<String, String> environment) throws BadConfig {
+    /** The same of a file's content. */
+    public static Configuration of(Object json, Map<String, String> environment) throws BadConfig {
         if (!(json instanceof Map<?, ?> map)) {
             throw new BadConfig("LB_CONFIG: the file holds no object");
         }
--- a/src/main/java/clayhook/front/Front.java
+++ b/src/main/java/clayhook/front/Front.java
@@ -61,6 +61,10 @@
                 }).bind(address).sync().channel();
     }
 
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listening.localAddress();
+    }
+
     /** Takes no more connections. */
     public void close() {
         listening.close();
--- /dev/null
+++ b/src/main/java/clayhook/rehearsal/StandInClient.java
@@ -0,0 +1,88 @@
+package clayhook.rehearsal;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import clayhook.protocol.Encoder;
+import clayhook.protocol.NodeDecoder;
+import clayhook.protocol.NodeMessage;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A client that sends statements and hands out what comes back, a word an answer. */
+public final class StandInClient {
+    /** More than any answer here takes. */
+    private static final int PATIENCE_S = 20;
+    private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+    private final Channel channel;
+
+    public StandInClient(EventLoopGroup loop, InetSocketAddress router) throws InterruptedException {
+        channel = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel made) {
+                        made.pipeline().addLast(new NodeDecoder(), new Answers());
+                    }
+                }).connect(router).sync().channel();
+    }
+
+    private final class Answers extends ChannelInboundHandlerAdapter {
+        private String word = "ready";
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (message instanceof NodeMessage.Part part && part.type() == 'D') {
+                word = part.firstColumn();
+            } else if (message instanceof NodeMessage.ErrorResponse error) {
+                word = error.code();
+            } else if (message instanceof NodeMessage.ReadyForQuery) {
+                heard.add(word);
+                word = "ready";
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            heard.add(word.equals("ready") ? "closed" : word + " closed");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    public void send(ByteBuf bytes) {
+        channel.writeAndFlush(bytes);
+    }
+
+    /** A statement whose comment holds these fields. */
+    public static ByteBuf statement(String fields) {
+        return Encoder.query(("SELECT val FROM state WHERE uid = 'k' /* " + fields + " */").getBytes(UTF_8));
+    }
+
+    /** Startup and a first statement in one piece. */
+    public static ByteBuf hello(ByteBuf first) {
+        return Unpooled.wrappedBuffer(Encoder.startup(), first);
+    }
+
+    /** The value, the code of the error, or ready for what had neither; closed once the router ended. */
+    public String next() throws InterruptedException {
+        return heard.poll(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    public void close() {
+        channel.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/rehearsal/StandInDiscovery.java
@@ -0,0 +1,45 @@
+package clayhook.rehearsal;
+
+import static java.nio.charset.StandardCharsets.US_ASCII;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoopGroup;
+import java.util.function.Function;
+
+/** Discovery that answers each call with what it is told to; null leaves the call waiting. */
+public final class StandInDiscovery extends StandIn {
+
+    public StandInDiscovery(EventLoopGroup loop, Function<String, String> answers) throws InterruptedException {
+        super(loop, () -> new ChannelHandler[] {new Connection(answers)});
+    }
+
+    private static final class Connection extends ChannelInboundHandlerAdapter {
+        private final Function<String, String> answers;
+        private final StringBuilder read = new StringBuilder();
+
+        private Connection(Function<String, String> answers) {
+            this.answers = answers;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            var bytes = (ByteBuf) message;
+            read.append(bytes.toString(US_ASCII));
+            bytes.release();
+            int end = read.indexOf("\r\n\r\n");
+            if (end < 0) {
+                return;
+            }
+            String body = answers.apply(read.substring(0, read.indexOf("\r\n")));
+            read.delete(0, end + 4);
+            if (body != null) {
+                ctx.writeAndFlush(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nContent-Length: " + body.length()
+                        + "\r\n\r\n" + body, US_ASCII));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/clayhook/rehearsal/StandInNode.java
@@ -0,0 +1,100 @@
+package clayhook.rehearsal;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import clayhook.protocol.ClientDecoder;
+import clayhook.protocol.ClientMessage;
+import clayhook.protocol.Encoder;
+import clayhook.protocol.Statement;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import java.util.function.Function;
+
+/** A node that does to each statement what it is told to. */
+public final class StandInNode extends StandIn {
+    /** What a node may do: answer with a row, or an error of that code, reset the connection, or say nothing. */
+    public record Deed(String value, String errorCode, boolean resets) {
+        public static Deed answer(String value) {
+            return new Deed(value, null, false);
+        }
+
+        public static Deed error(String code) {
+            return new Deed(null, code, false);
+        }
+
+        public static Deed reset() {
+            return new Deed(null, null, true);
+        }
+
+        public static Deed silence() {
+            return new Deed(null, null, false);
+        }
+    }
+
+    public StandInNode(EventLoopGroup loop, String role, Function<Statement, Deed> deeds)
+            throws InterruptedException {
+        super(loop, () -> new ChannelHandler[] {new ClientDecoder(), new Connection(role, deeds)});
+    }
+
+    private static final class Connection extends ChannelInboundHandlerAdapter {
+        private final String role;
+        private final Function<Statement, Deed> deeds;
+
+        private Connection(String role, Function<Statement, Deed> deeds) {
+            this.role = role;
+            this.deeds = deeds;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (message instanceof ClientMessage.Startup) {
+                ctx.writeAndFlush(Encoder.welcome(0));
+            } else if (message instanceof ClientMessage.Query query) {
+                done(ctx, deeds.apply(query.statement()));
+            } else if (message instanceof ClientMessage.UnreadableQuery) {
+                done(ctx, Deed.answer("x0=" + System.currentTimeMillis() / 1000.0 + ",x1="
+                        + (role.equals("primary") ? 1 : 0) + ",inflight=1"));
+            }
+        }
+
+        private void done(ChannelHandlerContext ctx, Deed deed) {
+            if (deed.resets()) {
+                ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+                ctx.close();
+            } else if (deed.errorCode() != null) {
+                ctx.writeAndFlush(Encoder.error(false, deed.errorCode(), "as told", null));
+            } else if (deed.value() != null) {
+                ctx.writeAndFlush(row(deed.value()));
+            }
+        }
+
+        private ByteBuf row(String value) {
+            byte[] bytes = value.getBytes(UTF_8);
+            ByteBuf out = Unpooled.buffer();
+            out.writeByte('T').writeInt(4 + 2 + 4 + 18).writeShort(1).writeBytes("val\0".getBytes(UTF_8))
+                    .writeZero(18);
+            out.writeByte('D').writeInt(4 + 2 + 4 + bytes.length).writeShort(1).writeInt(bytes.length)
+                    .writeBytes(bytes);
+            out.writeByte('C').writeInt(4 + 9).writeBytes("SELECT 1\0".getBytes(UTF_8));
+            status(out, "role", role);
+            status(out, "applied_ms", Long.toString(System.currentTimeMillis()));
+            status(out, "load", "inflight=1,x0=" + System.currentTimeMillis() / 1000.0);
+            return out.writeBytes(Encoder.ready());
+        }
+
+        private static void status(ByteBuf out, String name, String value) {
+            byte[] text = (name + '\0' + value + '\0').getBytes(UTF_8);
+            out.writeByte('S').writeInt(4 + text.length).writeBytes(text);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- a/src/main/java/clayhook/serve/Router.java
+++ b/src/main/java/clayhook/serve/Router.java
@@ -225,6 +225,10 @@
         }
     }
 
+    InetSocketAddress address() {
+        return front.address();
+    }
+
     // ---- the end ----
 
     /** Takes no more connections and ends the sessions as their commands are answered; false while some are left. */
--- a/src/main/java/clayhook/serve/Server.java
+++ b/src/main/java/clayhook/serve/Server.java
@@ -4,7 +4,9 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
 import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
 
 /** One router from its start to its end. */
 public final class Server {
@@ -24,6 +26,10 @@
                 .mapToDouble(g -> g.clientTimeout()).max().orElse(3));
     }
 
+    public InetSocketAddress address() {
+        return router.address();
+    }
+
     /** Serves on for a moment, answers what it has taken, then closes; returns when all is over. */
     public void end() throws Exception {
         Log.info("ending: serves on for " + STILL_OPEN_MS + " ms");
@@ -33,6 +39,7 @@
         while (!group.submit(ended).get() && System.nanoTime() < until) {
             Thread.sleep(LOOK_MS);
         }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         Log.info("ended");
     }
 }
