--- a/src/main/java/clayhook/cli/Main.java
+++ b/src/main/java/clayhook/cli/Main.java
@@ -1,11 +1,13 @@
 package clayhook.cli;
 
+import clayhook.Settings;
 import clayhook.config.BadConfig;
 import clayhook.config.Configuration;
 import clayhook.config.Json;
 import clayhook.rehearsal.Rehearsal;
 import clayhook.serve.Log;
 import clayhook.serve.Server;
+import clayhook.serve.Transport;
 import clayhook.sim.Adapter;
 import clayhook.sim.BadInput;
 import java.io.BufferedReader;
@@ -53,7 +55,9 @@
     /** Not for service: the build makes the archive of classes from what this loads. */
     private static int rehearse() {
         try {
-            Rehearsal.run(Configuration.of(Json.parse(REHEARSED), Map.of()));
+            Settings settings = Configuration.of(Json.parse(REHEARSED), Map.of()).settings();
+            Rehearsal.run(settings, Transport.withinProcess());
+            Rehearsal.run(settings, Transport.sockets());
             return 0;
         } catch (Exception e) {
             System.err.println("clayhook: " + e);
@@ -76,7 +80,10 @@
     /** Serves until the process is told to end; the thread of the router keeps it running. */
     private static void serve() {
         try {
-            var server = new Server(Configuration.read(System.getenv()));
+            Configuration configuration = Configuration.read(System.getenv());
+            Rehearsal.run(configuration.settings(), Transport.withinProcess());
+            Log.info("serving as " + configuration.name() + " at " + configuration.listen());
+            var server = new Server(Transport.sockets(), configuration);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
                     server.end();
--- a/src/main/java/clayhook/discovery/DiscoveryClient.java
+++ b/src/main/java/clayhook/discovery/DiscoveryClient.java
@@ -1,16 +1,12 @@
 package clayhook.discovery;
 
 import clayhook.serve.Log;
-import io.netty.bootstrap.Bootstrap;
+import clayhook.serve.Transport;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +18,9 @@
     /** Above the time that a call may wait for its turn; below the time at which news count as told. */
     private static final int SILENT_MS = WAIT_MS + 1900;
 
+    /** As long as a call may wait for its turn. */
+    private static final double CONNECT_S = 2;
+
     /** Hears what discovery tells. */
     public interface Listener {
         void listed(NodeList list);
@@ -30,34 +29,34 @@
         void listFailed();
     }
 
+    private final Transport transport;
     private final InetSocketAddress address;
     private final Listener listener;
-    private final Bootstrap bootstrap;
     private final String host;
     private long version;
     /** The call in hand, or null. */
     private Call call;
     private Channel connection;
 
-    public DiscoveryClient(EventLoopGroup loop, InetSocketAddress address, long version, Listener listener) {
+    public DiscoveryClient(Transport transport, InetSocketAddress address, long version, Listener listener) {
+        this.transport = transport;
         this.address = address;
         this.version = version;
         this.listener = listener;
         host = address.getHostString() + ":" + address.getPort();
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 2000)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpDecoder(), new Answers());
-                    }
-                });
     }
 
     private final class Call {
     }
 
     private final class Answers extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            if (ctx.channel() == connection && call != null) {
+                ask(call);
+            }
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             if (ctx.channel() == connection && message instanceof HttpResponse response) {
@@ -90,15 +89,20 @@
             ask(made);
             return;
         }
-        var connecting = bootstrap.connect(address);
-        connection = connecting.channel();
-        connecting.addListener(done -> {
-            if (done.isSuccess() && call == made) {
-                ask(made);
-            } else if (call == made) {
-                failed("no connection");
-            }
-        });
+        connection = transport.connect(address, CONNECT_S,
+                () -> new ChannelHandler[] {new HttpDecoder(), new Answers()}, () -> {
+                    if (call == made) {
+                        failed("no connection");
+                    }
+                });
+    }
+
+    /** Watches no more. */
+    public void close() {
+        call = null;
+        if (connection != null) {
+            connection.close();
+        }
     }
 
     private void ask(Call made) {
--- a/src/main/java/clayhook/discovery/NodeList.java
+++ b/src/main/java/clayhook/discovery/NodeList.java
@@ -2,6 +2,10 @@
 
 import clayhook.Listing.State;
 import clayhook.config.Json;
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -10,7 +14,7 @@
 public record NodeList(long version, boolean whole, List<Entry> entries) {
 
     /** @param startedAt when its process last started, in seconds; 0 for long ago */
-    public record Entry(String id, String host, int port, String zone, int group, State state, boolean primary,
+    public record Entry(String id, InetSocketAddress address, String zone, int group, State state, boolean primary,
             double startedAt) {
     }
 
@@ -42,17 +46,26 @@
             case "removed" -> State.GONE;
             default -> throw new IllegalArgumentException("state: unknown '" + entry.get("state") + "'");
         };
-        String endpoint = text(entry, "endpoint");
-        int colon = endpoint.lastIndexOf(':');
-        int port = colon < 0 ? 0 : port(endpoint.substring(colon + 1));
-        if (colon < 1 || port < 1) {
-            throw new IllegalArgumentException("endpoint: '" + endpoint + "' is no address and port");
-        }
-        return new Entry(text(entry, "uid"), endpoint.substring(0, colon), port, text(entry, "az"),
+        return new Entry(text(entry, "uid"), address(text(entry, "endpoint")), text(entry, "az"),
                 (int) number(entry, "pod_group"), state, "primary".equals(entry.get("role")),
                 entry.containsKey("boot_ms") ? number(entry, "boot_ms") / 1000 : 0);
     }
 
+    /** Names are not looked up: that would hold up the loop. */
+    private static InetSocketAddress address(String endpoint) {
+        int colon = endpoint.lastIndexOf(':');
+        byte[] host = NetUtil.createByteArrayFromIpAddressString(endpoint.substring(0, Math.max(0, colon)));
+        int port = port(endpoint.substring(colon + 1));
+        try {
+            if (host != null && port > 0) {
+                return new InetSocketAddress(InetAddress.getByAddress(host), port);
+            }
+        } catch (UnknownHostException e) {
+            // told below, as for an address that is none
+        }
+        throw new IllegalArgumentException("endpoint: '" + endpoint + "' is no address and port");
+    }
+
     /** 0 for what is no port. */
     public static int port(String text) {
         try {
--- a/src/main/java/clayhook/front/Front.java
+++ b/src/main/java/clayhook/front/Front.java
@@ -3,13 +3,9 @@
 import clayhook.protocol.ClientDecoder;
 import clayhook.protocol.Statement;
 import clayhook.serve.Descriptors;
-import io.netty.bootstrap.ServerBootstrap;
+import clayhook.serve.Transport;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.ChannelHandler;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -17,13 +13,12 @@
 
 /** Where clients connect. */
 public final class Front {
-    /** Connections that the machine may accept before the process does. */
-    private static final int BACKLOG = 1024;
     private final Set<Session> sessions = new LinkedHashSet<>();
     private final Descriptors descriptors;
+    private final InetSocketAddress asked;
     private final Channel listening;
 
-    public Front(EventLoopGroup loop, InetSocketAddress address, Descriptors descriptors, Session.Listener listener)
+    public Front(Transport transport, InetSocketAddress address, Descriptors descriptors, Session.Listener listener)
             throws InterruptedException {
         this.descriptors = descriptors;
         Session.Listener here = new Session.Listener() {
@@ -45,24 +40,20 @@
                 listener.ended(session);
             }
         };
-        listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        boolean room = descriptors.takeForClient();
-                        var session = new Session(here, !room);
-                        if (room) {
-                            sessions.add(session);
-                        }
-                        channel.pipeline().addLast(new ClientDecoder(), session);
-                    }
-                }).bind(address).sync().channel();
+        asked = address;
+        listening = transport.listen(address, () -> {
+            boolean room = descriptors.takeForClient();
+            var session = new Session(here, !room);
+            if (room) {
+                sessions.add(session);
+            }
+            return new ChannelHandler[] {new ClientDecoder(), session};
+        });
     }
 
+    /** Where it listens; with the port that was found if none was asked for. */
     public InetSocketAddress address() {
-        return (InetSocketAddress) listening.localAddress();
+        return listening.localAddress() instanceof InetSocketAddress given ? given : asked;
     }
 
     /** Takes no more connections. */
--- a/src/main/java/clayhook/front/Session.java
+++ b/src/main/java/clayhook/front/Session.java
@@ -5,10 +5,11 @@
 import clayhook.protocol.Statement;
 import clayhook.serve.Log;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.DuplexChannel;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
@@ -173,10 +174,18 @@
         context.channel().config().setAutoRead(true);
         ChannelHandlerContext ctx = context;
         ctx.writeAndFlush(last).addListener((ChannelFutureListener) done ->
-                ((SocketChannel) ctx.channel()).shutdownOutput());
+                endSending(ctx.channel()));
         ctx.executor().schedule(() -> ctx.close(), LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
+    private static void endSending(Channel channel) {
+        if (channel instanceof DuplexChannel duplex) {
+            duplex.shutdownOutput();
+        } else {
+            channel.close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         if (waiting) {
--- a/src/main/java/clayhook/nodes/Nodes.java
+++ b/src/main/java/clayhook/nodes/Nodes.java
@@ -11,13 +11,8 @@
 import clayhook.serve.Clock;
 import clayhook.serve.Descriptors;
 import clayhook.serve.Log;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.channel.EventLoopGroup;
+import clayhook.serve.Transport;
+import io.netty.channel.ChannelHandler;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
@@ -45,22 +40,20 @@
     private final Descriptors descriptors;
     private final double connectTimeout;
     private final double idle;
-    private final Bootstrap bootstrap;
+    private final Transport transport;
     /** Nodes leave with the list. */
     private final Map<String, Pool> pools = new HashMap<>();
     /** Each leaves with its outcome. */
     private final Map<Dispatch, Attempt> attempts = new HashMap<>();
 
-    public Nodes(EventLoopGroup loop, Clock clock, Descriptors descriptors, double connectTimeout, double idle,
+    public Nodes(Transport transport, Clock clock, Descriptors descriptors, double connectTimeout, double idle,
             Listener listener) {
         this.listener = listener;
         this.clock = clock;
         this.descriptors = descriptors;
         this.connectTimeout = connectTimeout;
         this.idle = idle * IDLE_PART;
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(connectTimeout * 1000));
+        this.transport = transport;
     }
 
     /** The node of that id, at that address. */
@@ -134,17 +127,8 @@
     }
 
     void connect(NodeConnection connection, InetSocketAddress address) {
-        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
-            @Override
-            protected void initChannel(SocketChannel channel) {
-                channel.pipeline().addLast(new NodeDecoder(), connection);
-            }
-        }).connect(address);
-        connecting.addListener(done -> {
-            if (!done.isSuccess()) {
-                connection.close();
-            }
-        });
+        transport.connect(address, connectTimeout, () -> new ChannelHandler[] {new NodeDecoder(), connection},
+                connection::close);
     }
 
     void opened(double took) {
--- a/src/main/java/clayhook/rehearsal/Rehearsal.java
+++ b/src/main/java/clayhook/rehearsal/Rehearsal.java
@@ -1,48 +1,48 @@
 package clayhook.rehearsal;
 
 import clayhook.CommandGroup;
+import clayhook.Settings;
 import clayhook.config.Configuration;
 import clayhook.discovery.NodeList;
+import clayhook.serve.Log;
 import clayhook.serve.Server;
+import clayhook.serve.Transport;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.util.List;
 
 /**
- * Runs the whole router against stand-ins, so that what a first command needs is loaded: when the program is built,
- * for the archive of classes.
+ * Runs the whole router against stand-ins within the process before it serves: the first command of a cold process
+ * takes tens of milliseconds, many times that on a shared core, and clients would wait for it.
  */
 public final class Rehearsal {
-    private static final int COMMANDS = 300;
+    /** Of each command group; by then the runtime has compiled what is used most. */
+    private static final int COMMANDS = 100;
+    /** A router that comes back is awaited. */
+    private static final double LONGEST_S = 0.6;
 
     private Rehearsal() {
     }
 
-    public static void run(Configuration like) throws Exception {
-        EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        var primary = new StandInNode(loop, "primary", any -> StandInNode.Deed.answer("w"));
-        var replica = new StandInNode(loop, "replica", any -> StandInNode.Deed.answer("r"));
+    /** Closes the transport in the end. */
+    public static void run(Settings settings, Transport transport) throws InterruptedException {
+        double until = System.nanoTime() / 1e9 + LONGEST_S;
+        var primary = new StandInNode(transport, transport.spare(1), "primary", any -> StandInNode.Deed.answer("w"));
+        var replica = new StandInNode(transport, transport.spare(2), "replica", any -> StandInNode.Deed.answer("r"));
         String list = "{\"rev\":2,\"all\":true,\"targets\":[" + entry("p", primary) + "," + entry("r", replica) + "]}";
-        var discovery = new StandInDiscovery(loop, call -> call.contains("after=2") ? null : list);
-        var server = new Server(new Configuration("rehearsal",
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), discovery.address(), 1, like.memory(),
-                like.sockets(), new NodeList(0, true, List.of()), like.settings(), like.connectTimeout()));
-        var client = new StandInClient(loop, server.address());
+        var discovery = new StandInDiscovery(transport, transport.spare(3), call -> call.contains("after=2") ? null : list);
+        var server = new Server(transport, new Configuration("rehearsal", transport.spare(4),
+                discovery.address(), 1, 1 << 20, 1000, new NodeList(0, true, List.of()), settings, 1));
+        var client = new StandInClient(transport, server.address());
         client.send(StandInClient.hello(Unpooled.EMPTY_BUFFER));
         client.next();
-        for (int i = 0; i < COMMANDS; i++) {
-            for (CommandGroup group : like.settings().groups()) {
+        for (int i = 0; i < COMMANDS && System.nanoTime() / 1e9 < until; i++) {
+            for (CommandGroup group : settings.groups()) {
                 client.send(StandInClient.statement("id=1,c=" + group.name() + ",d=500,k=2,cluster=1"));
                 client.next();
             }
         }
-        client.close();
-        server.end();
-        loop.shutdownGracefully();
+        server.close();
+        Log.counts();
     }
 
     private static String entry(String id, StandInNode node) {
--- a/src/main/java/clayhook/rehearsal/StandInClient.java
+++ b/src/main/java/clayhook/rehearsal/StandInClient.java
@@ -5,17 +5,16 @@
 import clayhook.protocol.Encoder;
 import clayhook.protocol.NodeDecoder;
 import clayhook.protocol.NodeMessage;
-import io.netty.bootstrap.Bootstrap;
+import clayhook.serve.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -25,21 +24,22 @@
     /** More than any answer here takes. */
     private static final int PATIENCE_S = 20;
     private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+    private final List<ByteBuf> first = new ArrayList<>();
     private final Channel channel;
 
-    public StandInClient(EventLoopGroup loop, InetSocketAddress router) throws InterruptedException {
-        channel = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel made) {
-                        made.pipeline().addLast(new NodeDecoder(), new Answers());
-                    }
-                }).connect(router).sync().channel();
+    public StandInClient(Transport transport, InetSocketAddress router) {
+        channel = transport.connect(router, PATIENCE_S, () -> new ChannelHandler[] {new NodeDecoder(), new Answers()},
+                () -> heard.add("no connection"));
     }
 
     private final class Answers extends ChannelInboundHandlerAdapter {
         private String word = "ready";
 
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            first.forEach(ctx::writeAndFlush);
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             if (message instanceof NodeMessage.Part part && part.type() == 'D') {
@@ -63,8 +63,15 @@
         }
     }
 
+    /** Sends at once; before the connection stands, as soon as it does. */
     public void send(ByteBuf bytes) {
-        channel.writeAndFlush(bytes);
+        channel.eventLoop().execute(() -> {
+            if (channel.isActive()) {
+                channel.writeAndFlush(bytes);
+            } else {
+                first.add(bytes);
+            }
+        });
     }
 
     /** A statement whose comment holds these fields. */
--- a/src/main/java/clayhook/rehearsal/StandInDiscovery.java
+++ b/src/main/java/clayhook/rehearsal/StandInDiscovery.java
@@ -2,19 +2,21 @@
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
 
+import clayhook.serve.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
 import java.util.function.Function;
 
 /** Discovery that answers each call with what it is told to; null leaves the call waiting. */
 public final class StandInDiscovery extends StandIn {
 
-    public StandInDiscovery(EventLoopGroup loop, Function<String, String> answers) throws InterruptedException {
-        super(loop, () -> new ChannelHandler[] {new Connection(answers)});
+    public StandInDiscovery(Transport transport, InetSocketAddress address, Function<String, String> answers)
+            throws InterruptedException {
+        super(transport, address, () -> new ChannelHandler[] {new Connection(answers)});
     }
 
     private static final class Connection extends ChannelInboundHandlerAdapter {
--- a/src/main/java/clayhook/rehearsal/StandInNode.java
+++ b/src/main/java/clayhook/rehearsal/StandInNode.java
@@ -6,13 +6,14 @@
 import clayhook.protocol.ClientMessage;
 import clayhook.protocol.Encoder;
 import clayhook.protocol.Statement;
+import clayhook.serve.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
 import java.util.function.Function;
 
 /** A node that does to each statement what it is told to. */
@@ -36,9 +37,9 @@
         }
     }
 
-    public StandInNode(EventLoopGroup loop, String role, Function<Statement, Deed> deeds)
-            throws InterruptedException {
-        super(loop, () -> new ChannelHandler[] {new ClientDecoder(), new Connection(role, deeds)});
+    public StandInNode(Transport transport, InetSocketAddress address, String role,
+            Function<Statement, Deed> deeds) throws InterruptedException {
+        super(transport, address, () -> new ChannelHandler[] {new ClientDecoder(), new Connection(role, deeds)});
     }
 
     private static final class Connection extends ChannelInboundHandlerAdapter {
--- a/src/main/java/clayhook/serve/Log.java
+++ b/src/main/java/clayhook/serve/Log.java
@@ -45,7 +45,7 @@
     }
 
     /** What was counted since the last call. */
-    static synchronized String counts() {
+    public static synchronized String counts() {
         String text = COUNTS.toString();
         COUNTS.clear();
         return text;
--- a/src/main/java/clayhook/serve/Router.java
+++ b/src/main/java/clayhook/serve/Router.java
@@ -21,7 +21,6 @@
 import clayhook.nodes.Nodes;
 import clayhook.protocol.Statement;
 import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -58,20 +57,20 @@
     private boolean turning;
     private ScheduledFuture<?> wake;
     private double wakeAt = Double.POSITIVE_INFINITY;
-    private double summaryAt;
+    private double summaryAt = clock.now() + SUMMARY;
 
-    public Router(EventLoopGroup group, Configuration configuration) throws InterruptedException {
-        loop = group.next();
+    public Router(Transport transport, Configuration configuration) throws InterruptedException {
+        loop = transport.loop();
         settings = configuration.settings();
         settings.groups().forEach(g -> groups.put(g.name(), g));
         descriptors = new Descriptors(configuration.sockets());
         decide = new Decide(settings, configuration.seed());
         hand = new Hand(decide);
-        nodes = new Nodes(group, clock, descriptors, configuration.connectTimeout(), settings.connectionIdle(), this);
-        discovery = new DiscoveryClient(group, configuration.discovery(), configuration.known().version(), this);
+        nodes = new Nodes(transport, clock, descriptors, configuration.connectTimeout(), settings.connectionIdle(), this);
+        discovery = new DiscoveryClient(transport, configuration.discovery(), configuration.known().version(), this);
         decide.listed(listings(configuration.known()), true, clock.now());
         descriptors.giveBackBy(this::giveBack);
-        front = new Front(group, configuration.listen(), descriptors, this);
+        front = new Front(transport, configuration.listen(), descriptors, this);
         loop.execute(this::turn);
     }
 
@@ -157,8 +156,7 @@
     private List<Listing> listings(NodeList list) {
         var listings = new ArrayList<Listing>();
         for (NodeList.Entry entry : list.entries()) {
-            Node node = nodes.at(entry.id(), entry.zone(), entry.group(),
-                    new InetSocketAddress(entry.host(), entry.port()));
+            Node node = nodes.at(entry.id(), entry.zone(), entry.group(), entry.address());
             listings.add(new Listing(node, entry.state(), entry.primary(), entry.startedAt()));
         }
         return listings;
@@ -169,7 +167,7 @@
     private void turn() {
         double now = clock.now();
         if (now > wakeAt + PAUSE) {
-            Log.warn("pause", String.format("stood still for %.0f ms", (now - wakeAt) * 1000));
+            Log.warn("pause", "stood still for " + Math.round((now - wakeAt) * 1000) + " ms");
         }
         hand.overdue(now).forEach(nodes::expire);
         List<DoubleConsumer> first = lists;
@@ -231,6 +229,10 @@
 
     // ---- the end ----
 
+    void close() {
+        loop.execute(discovery::close);
+    }
+
     /** Takes no more connections and ends the sessions as their commands are answered; false while some are left. */
     boolean endIdle() {
         front.close();
--- a/src/main/java/clayhook/serve/Server.java
+++ b/src/main/java/clayhook/serve/Server.java
@@ -1,27 +1,24 @@
 package clayhook.serve;
 
 import clayhook.config.Configuration;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Callable;
-import java.util.concurrent.TimeUnit;
 
 /** One router from its start to its end. */
 public final class Server {
     /** After a request to end, new connections keep coming for up to 0.4 s. */
     private static final long STILL_OPEN_MS = 500;
-    /** The platform kills no sooner than this after the longest client timeout. */
+    /** The platform kills no sooner than 0.7 s after the longest client timeout. */
     private static final long AFTER_TIMEOUT_MS = 600;
     private static final long LOOK_MS = 20;
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Transport transport;
     private final Router router;
     private final long longest;
 
-    public Server(Configuration configuration) throws InterruptedException {
-        router = new Router(group, configuration);
+    public Server(Transport transport, Configuration configuration) throws InterruptedException {
+        this.transport = transport;
+        router = new Router(transport, configuration);
         longest = (long) (1000 * configuration.settings().groups().stream()
                 .mapToDouble(g -> g.clientTimeout()).max().orElse(3));
     }
@@ -36,10 +33,16 @@
         long until = System.nanoTime() + (longest + AFTER_TIMEOUT_MS) * 1_000_000;
         Thread.sleep(STILL_OPEN_MS);
         Callable<Boolean> ended = router::endIdle;
-        while (!group.submit(ended).get() && System.nanoTime() < until) {
+        while (!transport.loop().submit(ended).get() && System.nanoTime() < until) {
             Thread.sleep(LOOK_MS);
         }
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        close();
         Log.info("ended");
     }
+
+    /** Ends at once, whatever is in hand. */
+    public void close() {
+        router.close();
+        transport.close();
+    }
 }
