Rehearse the whole router before it listens, on sockets that nothing outside reaches

Checked: a probe in the loop (own processor time and lateness of each turn) showed 20 to 30 ms of the loop's own work a turn for the first 0.6 s, 50 to 100 ms of wall time where two routers share a core; collector and safepoints under 13 ms. The log of loaded classes showed Attempt, Reply and Outcome loaded after serving began: a rehearsal with 60 ms to wait was throttled throughout and dispatched nothing, and the archive lacked the same classes (Rehearsal.run). Opening a connection cost 10 ms uncompiled. Tried and not kept: compilation in the foreground (turns 130 to 180 ms late), thresholds at a twentieth (start 4 s, turns 283 to 373 ms late while the rehearsal was still hollow).

--- a/src/main/java/clayhook/cli/Main.java
+++ b/src/main/java/clayhook/cli/Main.java
@@ -56,8 +56,8 @@
     private static int rehearse() {
         try {
             Settings settings = Configuration.of(Json.parse(REHEARSED), Map.of()).settings();
-            Rehearsal.run(settings, Transport.withinProcess());
-            Rehearsal.run(settings, Transport.sockets());
+            Rehearsal.run(settings, Transport.rehearsal());
+            Rehearsal.run(settings, Transport.tcp());
             return 0;
         } catch (Exception e) {
             System.err.println("clayhook: " + e);
@@ -81,9 +81,9 @@
     private static void serve() {
         try {
             Configuration configuration = Configuration.read(System.getenv());
-            Rehearsal.run(configuration.settings(), Transport.withinProcess());
+            Rehearsal.run(configuration.settings(), Transport.rehearsal());
             Log.info("serving as " + configuration.name() + " at " + configuration.listen());
-            var server = new Server(Transport.sockets(), configuration);
+            var server = new Server(Transport.tcp(), configuration);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 try {
                     server.end();
--- a/src/main/java/clayhook/hand/Hand.java
+++ b/src/main/java/clayhook/hand/Hand.java
@@ -33,6 +33,8 @@
     /** Each leaves with its final answer and the last outcome of its dispatches. */
     private final Set<Command> held = new LinkedHashSet<>();
     private List<Order> orders = new ArrayList<>();
+    /** No dispatch that is out ends before. */
+    private double nextLimit = Double.POSITIVE_INFINITY;
     private double dueAt = Double.POSITIVE_INFINITY;
 
     public Hand(Decide decide) {
@@ -66,8 +68,21 @@
 
     /** The dispatches whose time limit has passed. */
     public List<Dispatch> overdue(double now) {
-        return held.stream().flatMap(command -> command.dispatches.stream())
-                .filter(dispatch -> dispatch.outcome == null && now >= dispatch.limit).toList();
+        if (now < nextLimit) {
+            return List.of();
+        }
+        var overdue = new ArrayList<Dispatch>();
+        nextLimit = Double.POSITIVE_INFINITY;
+        for (Command command : held) {
+            for (Dispatch dispatch : command.dispatches) {
+                if (dispatch.outcome == null && now >= dispatch.limit) {
+                    overdue.add(dispatch);
+                } else if (dispatch.outcome == null) {
+                    nextLimit = Math.min(nextLimit, dispatch.limit);
+                }
+            }
+        }
+        return overdue;
     }
 
     /** Asks again about every command in hand, if it is time, and returns all that was decided since. */
@@ -96,6 +111,7 @@
     private void order(Command command, Choice choice) {
         if (choice.verdict() == Verdict.SEND) {
             command.dispatches.add(choice.dispatch());
+            nextLimit = Math.min(nextLimit, choice.dispatch().limit);
         } else if (choice.verdict() == Verdict.THROTTLE || choice.verdict() == Verdict.FAIL) {
             command.over = true;
         }
--- a/src/main/java/clayhook/rehearsal/Rehearsal.java
+++ b/src/main/java/clayhook/rehearsal/Rehearsal.java
@@ -7,18 +7,25 @@
 import clayhook.serve.Log;
 import clayhook.serve.Server;
 import clayhook.serve.Transport;
-import io.netty.buffer.Unpooled;
+import clayhook.protocol.Statement;
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 
 /**
  * Runs the whole router against stand-ins within the process before it serves: the first command of a cold process
  * takes tens of milliseconds, many times that on a shared core, and clients would wait for it.
  */
 public final class Rehearsal {
-    /** Of each command group; by then the runtime has compiled what is used most. */
-    private static final int COMMANDS = 100;
+    /** Clients at once, and what each sends; by then the runtime has compiled what is used most. */
+    private static final int CLIENTS = 6;
+    private static final int COMMANDS = 40;
+    /** Commands that a client sends before another takes its place. */
+    private static final int STAY = 2;
     /** A router that comes back is awaited. */
-    private static final double LONGEST_S = 0.6;
+    private static final double LONGEST_S = 1.8;
 
     private Rehearsal() {
     }
@@ -26,25 +33,54 @@
     /** Closes the transport in the end. */
     public static void run(Settings settings, Transport transport) throws InterruptedException {
         double until = System.nanoTime() / 1e9 + LONGEST_S;
-        var primary = new StandInNode(transport, transport.spare(1), "primary", any -> StandInNode.Deed.answer("w"));
-        var replica = new StandInNode(transport, transport.spare(2), "replica", any -> StandInNode.Deed.answer("r"));
-        String list = "{\"rev\":2,\"all\":true,\"targets\":[" + entry("p", primary) + "," + entry("r", replica) + "]}";
-        var discovery = new StandInDiscovery(transport, transport.spare(3), call -> call.contains("after=2") ? null : list);
-        var server = new Server(transport, new Configuration("rehearsal", transport.spare(4),
+        var primary = new StandInNode(transport, transport.spare(1), "primary", any -> StandInNode.Deed.answer("p"));
+        var replica = new StandInNode(transport, transport.spare(2), "replica",
+                any -> StandInNode.Deed.answer("r"));
+        var other = new StandInNode(transport, transport.spare(3), "replica", deeds());
+        String list = "{\"rev\":2,\"all\":true,\"targets\":[" + entry("p", primary) + "," + entry("r", replica) + ","
+                + entry("o", other) + "]}";
+        var discovery = new StandInDiscovery(transport, transport.spare(4),
+                call -> call.contains("after=2") ? null : list);
+        var server = new Server(transport, new Configuration("rehearsal", transport.spare(5),
                 discovery.address(), 1, 1 << 20, 1000, new NodeList(0, true, List.of()), settings, 1));
-        var client = new StandInClient(transport, server.address());
-        client.send(StandInClient.hello(Unpooled.EMPTY_BUFFER));
-        client.next();
+        var clients = new ArrayList<StandInClient>();
         for (int i = 0; i < COMMANDS && System.nanoTime() / 1e9 < until; i++) {
-            for (CommandGroup group : settings.groups()) {
-                client.send(StandInClient.statement("id=1,c=" + group.name() + ",d=500,k=2,cluster=1"));
+            for (int j = 0; j < CLIENTS; j++) {
+                CommandGroup group = settings.groups().get(j % settings.groups().size());
+                ByteBuf statement = StandInClient.statement("id=1,c=" + group.name() + ",d=400,k=2,cluster=1");
+                if (i % STAY == 0) {
+                    clients.add(new StandInClient(transport, server.address()));
+                    clients.get(j).send(StandInClient.hello(statement));
+                } else {
+                    clients.get(j).send(statement);
+                }
+            }
+            for (StandInClient client : clients) {
+                if (i % STAY == 0) {
+                    client.next(); // ready for the statement
+                }
                 client.next();
             }
+            if (i % STAY == STAY - 1) {
+                clients.forEach(StandInClient::close);
+                clients.clear();
+            }
         }
         server.close();
         Log.counts();
     }
 
+    private static Function<Statement, StandInNode.Deed> deeds() {
+        var count = new AtomicInteger();
+        return any -> switch (count.incrementAndGet()) {
+            case 2 -> StandInNode.Deed.error("53300");
+            case 5 -> StandInNode.Deed.error("72000");
+            case 8 -> StandInNode.Deed.silence();
+            case 11 -> StandInNode.Deed.reset();
+            default -> StandInNode.Deed.answer("value");
+        };
+    }
+
     private static String entry(String id, StandInNode node) {
         return "{\"uid\":\"" + id + "\",\"endpoint\":\"127.0.0.1:" + node.address().getPort()
                 + "\",\"az\":\"a\",\"model\":\"m\",\"pod_group\":1,\"state\":\"up\",\"capacity_hint\":1.0,\"boot_ms\":0}";
--- a/src/main/java/clayhook/rehearsal/StandInNode.java
+++ b/src/main/java/clayhook/rehearsal/StandInNode.java
@@ -12,7 +12,6 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
 import java.net.InetSocketAddress;
 import java.util.function.Function;
 
@@ -65,7 +64,6 @@
 
         private void done(ChannelHandlerContext ctx, Deed deed) {
             if (deed.resets()) {
-                ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
                 ctx.close();
             } else if (deed.errorCode() != null) {
                 ctx.writeAndFlush(Encoder.error(false, deed.errorCode(), "as told", null));
--- a/src/main/java/clayhook/serve/Router.java
+++ b/src/main/java/clayhook/serve/Router.java
@@ -34,6 +34,8 @@
 public final class Router implements Session.Listener, Nodes.Listener, DiscoveryClient.Listener {
     /** Time between summaries in the log. */
     private static final double SUMMARY = 10;
+    /** Time between looks at connections that open or stand idle; short beside a connection's time limit. */
+    private static final double SWEEP = 0.05;
     /** A turn this much later than it was asked for is logged: the process stood still. */
     private static final double PAUSE = 0.1;
 
@@ -56,7 +58,10 @@
     private final Map<ClientCommand, byte[]> answers = new HashMap<>();
     private boolean turning;
     private ScheduledFuture<?> wake;
+    private double sweepAt;
     private double wakeAt = Double.POSITIVE_INFINITY;
+    /** The latest turn since the last summary. */
+    private double late;
     private double summaryAt = clock.now() + SUMMARY;
 
     public Router(Transport transport, Configuration configuration) throws InterruptedException {
@@ -166,6 +171,7 @@
 
     private void turn() {
         double now = clock.now();
+        late = Math.max(late, now - wakeAt);
         if (now > wakeAt + PAUSE) {
             Log.warn("pause", "stood still for " + Math.round((now - wakeAt) * 1000) + " ms");
         }
@@ -186,11 +192,15 @@
         if (turn.wake() > 0) {
             wake(now, turn.wake());
         }
-        nodes.sweep();
+        if (now >= sweepAt) {
+            sweepAt = now + SWEEP;
+            nodes.sweep();
+        }
         if (now >= summaryAt) {
             summaryAt = now + SUMMARY;
             Log.info("summary: clients " + front.size() + ", in hand " + hand.size() + ", descriptors at most "
-                    + descriptors.peak() + ", " + Log.counts());
+                    + descriptors.peak() + ", turns late at most " + Math.round(late * 1000) + " ms, " + Log.counts());
+            late = 0;
         }
     }
 
--- a/src/main/java/clayhook/serve/Transport.java
+++ b/src/main/java/clayhook/serve/Transport.java
@@ -8,42 +8,46 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.local.LocalAddress;
-import io.netty.channel.local.LocalChannel;
-import io.netty.channel.local.LocalIoHandler;
-import io.netty.channel.local.LocalServerChannel;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioDomainSocketChannel;
+import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.File;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.net.UnixDomainSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
-/** One event loop and the connections on it: sockets, or for a rehearsal nothing outside the process. */
+/** One event loop and the connections on it: TCP, or for a rehearsal sockets that nothing outside can reach. */
 public final class Transport {
     /** Connections that the machine may accept before the process does. */
     private static final int BACKLOG = 1024;
-    private final boolean sockets;
-    private final MultiThreadIoEventLoopGroup group;
+    /** Where the sockets of a rehearsal lie; null for TCP. */
+    private final Path folder;
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
-    private Transport(boolean sockets) {
-        this.sockets = sockets;
-        group = new MultiThreadIoEventLoopGroup(1, sockets ? NioIoHandler.newFactory() : LocalIoHandler.newFactory());
+    private Transport(Path folder) {
+        this.folder = folder;
     }
 
-    public static Transport sockets() {
-        return new Transport(true);
+    public static Transport tcp() {
+        return new Transport(null);
     }
 
-    /** Addresses are but names here. */
-    public static Transport withinProcess() {
-        return new Transport(false);
+    /** Ports are but names here; the same code runs as for TCP. */
+    public static Transport rehearsal() throws IOException {
+        return new Transport(Files.createTempDirectory("clayhook"));
     }
 
-    /** An address to listen at in a rehearsal: a free port, or within the process that name. */
+    /** An address to listen at: a free port, or in a rehearsal that name. */
     public InetSocketAddress spare(int name) {
-        return new InetSocketAddress("127.0.0.1", sockets ? 0 : name);
+        return new InetSocketAddress("127.0.0.1", folder == null ? 0 : name);
     }
 
     EventLoop loop() {
@@ -52,12 +56,13 @@
 
     /** Listens at an address; {@code handlers} makes the handlers of each connection. */
     public Channel listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers) throws InterruptedException {
-        var bootstrap = new ServerBootstrap().group(group).childHandler(initializer(handlers));
-        if (sockets) {
-            bootstrap.channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, BACKLOG)
-                    .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true);
+        var bootstrap = new ServerBootstrap().group(group).childHandler(initializer(handlers))
+                .option(ChannelOption.SO_BACKLOG, BACKLOG);
+        if (folder == null) {
+            bootstrap.channel(NioServerSocketChannel.class).option(ChannelOption.SO_REUSEADDR, true)
+                    .childOption(ChannelOption.TCP_NODELAY, true);
         } else {
-            bootstrap.channel(LocalServerChannel.class);
+            bootstrap.channel(NioServerDomainSocketChannel.class);
         }
         return bootstrap.bind(at(address)).sync().channel();
     }
@@ -67,10 +72,10 @@
             Runnable failed) {
         var bootstrap = new Bootstrap().group(group).handler(initializer(handlers))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(seconds * 1000));
-        if (sockets) {
+        if (folder == null) {
             bootstrap.channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
         } else {
-            bootstrap.channel(LocalChannel.class);
+            bootstrap.channel(NioDomainSocketChannel.class);
         }
         var connecting = bootstrap.connect(at(address));
         connecting.addListener(done -> {
@@ -82,7 +87,7 @@
     }
 
     private SocketAddress at(InetSocketAddress address) {
-        return sockets ? address : new LocalAddress(address.toString());
+        return folder == null ? address : UnixDomainSocketAddress.of(folder.resolve("" + address.getPort()));
     }
 
     private static ChannelInitializer<Channel> initializer(Supplier<ChannelHandler[]> handlers) {
@@ -96,6 +101,13 @@
 
     /** Ends the loop and all that is on it. */
     public void close() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> {
+            if (folder != null) {
+                for (File left : folder.toFile().listFiles()) {
+                    Files.deleteIfExists(left.toPath());
+                }
+                Files.delete(folder);
+            }
+        });
     }
 }
