Ask the module again when a connection has come up, before bytes go out

Cause looked for by reading: between the decision and the first byte a connection opens for up to 250 ms, in which a node may drain, the command end or a replica fall out of the bound; the router checked the time limit only (Router.mayGo).

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -135,9 +135,7 @@
     private final Map<CommandGroup, Double> usual = new LinkedHashMap<>();
     /** The last write of each session, where this router must remember; the oldest go when they are many. */
     private final Map<String, Wrote> wrote = new LinkedHashMap<>();
-    private final double tightestGate;
-    private final double leastWindow;
-    private final double extrasCap;
+    private final double tightestGate, leastWindow, extrasCap;
     private double extras;
     /** Members to be probed, until the next pause; and the probes that may still be sent. */
     private final List<Node> looks = new ArrayList<>();
@@ -147,8 +145,7 @@
     /** The work that this router had answered a second, and when that was reckoned. */
     private double doneRate, doneRateAt;
     /** When it should be asked again, and since when it has been without standing still itself. */
-    private double dueAt = Double.POSITIVE_INFINITY, awakeSince;
-    private double watchAt;
+    private double dueAt = Double.POSITIVE_INFINITY, awakeSince, watchAt;
     /** Stands for all groups: it has no members, but the pressures that theirs fade into. */
     private final Team all = new Team(0, null);
     private int out;
@@ -164,9 +161,7 @@
         extras = extrasCap;
         tightestGate = settings.groups().stream().filter(g -> g.level() == ReadLevel.BOUNDED)
                 .mapToDouble(g -> g.bound() * LAG_GATE).min().orElse(TIME_GATE);
-        for (CommandGroup group : settings.groups()) {
-            usual.put(group, group.responseTarget() / 4); // until answers tell better
-        }
+        settings.groups().forEach(group -> usual.put(group, group.responseTarget() / 4)); // until told better
     }
 
     // ---- where to send a command ----
@@ -185,8 +180,8 @@
             return notYet(false);
         }
         boolean extra = cmd.firstThatMayHaveRun() != null;
-        boolean spent = cmd.dispatches.size() >= settings.mostDispatches();
-        if (spent || extra && (extras < 1 || !mayRepeat(cmd, now))) {
+        if (cmd.dispatches.size() >= settings.mostDispatches()
+                || extra && (extras < 1 || !mayRepeat(cmd, now))) {
             return sent ? notYet(false) : giveUp(cmd);
         }
         looking = false;
@@ -298,8 +293,8 @@
         boolean harmless = cmd.group.effect() == Effect.REPLAYABLE || cmd.firstThatMayHaveRun() == null
                 || cmd.group.effect() == Effect.KEYED && cmd.group.repeatScope() == Scope.ALL;
         // Soon enough for an answer within the target, spread so that clients don't return together.
-        double soon = cmd.group.responseTarget() * (0.1 + 0.2 * random.nextDouble());
-        double advice = Math.min(settings.longestAdvice(), soon);
+        double advice = Math.min(settings.longestAdvice(),
+                cmd.group.responseTarget() * (0.1 + 0.2 * random.nextDouble()));
         return new Choice(harmless ? Verdict.THROTTLE : Verdict.FAIL, null, advice,
                 settings.mayCancel() ? cmd.out() : List.of());
     }
@@ -333,6 +328,15 @@
         return silent(row, now) || row.strikes >= STRIKES;
     }
 
+    /** Whether a dispatch that waited for its connection may still go out; if not, it was never sent. */
+    public boolean mayStillGo(Dispatch dispatch, double now) {
+        Command cmd = dispatch.command;
+        Row row = rows.get(dispatch.node);
+        boolean checked = settings.replicasCheck() || cmd.group.primaryOnly() || row.claimsPrimary();
+        return !cmd.over && now < dispatch.limit && !row.closed()
+                && (checked || covers(row, team(cmd.nodeGroup), cmd, now));
+    }
+
     // ---- choosing a member ----
 
     private Row pickPrimary(Command cmd, double now) {
@@ -508,11 +512,9 @@
     /** The part of its capacity that a node has at the least, by the time since its listed start. */
     private double warmth(Row row, double now) {
         double since = row.listing == null ? 0 : row.listing.startedAt();
-        if (since <= 0 || settings.warmAfter() <= 0) {
-            return 1;
-        }
+        boolean warm = since <= 0 || settings.warmAfter() <= 0;
         double grown = Math.max(0, Math.min(1, (now - since) / settings.warmAfter()));
-        return settings.coldShare() + (1 - settings.coldShare()) * grown;
+        return warm ? 1 : settings.coldShare() + (1 - settings.coldShare()) * grown;
     }
 
     /** Rule 4: work for a cold node stays within this router's share of what would push it over. */
@@ -577,10 +579,9 @@
                 && !settings.marksCarried()) {
             remember(cmd, reply, now);
         }
-        if (over || reply.outcome() == Outcome.ANSWERED) {
-            return new Choice(Verdict.DONE, null, 0, settings.mayCancel() ? cmd.out() : List.of());
-        }
-        return where(cmd, now);
+        boolean done = over || reply.outcome() == Outcome.ANSWERED;
+        List<Dispatch> recall = done && settings.mayCancel() ? cmd.out() : List.of();
+        return done ? new Choice(Verdict.DONE, null, 0, recall) : where(cmd, now);
     }
 
     private void learn(Row row, Reply reply, double now) {
@@ -641,8 +642,7 @@
                 row.window = Math.max(leastWindow, row.window * 0.8);
                 rest(row, 0, now);
             }
-            case ERROR -> rest(row, 0, now);
-            case CONNECT_FAILED, RESET -> rest(row, 1, now);
+            case ERROR, CONNECT_FAILED, RESET -> rest(row, reply.outcome() == Outcome.ERROR ? 0 : 1, now);
             case TIMED_OUT, CANCELLED -> {
                 pressure.add(reply.outcome() == Outcome.TIMED_OUT ? 1 : slowness, now);
                 adapt(row, Math.max(row.slowness, slowness));
@@ -736,9 +736,7 @@
         rows.values().removeIf(row -> row.listing == null && row.out.isEmpty()
                 && team(row.node.group()).rows.remove(row));
         // The cached list comes before anything was asked; any later one shows that the watch stands.
-        if (watchAt > 0) {
-            watchAt = Double.POSITIVE_INFINITY;
-        }
+        watchAt = watchAt > 0 ? Double.POSITIVE_INFINITY : watchAt;
     }
 
     /** Where the list's word that a node is gone binds nobody, it counts only of a node that drained. */
@@ -754,15 +752,13 @@
     /** A probe came back. */
     public void probed(Node node, Reply reply, double now) {
         Row row = rows.get(node);
-        if (row == null) {
-            return;
-        }
-        row.probing = false;
-        if (reply.outcome() != Outcome.ANSWERED) {
+        if (row != null && reply.outcome() == Outcome.ANSWERED) {
+            row.probing = false;
+            learn(row, reply, now);
+            row.strikes = Math.min(row.strikes, 1);
+        } else if (row != null) {
+            row.probing = false;
             rest(row, 1, now);
-            return;
         }
-        learn(row, reply, now);
-        row.strikes = Math.min(row.strikes, 1);
     }
 }
--- a/src/main/java/clayhook/serve/Router.java
+++ b/src/main/java/clayhook/serve/Router.java
@@ -145,7 +145,7 @@
 
     @Override
     public boolean mayGo(Dispatch dispatch) {
-        return !dispatch.command.over && clock.now() < dispatch.limit;
+        return decide.mayStillGo(dispatch, clock.now());
     }
 
     @Override
--- a/src/test/java/clayhook/DecideTest.java
+++ b/src/test/java/clayhook/DecideTest.java
@@ -522,4 +522,16 @@
         asking.decide.listFailed(asking.now);
         assertEquals(asks, asking.decide.pause(asking.now + later).watchList());
     }
+
+    @ParameterizedTest
+    @CsvSource({"READY, 0.05, false, true", "DRAINING, 0.05, false, false", "READY, 0.35, false, false",
+        "READY, 0.41, false, false", "READY, 0.05, true, false"})
+    void aDispatchThatWaitedForItsConnectionGoesOutOnlyIfItStillMay(State state, double later, boolean over,
+            boolean goes) {
+        Dispatch dispatch = fleet.send(fleet.bounded);
+        fleet.now += later;
+        fleet.list(dispatch.node, state, 0);
+        dispatch.command.over = over;
+        assertEquals(goes, fleet.decide.mayStillGo(dispatch, fleet.now));
+    }
 }
