Give up writes without a primary before half their time, and answer 30 ms before it is over

Cause: Decide.heldTooLong let writes wait for a primary until their client timeout. Now 0.45 of it, so that the client can try elsewhere. Also: a last answer is due 30 ms before the client's time is over (Decide.usefulUntil), for a router that stands still; turns were seen up to 44 ms late.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -274,20 +274,28 @@
     private boolean heldTooLong(Command cmd, double now) {
         boolean write = cmd.group.primaryOnly();
         double target = Math.min(cmd.group.responseTarget(), cmd.expires - cmd.arrived);
-        return cmd.dispatches.isEmpty() && (!write || primaryIsWell(cmd.nodeGroup, now))
-                && now > cmd.arrived + (write ? WRITE_HOLD : HOLD) * target;
+        boolean election = write && !primaryIsWell(cmd.nodeGroup, now);
+        double hold = election ? ELECTION_HOLD * (cmd.expires - cmd.arrived)
+                : (write ? WRITE_HOLD : HOLD) * target;
+        return (election ? cmd.firstThatMayHaveRun() == null : cmd.dispatches.isEmpty())
+                && now > cmd.arrived + hold;
     }
 
     /** A few looks for room: a client that is asked back at once does better than one that is held. */
     private static final double HOLD = 0.08;
     /** A line at the one node that takes writes is worth more patience, as there is no other. */
     private static final double WRITE_HOLD = 0.5;
+    /** Without a primary: the client keeps more than half its time for another try, here or elsewhere. */
+    private static final double ELECTION_HOLD = 0.45;
 
     private static double usefulUntil(Command cmd) {
-        double inTime = cmd.arrived + cmd.group.responseTarget();
-        return cmd.group.lateShare() > 0 ? cmd.expires : Math.min(cmd.expires, inTime);
+        double last = cmd.expires - LEEWAY;
+        return cmd.group.lateShare() > 0 ? last : Math.min(last, cmd.arrived + cmd.group.responseTarget());
     }
 
+    /** Guards against a last answer too late where this router stood still: a few of its usual pauses. */
+    private static final double LEEWAY = 0.03;
+
     /** The final answer to a command that this router gives up: a throttle wherever the rules allow it. */
     private Choice giveUp(Command cmd) {
         boolean harmless = cmd.group.effect() == Effect.REPLAYABLE || cmd.firstThatMayHaveRun() == null
@@ -719,7 +727,7 @@
     /** The node list: all of it, or what changed. */
     public void listed(List<Listing> entries, boolean whole, double now) {
         if (whole) {
-            rows.values().forEach(this::delist);
+            rows.values().forEach(row -> row.listing = delisted(row));
         }
         for (Listing entry : entries) {
             Row row = rows.computeIfAbsent(entry.node(), node -> {
@@ -727,11 +735,7 @@
                 team(node.group()).rows.add(made);
                 return made;
             });
-            if (entry.state() == Listing.State.GONE) {
-                delist(row);
-            } else {
-                row.listing = entry;
-            }
+            row.listing = entry.state() == Listing.State.GONE ? delisted(row) : entry;
         }
         rows.values().removeIf(row -> row.listing == null && row.out.isEmpty()
                 && team(row.node.group()).rows.remove(row));
@@ -740,8 +744,8 @@
     }
 
     /** Where the list's word that a node is gone binds nobody, it counts only of a node that drained. */
-    private void delist(Row row) {
-        row.listing = settings.goneBinds() || row.closed() ? null : row.listing;
+    private Listing delisted(Row row) {
+        return settings.goneBinds() || row.closed() ? null : row.listing;
     }
 
     /** A call to the node list failed, or its watch broke; it is asked again, not all routers at once. */
--- a/src/test/java/clayhook/DecideTest.java
+++ b/src/test/java/clayhook/DecideTest.java
@@ -534,4 +534,21 @@
         dispatch.command.over = over;
         assertEquals(goes, fleet.decide.mayStillGo(dispatch, fleet.now));
     }
+
+    @ParameterizedTest
+    @CsvSource({"0.44, NOT_YET", "0.46, THROTTLE"})
+    void aWriteWithoutAPrimaryIsThrottledBeforeHalfItsTimeIsOver(double share, Verdict verdict) {
+        fleet.list(fleet.primary, State.DRAINING, 0);
+        Command write = fleet.command(fleet.write, 0);
+        assertEquals(Verdict.NOT_YET, fleet.decide.where(write, fleet.now).verdict());
+        fleet.now += share * fleet.write.clientTimeout();
+        assertEquals(verdict, fleet.decide.where(write, fleet.now).verdict());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0.09, 0.06", "10, 0.4"})
+    void aDispatchEndsShortlyBeforeItsClientTimeout(double wait, double limit) {
+        Command read = new Command(fleet.any, 1, null, 0, fleet.now, fleet.now + 0.1 + wait);
+        assertEquals(Math.min(0.1 + limit, 0.4), fleet.ask(read).dispatch().limit - fleet.now, 1e-9);
+    }
 }
--- a/src/test/java/clayhook/sim/AdapterTest.java
+++ b/src/test/java/clayhook/sim/AdapterTest.java
@@ -41,8 +41,8 @@
     }
 
     @Test
-    void aWriteGoesToTheListedPrimaryWithItsClientTimeout() throws Exception {
-        assertTrue(reply(START).startsWith("SOURCE 3\nCALL_OUT 00000000000000aa 6000000000 10.0.0.1:1\n"));
+    void aWriteGoesToTheListedPrimaryUntilShortlyBeforeItsClientTimeout() throws Exception {
+        assertTrue(reply(START).startsWith("SOURCE 3\nCALL_OUT 00000000000000aa 5970000000 10.0.0.1:1\n"));
     }
 
     @ParameterizedTest
