--- a/src/main/java/clayhook/front/Front.java
+++ b/src/main/java/clayhook/front/Front.java
@@ -1,5 +1,6 @@
 package clayhook.front;
 
+import clayhook.protocol.Allowance;
 import clayhook.protocol.ClientDecoder;
 import clayhook.protocol.Statement;
 import clayhook.serve.Descriptors;
@@ -14,11 +15,14 @@
 /** Where clients connect. */
 public final class Front {
     private final Set<Session> sessions = new LinkedHashSet<>();
+    /** An eighth of the memory: the runtime itself takes half. */
+    private static final int MEMORY_PART = 8;
     private final Descriptors descriptors;
     private final InetSocketAddress asked;
     private final Channel listening;
 
-    public Front(Transport transport, InetSocketAddress address, Descriptors descriptors, Session.Listener listener)
+    public Front(Transport transport, InetSocketAddress address, Descriptors descriptors, long memory,
+            Session.Listener listener)
             throws InterruptedException {
         this.descriptors = descriptors;
         Session.Listener here = new Session.Listener() {
@@ -41,13 +45,14 @@
             }
         };
         asked = address;
+        var allowance = new Allowance(memory / MEMORY_PART);
         listening = transport.listen(address, () -> {
             boolean room = descriptors.takeForClient();
             var session = new Session(here, !room);
             if (room) {
                 sessions.add(session);
             }
-            return new ChannelHandler[] {new ClientDecoder(), session};
+            return new ChannelHandler[] {new ClientDecoder(allowance), session};
         });
     }
 
--- a/src/main/java/clayhook/hand/Hand.java
+++ b/src/main/java/clayhook/hand/Hand.java
@@ -11,6 +11,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /** The commands in hand and the time to ask about them again. It asks the module and decides nothing itself. */
 public final class Hand {
@@ -37,20 +39,24 @@
     private double nextLimit = Double.POSITIVE_INFINITY;
     private double dueAt = Double.POSITIVE_INFINITY;
 
-    public Hand(Decide decide) {
+    private final Consumer<RuntimeException> faults;
+
+    /** {@code faults} hears of failures of the module; if it returns, the command concerned fails. */
+    public Hand(Decide decide, Consumer<RuntimeException> faults) {
         this.decide = decide;
+        this.faults = faults;
     }
 
     public void taken(Command command, double now) {
         held.add(command);
-        order(command, decide.where(command, now));
+        order(command, () -> decide.where(command, now));
     }
 
     /** A dispatch ended; {@code over} tells that this gave the command its final answer. */
     public void ended(Dispatch dispatch, Reply reply, boolean over, double now) {
         Command command = dispatch.command;
         command.over |= over;
-        order(command, decide.after(dispatch, reply, command.over, now));
+        order(command, () -> decide.after(dispatch, reply, command.over, now));
     }
 
     /** The client has gone: nothing is owed any more. */
@@ -59,13 +65,6 @@
         release(command);
     }
 
-    /** Ends a command that could not be decided; false if it has its final answer already. */
-    public boolean givenUp(Command command) {
-        boolean owed = !command.over;
-        left(command);
-        return owed;
-    }
-
     /** The dispatches whose time limit has passed. */
     public List<Dispatch> overdue(double now) {
         if (now < nextLimit) {
@@ -91,7 +90,7 @@
             dueAt = Double.POSITIVE_INFINITY;
             for (Command command : List.copyOf(held)) {
                 if (!command.over) {
-                    order(command, decide.where(command, now));
+                    order(command, () -> decide.where(command, now));
                 }
             }
         }
@@ -108,7 +107,14 @@
         return held.size();
     }
 
-    private void order(Command command, Choice choice) {
+    private void order(Command command, Supplier<Choice> question) {
+        Choice choice;
+        try {
+            choice = question.get();
+        } catch (RuntimeException e) {
+            faults.accept(e);
+            choice = new Choice(Verdict.FAIL, null, 0, List.of());
+        }
         if (choice.verdict() == Verdict.SEND) {
             command.dispatches.add(choice.dispatch());
             nextLimit = Math.min(nextLimit, choice.dispatch().limit);
--- a/src/main/java/clayhook/protocol/ClientDecoder.java
+++ b/src/main/java/clayhook/protocol/ClientDecoder.java
@@ -1,6 +1,7 @@
 package clayhook.protocol;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 
 /** Decodes what a client sends. */
 public final class ClientDecoder extends FrameDecoder {
@@ -9,8 +10,32 @@
     private static final int GSS = 80877104;
     /** As long as the reference server takes it. */
     private static final int LONGEST_STARTUP = 10_000;
+    /** Shorter messages go without an allowance: all clients together may send one each. */
+    private static final int SHORT = 4096;
+    private final Allowance allowance;
+    /** What this client's last message takes of the allowance, until its next one or its end. */
+    private int taken;
     private boolean started;
 
+    public ClientDecoder(Allowance allowance) {
+        this.allowance = allowance;
+    }
+
+    @Override
+    boolean mayCome(int length) {
+        allowance.give(taken);
+        taken = 0;
+        boolean may = length <= SHORT || allowance.take(length);
+        taken = may && length > SHORT ? length : 0;
+        return may;
+    }
+
+    @Override
+    protected void handlerRemoved0(ChannelHandlerContext context) {
+        allowance.give(taken);
+        taken = 0;
+    }
+
     @Override
     boolean typed() {
         return started;
@@ -21,6 +46,11 @@
         return LONGEST_STARTUP;
     }
 
+    @Override
+    Object tooMuch() {
+        return new ClientMessage.Malformed("53300", "no memory is left for a long statement");
+    }
+
     @Override
     Object malformed(String why) {
         return new ClientMessage.Malformed("08P01", why);
--- a/src/main/java/clayhook/protocol/FrameDecoder.java
+++ b/src/main/java/clayhook/protocol/FrameDecoder.java
@@ -11,6 +11,8 @@
     /** Values hold 64 KiB, and twice that in hex digits; the rest is for the statement around them. */
     private static final int LONGEST = 160 * 1024;
     private boolean broken;
+    /** The message in hand has been let in. */
+    private boolean coming;
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
@@ -29,7 +31,14 @@
             out.add(malformed("a message of length " + Integer.toUnsignedString(length)));
             return;
         }
-        if (in.readableBytes() < header + length) {
+        if (!coming && !mayCome(length)) {
+            broken = true;
+            in.skipBytes(in.readableBytes());
+            out.add(tooMuch());
+            return;
+        }
+        coming = in.readableBytes() < header + length;
+        if (coming) {
             return;
         }
         ByteBuf message = in.readSlice(header + length);
@@ -53,6 +62,16 @@
 
     abstract Object malformed(String why);
 
+    /** Whether there is memory for a message of that length. */
+    boolean mayCome(int length) {
+        return true;
+    }
+
+    /** What is told of a message that there is no memory for. */
+    Object tooMuch() {
+        return malformed("a message too long for now");
+    }
+
     /** Text up to its closing zero. */
     static String text(ByteBuf body) {
         int length = body.bytesBefore((byte) 0);
--- a/src/main/java/clayhook/rehearsal/Rehearsal.java
+++ b/src/main/java/clayhook/rehearsal/Rehearsal.java
@@ -42,7 +42,7 @@
         var discovery = new StandInDiscovery(transport, transport.spare(4),
                 call -> call.contains("after=2") ? null : list);
         var server = new Server(transport, new Configuration("rehearsal", transport.spare(5),
-                discovery.address(), 1, 1 << 20, 1000, new NodeList(0, true, List.of()), settings, 1));
+                discovery.address(), 1, 1 << 24, 1000, new NodeList(0, true, List.of()), settings, 1));
         var clients = new ArrayList<StandInClient>();
         for (int i = 0; i < COMMANDS && System.nanoTime() / 1e9 < until; i++) {
             for (int j = 0; j < CLIENTS; j++) {
--- a/src/main/java/clayhook/rehearsal/StandInNode.java
+++ b/src/main/java/clayhook/rehearsal/StandInNode.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import clayhook.protocol.Allowance;
 import clayhook.protocol.ClientDecoder;
 import clayhook.protocol.ClientMessage;
 import clayhook.protocol.Encoder;
@@ -38,7 +39,7 @@
 
     public StandInNode(Transport transport, InetSocketAddress address, String role,
             Function<Statement, Deed> deeds) throws InterruptedException {
-        super(transport, address, () -> new ChannelHandler[] {new ClientDecoder(), new Connection(role, deeds)});
+        super(transport, address, () -> new ChannelHandler[] {new ClientDecoder(new Allowance(Long.MAX_VALUE)), new Connection(role, deeds)});
     }
 
     private static final class Connection extends ChannelInboundHandlerAdapter {
--- a/src/main/java/clayhook/serve/Router.java
+++ b/src/main/java/clayhook/serve/Router.java
@@ -70,12 +70,12 @@
         settings.groups().forEach(g -> groups.put(g.name(), g));
         descriptors = new Descriptors(configuration.sockets());
         decide = new Decide(settings, configuration.seed());
-        hand = new Hand(decide);
+        hand = new Hand(decide, fault -> Log.fault("a turn failed", fault));
         nodes = new Nodes(transport, clock, descriptors, configuration.connectTimeout(), settings.connectionIdle(), this);
         discovery = new DiscoveryClient(transport, configuration.discovery(), configuration.known().version(), this);
         decide.listed(listings(configuration.known()), true, clock.now());
         descriptors.giveBackBy(this::giveBack);
-        front = new Front(transport, configuration.listen(), descriptors, this);
+        front = new Front(transport, configuration.listen(), descriptors, configuration.memory(), this);
         loop.execute(this::turn);
     }
 
@@ -181,8 +181,8 @@
         lists = new ArrayList<>();
         rest = new ArrayList<>();
         turning = false;
-        first.forEach(news -> news.accept(now));
-        then.forEach(news -> news.accept(now));
+        first.forEach(news -> take(news, now));
+        then.forEach(news -> take(news, now));
         Hand.Turn turn = hand.settle(now);
         turn.orders().forEach(order -> carryOut(order.command(), order.choice()));
         turn.pause().probes().forEach(nodes::probe);
@@ -204,6 +204,14 @@
         }
     }
 
+    private static void take(DoubleConsumer news, double now) {
+        try {
+            news.accept(now);
+        } catch (RuntimeException e) {
+            Log.fault("a turn failed", e);
+        }
+    }
+
     private void wake(double now, double seconds) {
         if (wake != null) {
             wake.cancel(false);
@@ -224,12 +232,12 @@
         if (!waiting.remove(order.session, order)) {
             return;
         }
-        if (choice.verdict() == Verdict.THROTTLE) {
+        if (answer != null) {
+            order.session.answered(answer);
+        } else if (choice.verdict() == Verdict.THROTTLE) {
             order.session.throttled(settings.adviceHeeded() ? choice.advice() : 0);
         } else if (choice.verdict() == Verdict.FAIL) {
             order.session.failed();
-        } else if (answer != null) {
-            order.session.answered(answer);
         }
     }
 
--- a/src/main/java/clayhook/sim/Instance.java
+++ b/src/main/java/clayhook/sim/Instance.java
@@ -53,7 +53,9 @@
             groups.put(group.name(), group);
         }
         decide = new Decide(settings, seed);
-        hand = new Hand(decide);
+        hand = new Hand(decide, fault -> {
+            throw fault;
+        });
     }
 
     void arrival(Line line, long now) throws BadInput {
--- a/src/test/java/clayhook/protocol/DecodersTest.java
+++ b/src/test/java/clayhook/protocol/DecodersTest.java
@@ -47,14 +47,14 @@
                 Encoder.query(READ.getBytes(UTF_8)), Encoder.query(new byte[0]), message('S', 4), message('H', 4),
                 message('P', 4), message('X', 4));
         assertEquals(List.of("EncryptionRequest", "Startup", "Query", "EmptyQuery", "Sync", "Ignored", "Extended",
-                "Terminate"), kinds(new ClientDecoder(), bytes, size));
+                "Terminate"), kinds(new ClientDecoder(new Allowance(1 << 20)), bytes, size));
     }
 
     @ParameterizedTest
     @CsvSource({"Q, 3", "Q, -1", "Q, 2147483647", "Q, 200000", "j, 4", "Q, 4"})
     void nothingAfterAMalformedClientMessageIsRead(char type, int length) {
         ByteBuf bytes = Unpooled.wrappedBuffer(Encoder.startup(), message(type, length), message('S', 4));
-        List<String> kinds = kinds(new ClientDecoder(), bytes, 1000);
+        List<String> kinds = kinds(new ClientDecoder(new Allowance(1 << 20)), bytes, 1000);
         assertEquals("Malformed", kinds.get(1));
         assertTrue(kinds.size() == 2 || type == 'j' || length == 4, kinds.toString());
     }
@@ -63,7 +63,7 @@
     @CsvSource({"0, Malformed", "131072, Malformed", "196608, Startup", "196610, Startup", "80877102, CancelRequest",
         "80877104, EncryptionRequest"})
     void theFirstMessageTellsTheVersion(int version, String kind) {
-        assertEquals(List.of(kind), kinds(new ClientDecoder(), Unpooled.buffer().writeInt(8).writeInt(version), 3));
+        assertEquals(List.of(kind), kinds(new ClientDecoder(new Allowance(1 << 20)), Unpooled.buffer().writeInt(8).writeInt(version), 3));
     }
 
     @ParameterizedTest
@@ -97,4 +97,15 @@
         var bad = assertThrows(IllegalArgumentException.class, () -> Statement.parse(text.getBytes(UTF_8)));
         assertTrue(bad.getMessage().contains(named), bad.getMessage());
     }
+
+    @Test
+    void longStatementsOfAllClientsShareOneAllowance() {
+        var allowance = new Allowance(200_000);
+        ByteBuf most = Unpooled.wrappedBuffer(Encoder.startup(), message('Q', 50_000), Unpooled.buffer(10).writeZero(9));
+        var first = new EmbeddedChannel(new ClientDecoder(allowance));
+        first.writeInbound(most.retainedDuplicate());
+        assertEquals(List.of("Startup", "Malformed"), kinds(new ClientDecoder(allowance), most.retainedDuplicate(), 99));
+        first.finishAndReleaseAll();
+        assertEquals(List.of("Startup"), kinds(new ClientDecoder(allowance), most, 99));
+    }
 }
--- a/src/test/java/clayhook/serve/ServerTest.java
+++ b/src/test/java/clayhook/serve/ServerTest.java
@@ -58,7 +58,7 @@
                 group("mutating", Effect.MUTATING, ReadLevel.WRITE, 20),
                 group("brief", Effect.MUTATING, ReadLevel.WRITE, 0.6)),
                 true, true, false, true, true, true, true, true, 1, 3, 0.2, 10, 3, 3, 1, 15);
-        server = new Server(own, new Configuration("test", transport.spare(0), discovery.address(), 1, 1, sockets,
+        server = new Server(own, new Configuration("test", transport.spare(0), discovery.address(), 1, 1 << 24, sockets,
                 NodeList.parse(list), settings, 2));
         client = new StandInClient(transport, server.address());
     }
