Serve without a rehearsal where no folder can be written

A path too long for a socket file or a read-only folder ended the start with code 1; now one warning, and the router is only slow at first. Tried with both.

--- a/src/main/java/clayhook/cli/Main.java
+++ b/src/main/java/clayhook/cli/Main.java
@@ -52,6 +52,15 @@
         return 2;
     }
 
+    /** A router that cannot rehearse, for want of a folder to write to, is only slow at first. */
+    private static void rehearse(Settings settings) throws InterruptedException {
+        try {
+            Rehearsal.run(settings, Transport.rehearsal());
+        } catch (IOException e) {
+            Log.warn("rehearsal", "no rehearsal: " + e);
+        }
+    }
+
     /** Not for service: the build makes the archive of classes from what this loads. */
     private static int rehearse() {
         try {
@@ -81,7 +90,7 @@
     private static void serve() {
         try {
             Configuration configuration = Configuration.read(System.getenv());
-            Rehearsal.run(configuration.settings(), Transport.rehearsal());
+            rehearse(configuration.settings());
             Log.info("serving as " + configuration.name() + " at " + configuration.listen());
             var server = new Server(Transport.tcp(), configuration);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
