End probes that are not answered within the time limit of a connection

A node struck out comes back by a probe only. The wait is now that for a connection; tested with a node that leaves probes unanswered. Other troubles that this covers: machines that vanish or are cut off, nodes that hang.

--- a/src/main/java/clayhook/nodes/Nodes.java
+++ b/src/main/java/clayhook/nodes/Nodes.java
@@ -70,11 +70,7 @@
     }
 
     public void probe(Node node) {
-        Pool pool = pools.get(node.id());
-        if (!pool.probing) {
-            pool.probing = true;
-            pool.add(new Attempt(node, null, null, clock.now()));
-        }
+        pools.get(node.id()).probe();
     }
 
     /** The time to wait for a dispatch is over. */
@@ -92,7 +88,7 @@
         }
     }
 
-    /** Closes what has been opening or idle for too long. */
+    /** Closes what has been opening, probing or idle for too long. */
     public void sweep() {
         double now = clock.now();
         for (Pool pool : pools.values()) {
@@ -122,6 +118,11 @@
                 && oldest.closeIdle(Math.nextUp(oldest.oldestIdle())) > 0;
     }
 
+    /** How many connections stand or open. */
+    public int connections() {
+        return descriptors.ofNodes();
+    }
+
     boolean mayOpen() {
         return descriptors.takeForNode();
     }
--- a/src/main/java/clayhook/nodes/Pool.java
+++ b/src/main/java/clayhook/nodes/Pool.java
@@ -18,7 +18,8 @@
     private final ArrayDeque<NodeConnection> idle = new ArrayDeque<>();
     private final Set<NodeConnection> opening = new LinkedHashSet<>();
     private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
-    boolean probing;
+    /** The probe that is out, or null. */
+    private Attempt probe;
 
     Pool(Nodes nodes, Node node, InetSocketAddress address) {
         this.nodes = nodes;
@@ -34,6 +35,13 @@
         }
     }
 
+    void probe() {
+        if (probe == null) {
+            probe = new Attempt(node, null, null, nodes.now());
+            add(probe);
+        }
+    }
+
     void add(Attempt attempt) {
         waiting.add(attempt);
         serve();
@@ -81,7 +89,7 @@
     }
 
     void ended(Attempt attempt, Ending ending, NodeConnection by) {
-        probing &= attempt.dispatch != null;
+        probe = attempt == probe ? null : probe;
         nodes.ended(attempt, ending, by);
     }
 
@@ -94,9 +102,12 @@
         }
     }
 
-    /** Closes connections that have been opening, and those that stood idle, since before these times. */
-    void sweep(double openedBefore, double idleBefore) {
-        List.copyOf(opening).stream().filter(c -> c.openedAt < openedBefore).forEach(NodeConnection::close);
+    /** Ends connections that have been opening and the probe that has been out since before then; and idle ones. */
+    void sweep(double begunBefore, double idleBefore) {
+        List.copyOf(opening).stream().filter(c -> c.openedAt < begunBefore).forEach(NodeConnection::close);
+        if (probe != null && probe.startedAt < begunBefore) {
+            abandon(probe, new Ending.Silent(probe.stage));
+        }
         closeIdle(idleBefore);
     }
 
--- a/src/main/java/clayhook/rehearsal/StandInNode.java
+++ b/src/main/java/clayhook/rehearsal/StandInNode.java
@@ -37,6 +37,9 @@
         }
     }
 
+    /** The role of a node that leaves probes unanswered. */
+    public static final String MUTE = "mute";
+
     public StandInNode(Transport transport, InetSocketAddress address, String role,
             Function<Statement, Deed> deeds) throws InterruptedException {
         super(transport, address, () -> new ChannelHandler[] {new ClientDecoder(new Allowance(Long.MAX_VALUE)), new Connection(role, deeds)});
@@ -57,7 +60,7 @@
                 ctx.writeAndFlush(Encoder.welcome(0));
             } else if (message instanceof ClientMessage.Query query) {
                 done(ctx, deeds.apply(query.statement()));
-            } else if (message instanceof ClientMessage.UnreadableQuery) {
+            } else if (message instanceof ClientMessage.UnreadableQuery && !role.equals(MUTE)) {
                 done(ctx, Deed.answer("x0=" + System.currentTimeMillis() / 1000.0 + ",x1="
                         + (role.equals("primary") ? 1 : 0) + ",inflight=1"));
             }
--- a/src/main/java/clayhook/serve/Descriptors.java
+++ b/src/main/java/clayhook/serve/Descriptors.java
@@ -34,6 +34,10 @@
         all--;
     }
 
+    public int ofNodes() {
+        return nodes;
+    }
+
     public boolean takeForClient() {
         return take();
     }
--- a/src/main/java/clayhook/serve/Router.java
+++ b/src/main/java/clayhook/serve/Router.java
@@ -198,7 +198,8 @@
         }
         if (now >= summaryAt) {
             summaryAt = now + SUMMARY;
-            Log.info("summary: clients " + front.size() + ", in hand " + hand.size() + ", descriptors at most "
+            Log.info("summary: clients " + front.size() + ", connections to nodes " + nodes.connections()
+                    + ", in hand " + hand.size() + ", descriptors at most "
                     + descriptors.peak() + ", turns late at most " + Math.round(late * 1000) + " ms, " + Log.counts());
             late = 0;
         }
--- a/src/main/java/clayhook/serve/Transport.java
+++ b/src/main/java/clayhook/serve/Transport.java
@@ -50,7 +50,7 @@
         return new InetSocketAddress("127.0.0.1", folder == null ? 0 : name);
     }
 
-    EventLoop loop() {
+    public EventLoop loop() {
         return group.next();
     }
 
