Keep the loop awake when its clock is corrected; a failure costs one command

Found on rereading: a timer that fires while the clock is led back (up to 0.5%) found nothing due and set no further timer (Hand.settle, Router.turn), so commands in hand would wait for the next thing heard. A turn that failed midway lost the orders after it.

--- a/src/main/java/clayhook/hand/Hand.java
+++ b/src/main/java/clayhook/hand/Hand.java
@@ -102,6 +102,11 @@
         return turn;
     }
 
+    /** The time until commands are asked about again; a clock that was corrected may reach it late. */
+    public double remaining(double now) {
+        return Math.max(0, dueAt - now);
+    }
+
     /** How many commands are held or out. */
     public int size() {
         return held.size();
--- a/src/main/java/clayhook/serve/Router.java
+++ b/src/main/java/clayhook/serve/Router.java
@@ -39,6 +39,9 @@
     /** A turn this much later than it was asked for is logged: the process stood still. */
     private static final double PAUSE = 0.1;
 
+    /** Where a corrected clock falls short of the time asked for. */
+    private static final double LEAST_WAKE = 0.001;
+
     private final EventLoop loop;
     private final Clock clock = new Clock();
     private final Settings settings;
@@ -76,6 +79,7 @@
         decide.listed(listings(configuration.known()), true, clock.now());
         descriptors.giveBackBy(this::giveBack);
         front = new Front(transport, configuration.listen(), descriptors, configuration.memory(), this);
+        turning = true;
         loop.execute(this::turn);
     }
 
@@ -171,6 +175,14 @@
 
     private void turn() {
         double now = clock.now();
+        turning = false;
+        guarded(() -> turn(now));
+        if (wake == null) {
+            wake(now, Math.max(LEAST_WAKE, hand.remaining(now)));
+        }
+    }
+
+    private void turn(double now) {
         late = Math.max(late, now - wakeAt);
         if (now > wakeAt + PAUSE) {
             Log.warn("pause", "stood still for " + Math.round((now - wakeAt) * 1000) + " ms");
@@ -180,11 +192,10 @@
         List<DoubleConsumer> then = rest;
         lists = new ArrayList<>();
         rest = new ArrayList<>();
-        turning = false;
-        first.forEach(news -> take(news, now));
-        then.forEach(news -> take(news, now));
+        first.forEach(news -> guarded(() -> news.accept(now)));
+        then.forEach(news -> guarded(() -> news.accept(now)));
         Hand.Turn turn = hand.settle(now);
-        turn.orders().forEach(order -> carryOut(order.command(), order.choice()));
+        turn.orders().forEach(order -> guarded(() -> carryOut(order.command(), order.choice())));
         turn.pause().probes().forEach(nodes::probe);
         if (turn.pause().watchList()) {
             discovery.watch();
@@ -205,9 +216,10 @@
         }
     }
 
-    private static void take(DoubleConsumer news, double now) {
+    /** A failure costs one piece of news or one command, not the loop. */
+    private static void guarded(Runnable step) {
         try {
-            news.accept(now);
+            step.run();
         } catch (RuntimeException e) {
             Log.fault("a turn failed", e);
         }
@@ -218,7 +230,10 @@
             wake.cancel(false);
         }
         wakeAt = now + seconds;
-        wake = loop.schedule(this::turn, (long) (seconds * 1e9), TimeUnit.NANOSECONDS);
+        wake = loop.schedule(() -> {
+            wake = null;
+            turn();
+        }, (long) (seconds * 1e9), TimeUnit.NANOSECONDS);
     }
 
     private void carryOut(Command command, Choice choice) {
--- a/src/test/java/clayhook/hand/HandTest.java
+++ b/src/test/java/clayhook/hand/HandTest.java
@@ -63,6 +63,15 @@
         assertEquals(0, hand.size());
     }
 
+    @Test
+    void aTurnThatComesEarlyLeavesTheRestOfItsTime() {
+        hand.taken(command, 1000);
+        double pause = hand.settle(1000).wake();
+        assertEquals(0, hand.settle(1000 + pause - 1e-4).wake());
+        assertEquals(1e-4, hand.remaining(1000 + pause - 1e-4), 1e-9);
+        assertEquals(pause, hand.settle(1000 + pause).wake());
+    }
+
     @Test
     void aCommandThatTheModuleFailsOnIsFailed() {
         hand.ended(new Dispatch(command, new Node("unknown", "a", 1), false, 1000, 1001), reply(Outcome.RESET), false, 1000);
