Check the repeat window again when a connection has come up

Found on rereading: a keyed repeat decided within its window could be written up to 250 ms later, past it (Decide.mayStillGo looked at the node, the time limit and the age of data only).

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -342,6 +342,7 @@
         Row row = rows.get(dispatch.node);
         boolean checked = settings.replicasCheck() || cmd.group.primaryOnly() || row.claimsPrimary();
         return !cmd.over && now < dispatch.limit && !row.closed()
+                && (cmd.firstThatMayHaveRun() == dispatch || mayRepeat(cmd, now))
                 && (checked || covers(row, team(cmd.nodeGroup), cmd, now));
     }
 
--- a/src/test/java/clayhook/DecideTest.java
+++ b/src/test/java/clayhook/DecideTest.java
@@ -551,4 +551,18 @@
         Command read = new Command(fleet.any, 1, null, 0, fleet.now, fleet.now + 0.1 + wait);
         assertEquals(Math.min(0.1 + limit, 0.4), fleet.ask(read).dispatch().limit - fleet.now, 1e-9);
     }
+
+    @ParameterizedTest
+    @CsvSource({"1.1, true", "1.25, false"})
+    void aRepeatThatWaitedForItsConnectionGoesOutOnlyWithinTheRepeatWindow(double later, boolean goes) {
+        Dispatch first = fleet.send(fleet.write);
+        Choice again = fleet.answer(first, Outcome.RESET, Role.UNKNOWN, 0);
+        for (int i = 0; i < 20 && again.verdict() == Verdict.NOT_YET; i++) {
+            fleet.now += 0.05;
+            fleet.tell(fleet.primary, Role.PRIMARY, fleet.now);
+            again = fleet.ask(first.command);
+        }
+        first.command.dispatches.add(again.dispatch());
+        assertEquals(goes, fleet.decide.mayStillGo(again.dispatch(), 1000 + later));
+    }
 }
