--- a/src/main/java/clayhook/rehearsal/StandInDiscovery.java
+++ b/src/main/java/clayhook/rehearsal/StandInDiscovery.java
@@ -11,7 +11,7 @@
 import java.net.InetSocketAddress;
 import java.util.function.Function;
 
-/** Discovery that answers each call with what it is told to; null leaves the call waiting. */
+/** Discovery that answers each call with a list, or with all that begins with HTTP; null leaves the call waiting. */
 public final class StandInDiscovery extends StandIn {
 
     public StandInDiscovery(Transport transport, InetSocketAddress address, Function<String, String> answers)
@@ -38,7 +38,9 @@
             }
             String body = answers.apply(read.substring(0, read.indexOf("\r\n")));
             read.delete(0, end + 4);
-            if (body != null) {
+            if (body != null && body.startsWith("HTTP")) {
+                ctx.writeAndFlush(Unpooled.copiedBuffer(body, US_ASCII));
+            } else if (body != null) {
                 ctx.writeAndFlush(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nContent-Length: " + body.length()
                         + "\r\n\r\n" + body, US_ASCII));
             }
--- a/src/test/java/clayhook/nodes/NodesTest.java
+++ b/src/test/java/clayhook/nodes/NodesTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -138,4 +139,15 @@
         transport.loop().submit(nodes::sweep).get();
         assertEquals(left, transport.loop().submit(() -> nodes.connections()).get());
     }
+
+    @Test
+    void aNodeThatMovedIsMetAtItsNewAddress() throws Exception {
+        Nodes nodes = nodes(60, 60);
+        Node node = node(nodes, "replica", Deed.answer("a"), Deed.answer("a"));
+        send(nodes, node);
+        assertEquals(Outcome.ANSWERED, next(nodes));
+        assertEquals(node, node(nodes, "replica", null, Deed.error("72000")));
+        send(nodes, node);
+        assertEquals(Outcome.TURNED_AWAY, next(nodes));
+    }
 }
