--- a/src/main/java/clayhook/discovery/HttpDecoder.java
+++ b/src/main/java/clayhook/discovery/HttpDecoder.java
@@ -130,7 +130,8 @@
     }
 
     private void whole(List<Object> out) {
-        out.add(new HttpResponse(status, bytes.toString(StandardCharsets.UTF_8), last || left == UNTIL_END && !chunked));
+        boolean ends = last || left == UNTIL_END && !chunked;
+        out.add(new HttpResponse(status, bytes.toString(StandardCharsets.UTF_8), ends));
         part = Part.STATUS;
     }
 
--- a/src/main/java/clayhook/front/Front.java
+++ b/src/main/java/clayhook/front/Front.java
@@ -2,7 +2,6 @@
 
 import clayhook.protocol.Allowance;
 import clayhook.protocol.ClientDecoder;
-import clayhook.protocol.Statement;
 import clayhook.serve.Descriptors;
 import clayhook.serve.Transport;
 import io.netty.channel.Channel;
@@ -14,41 +13,21 @@
 
 /** Where clients connect. */
 public final class Front {
-    private final Set<Session> sessions = new LinkedHashSet<>();
     /** An eighth of the memory: the runtime itself takes half. */
     private static final int MEMORY_PART = 8;
+    private final Set<Session> sessions = new LinkedHashSet<>();
     private final Descriptors descriptors;
     private final InetSocketAddress asked;
     private final Channel listening;
 
     public Front(Transport transport, InetSocketAddress address, Descriptors descriptors, long memory,
-            Session.Listener listener)
-            throws InterruptedException {
+            Session.Listener listener) throws InterruptedException {
         this.descriptors = descriptors;
-        Session.Listener here = new Session.Listener() {
-            @Override
-            public void taken(Session session, Statement statement) {
-                listener.taken(session, statement);
-            }
-
-            @Override
-            public void left(Session session) {
-                listener.left(session);
-            }
-
-            @Override
-            public void ended(Session session) {
-                if (sessions.remove(session)) {
-                    descriptors.giveOfClient();
-                }
-                listener.ended(session);
-            }
-        };
         asked = address;
         var allowance = new Allowance(memory / MEMORY_PART);
         listening = transport.listen(address, () -> {
             boolean room = descriptors.takeForClient();
-            var session = new Session(here, !room);
+            var session = new Session(listener, !room, this::ended);
             if (room) {
                 sessions.add(session);
             }
@@ -56,6 +35,12 @@
         });
     }
 
+    private void ended(Session session) {
+        if (sessions.remove(session)) {
+            descriptors.giveOfClient();
+        }
+    }
+
     /** Where it listens; with the port that was found if none was asked for. */
     public InetSocketAddress address() {
         return listening.localAddress() instanceof InetSocketAddress given ? given : asked;
--- a/src/main/java/clayhook/front/Session.java
+++ b/src/main/java/clayhook/front/Session.java
@@ -6,13 +6,13 @@
 import clayhook.serve.Log;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** One client's connection: one command after the other, each answered before the next is begun. */
 public final class Session extends ChannelInboundHandlerAdapter {
@@ -26,13 +26,12 @@
         /** A command came; it gets one of the final answers below. */
         void taken(Session session, Statement statement);
 
-        /** The client has gone. */
+        /** The client has gone before it got its answer. */
         void left(Session session);
-
-        void ended(Session session);
     }
 
     private final Listener listener;
+    private final Consumer<Session> ended;
     /** Takes no commands, as there are no descriptors for more. */
     private final boolean turnedAway;
     private final ArrayDeque<Object> ahead = new ArrayDeque<>();
@@ -44,8 +43,9 @@
     /** It ends as soon as what it has taken is answered. */
     private boolean endSoon;
 
-    Session(Listener listener, boolean turnedAway) {
+    Session(Listener listener, boolean turnedAway, Consumer<Session> ended) {
         this.listener = listener;
+        this.ended = ended;
         this.turnedAway = turnedAway;
     }
 
@@ -180,19 +180,10 @@
         ending = true;
         context.channel().config().setAutoRead(true);
         ChannelHandlerContext ctx = context;
-        ctx.writeAndFlush(last).addListener((ChannelFutureListener) done ->
-                endSending(ctx.channel()));
+        ctx.writeAndFlush(last).addListener(done -> ((DuplexChannel) ctx.channel()).shutdownOutput());
         ctx.executor().schedule(() -> ctx.close(), LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
-    private static void endSending(Channel channel) {
-        if (channel instanceof DuplexChannel duplex) {
-            duplex.shutdownOutput();
-        } else {
-            channel.close();
-        }
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         if (waiting) {
@@ -200,12 +191,12 @@
             listener.left(this);
         }
         ending = true;
-        listener.ended(this);
+        ended.accept(this);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        if (!(cause instanceof java.io.IOException)) {
+        if (!(cause instanceof IOException)) {
             Log.fault("a client session failed", cause);
         }
         ctx.close();
--- a/src/main/java/clayhook/nodes/Nodes.java
+++ b/src/main/java/clayhook/nodes/Nodes.java
@@ -14,6 +14,7 @@
 import clayhook.serve.Transport;
 import io.netty.channel.ChannelHandler;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -22,7 +23,7 @@
     /** Connections are closed after this part of the time at which nodes do so at the latest. */
     private static final double IDLE_PART = 0.6;
     /** Reads the load report; it is a probe, as is the plain query where nodes do not report. */
-    private static final byte[] PROBE = "SHOW load".getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    private static final byte[] PROBE = "SHOW load".getBytes(StandardCharsets.UTF_8);
 
     /** Hears how attempts ended. */
     public interface Listener {
@@ -132,7 +133,7 @@
                 connection::close);
     }
 
-    void opened(double took) {
+    void opened() {
         Log.count("opened");
     }
 
--- a/src/main/java/clayhook/nodes/Pool.java
+++ b/src/main/java/clayhook/nodes/Pool.java
@@ -68,7 +68,7 @@
 
     void opened(NodeConnection connection) {
         opening.remove(connection);
-        nodes.opened(nodes.now() - connection.openedAt);
+        nodes.opened();
         freed(connection);
     }
 
--- a/src/main/java/clayhook/protocol/NodeMessage.java
+++ b/src/main/java/clayhook/protocol/NodeMessage.java
@@ -1,5 +1,7 @@
 package clayhook.protocol;
 
+import java.nio.charset.StandardCharsets;
+
 /** What a node may send. */
 public sealed interface NodeMessage {
     record AuthenticationOk() implements NodeMessage {
@@ -15,7 +17,7 @@
             int length = message.length < 11 ? -1 : (message[7] & 0xff) << 24 | (message[8] & 0xff) << 16
                     | (message[9] & 0xff) << 8 | message[10] & 0xff;
             return length < 0 || 11 + length > message.length ? null
-                    : new String(message, 11, length, java.nio.charset.StandardCharsets.UTF_8);
+                    : new String(message, 11, length, StandardCharsets.UTF_8);
         }
     }
 
--- a/src/main/java/clayhook/rehearsal/Rehearsal.java
+++ b/src/main/java/clayhook/rehearsal/Rehearsal.java
@@ -4,10 +4,10 @@
 import clayhook.Settings;
 import clayhook.config.Configuration;
 import clayhook.discovery.NodeList;
+import clayhook.protocol.Statement;
 import clayhook.serve.Log;
 import clayhook.serve.Server;
 import clayhook.serve.Transport;
-import clayhook.protocol.Statement;
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayList;
 import java.util.List;
@@ -83,6 +83,7 @@
 
     private static String entry(String id, StandInNode node) {
         return "{\"uid\":\"" + id + "\",\"endpoint\":\"127.0.0.1:" + node.address().getPort()
-                + "\",\"az\":\"a\",\"model\":\"m\",\"pod_group\":1,\"state\":\"up\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+                + "\",\"az\":\"a\",\"model\":\"m\",\"pod_group\":1,\"state\":\"up\",\"capacity_hint\":1.0,"
+                + "\"boot_ms\":0}";
     }
 }
--- a/src/main/java/clayhook/rehearsal/StandInNode.java
+++ b/src/main/java/clayhook/rehearsal/StandInNode.java
@@ -42,7 +42,8 @@
 
     public StandInNode(Transport transport, InetSocketAddress address, String role,
             Function<Statement, Deed> deeds) throws InterruptedException {
-        super(transport, address, () -> new ChannelHandler[] {new ClientDecoder(new Allowance(Long.MAX_VALUE)), new Connection(role, deeds)});
+        super(transport, address, () -> new ChannelHandler[] {
+            new ClientDecoder(new Allowance(Long.MAX_VALUE)), new Connection(role, deeds)});
     }
 
     private static final class Connection extends ChannelInboundHandlerAdapter {
--- a/src/main/java/clayhook/serve/Descriptors.java
+++ b/src/main/java/clayhook/serve/Descriptors.java
@@ -1,5 +1,7 @@
 package clayhook.serve;
 
+import java.util.function.BooleanSupplier;
+
 /** The budget of descriptors over clients and nodes. */
 public final class Descriptors {
     /** For the runtime's own files, the listener, the selector and discovery. */
@@ -10,14 +12,14 @@
     private int all;
     private int peak;
     /** Gives idle ones back; false if there is none. */
-    private java.util.function.BooleanSupplier giveBack = () -> false;
+    private BooleanSupplier giveBack = () -> false;
     private int nodes;
 
     public Descriptors(int limit) {
         most = Math.max(1, limit - RESERVE);
     }
 
-    void giveBackBy(java.util.function.BooleanSupplier way) {
+    void giveBackBy(BooleanSupplier way) {
         giveBack = way;
     }
 
--- a/src/main/java/clayhook/serve/Router.java
+++ b/src/main/java/clayhook/serve/Router.java
@@ -1,7 +1,7 @@
 package clayhook.serve;
 
-import clayhook.Choice;
 import clayhook.Choice.Verdict;
+import clayhook.Choice;
 import clayhook.Command;
 import clayhook.CommandGroup;
 import clayhook.Decide;
@@ -74,7 +74,8 @@
         descriptors = new Descriptors(configuration.sockets());
         decide = new Decide(settings, configuration.seed());
         hand = new Hand(decide, fault -> Log.fault("a turn failed", fault));
-        nodes = new Nodes(transport, clock, descriptors, configuration.connectTimeout(), settings.connectionIdle(), this);
+        nodes = new Nodes(transport, clock, descriptors, configuration.connectTimeout(),
+                settings.connectionIdle(), this);
         discovery = new DiscoveryClient(transport, configuration.discovery(), configuration.known().version(), this);
         decide.listed(listings(configuration.known()), true, clock.now());
         descriptors.giveBackBy(this::giveBack);
@@ -123,11 +124,6 @@
         });
     }
 
-    @Override
-    public void ended(Session session) {
-        // its command, if any, has left before
-    }
-
     @Override
     public void ended(Dispatch dispatch, Reply reply, byte[] answer) {
         Log.count(reply.outcome().toString());
