Ask for the node list on sockets wherever the simulator pushes it

Found on rereading: with discovery 'automatic' in the settings the module never asks for the list, and on sockets nobody else would; such a deployment would have kept its first list for good.

--- a/src/main/java/clayhook/config/Configuration.java
+++ b/src/main/java/clayhook/config/Configuration.java
@@ -51,6 +51,8 @@
         }
         Map<String, String> values = new HashMap<>();
         flatten("", settings, values);
+        // On sockets the list is told only to who asks, even where the simulator pushes it.
+        values.put("discovery", "subscribe");
         var reader = new SettingsReader(values);
         Settings read = reader.settings();
         if (read.groups().isEmpty()) {
--- a/src/test/java/clayhook/config/ConfigurationTest.java
+++ b/src/test/java/clayhook/config/ConfigurationTest.java
@@ -42,6 +42,12 @@
                 read.connectTimeout(), read.settings().warmAfter(), read.settings().replicasCheck()));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"subscribe", "automatic"})
+    void onSocketsTheListIsAskedForAlways(String discovery) throws BadConfig {
+        assertEquals(true, read(TEXT.replace("subscribe", discovery)).settings().listMustBeAsked());
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {"\"n3\" | 3 | name", "127.0.0.4:6543 | 127.0.0.4 | listen",
         "8c1f30d27a5be964 | xyz | seed", "\"sockets\":1024 | \"sockets\":0 | limits.sockets",
