Check nodes' answers whole; free a connection only when nothing follows its answer

Read: NodeConnection.ready() freed the connection and wrote the next query while the rest of the same read still waited in the decoder, so a second copy became the next command's answer; and collect() passed any 'D' with any 'C' on, in any order, without looking inside. Ruled out: wrong pairing of attempts and sessions (both are references, no ids). Now: RowDescription, one DataRow of one column, CommandComplete, readiness, in that order, each length fitting its frame; else the attempt may have run (ERROR), what it told is not believed and the connection ends. A connection is free 2 ms after its answer if nothing followed; positions of the future and absurd loads are not believed; a connection to an address that a node left is closed.

--- a/src/main/java/clayhook/Reply.java
+++ b/src/main/java/clayhook/Reply.java
@@ -10,4 +10,9 @@
  */
 public record Reply(Outcome outcome, double took, Role role, double position, Role reportedRole,
         double reportedPosition, double load) {
+
+    /** Nothing was told, or nothing that can be believed. */
+    public static Reply untold(Outcome outcome, double took) {
+        return new Reply(outcome, took, Role.UNKNOWN, 0, Role.UNKNOWN, 0, -1);
+    }
 }
--- a/src/main/java/clayhook/config/LoadReport.java
+++ b/src/main/java/clayhook/config/LoadReport.java
@@ -9,6 +9,8 @@
  * @param load the commands that it holds or that wait there; below 0 where it told none
  */
 public record LoadReport(Role role, double position, double load) {
+    /** No machine holds so many commands. */
+    private static final double MOST_LOAD = 1e6;
     public static final LoadReport NONE = new LoadReport(Role.UNKNOWN, 0, -1);
 
     /** Reads name and value pairs; {@code origin} is the clock time of position 0. */
@@ -28,7 +30,12 @@
             switch (pair.substring(0, at).trim()) {
                 case "x0" -> position = origin + value;
                 case "x1" -> role = value > 0.5 ? Role.PRIMARY : Role.REPLICA;
-                case "rif", "inflight", "q", "queue" -> load = Math.max(load, value);
+                case "rif", "inflight", "q", "queue" -> {
+                    if (value < 0 || value > MOST_LOAD) {
+                        throw new IllegalArgumentException("has " + value + " commands in its report");
+                    }
+                    load = Math.max(load, value);
+                }
                 default -> { }
             }
         }
--- a/src/main/java/clayhook/nodes/Ending.java
+++ b/src/main/java/clayhook/nodes/Ending.java
@@ -26,7 +26,15 @@
         }
     }
 
-    /** The connection was refused, broke, ended, or brought what cannot be understood. */
+    /** What came cannot be understood; the node works, and the command may have run. */
+    record Spoilt() implements Ending {
+        @Override
+        public Outcome outcome() {
+            return Outcome.ERROR;
+        }
+    }
+
+    /** The connection was refused, broke or ended. */
     record Broken(Stage stage) implements Ending {
         @Override
         public Outcome outcome() {
--- a/src/main/java/clayhook/nodes/NodeConnection.java
+++ b/src/main/java/clayhook/nodes/NodeConnection.java
@@ -4,32 +4,45 @@
 import clayhook.Role;
 import clayhook.config.LoadReport;
 import clayhook.protocol.Encoder;
+import clayhook.protocol.NodeDecoder;
 import clayhook.protocol.NodeMessage;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 
 /** One connection to a node; it carries one attempt at a time. */
 final class NodeConnection extends ChannelInboundHandlerAdapter {
+    /** A few times what passes between two writes of one peer: what follows an answer by then is not the next one's. */
+    private static final int QUIET_MS = 2;
+
+    /** What may come next. Nothing may come on a connection that is idle. */
+    private enum Next { WELCOME, DESCRIPTION, ROW, COMPLETION, READINESS, NOTHING }
+
+    final NodeDecoder decoder = new NodeDecoder();
     private final Pool pool;
+    final InetSocketAddress address;
     final double openedAt;
     double idleSince;
     private ChannelHandlerContext context;
+    private Next next = Next.WELCOME;
     private boolean up;
     private boolean closed;
+    /** Its answer is whole and it waits to be free. */
+    private boolean settling;
     private Attempt attempt;
     // what the answer in hand has told so far
     private final ByteArrayOutputStream parts = new ByteArrayOutputStream();
-    private boolean row;
-    private boolean complete;
     private String probed;
     private String refusal;
     private Role role;
     private double position;
     private LoadReport report;
 
-    NodeConnection(Pool pool, double openedAt) {
+    NodeConnection(Pool pool, InetSocketAddress address, double openedAt) {
         this.pool = pool;
+        this.address = address;
         this.openedAt = openedAt;
     }
 
@@ -44,21 +57,20 @@
     }
 
     /** Writes the request of an attempt; the connection must be idle. */
-    void start(Attempt next, byte[] query) {
-        attempt = next;
-        next.connection = this;
-        next.stage = Stage.PARTLY_WRITTEN;
+    void start(Attempt started, byte[] query) {
+        attempt = started;
+        started.connection = this;
+        started.stage = Stage.PARTLY_WRITTEN;
+        next = Next.DESCRIPTION;
         parts.reset();
-        row = false;
-        complete = false;
         probed = null;
         refusal = null;
         role = Role.UNKNOWN;
         position = 0;
         report = LoadReport.NONE;
         context.writeAndFlush(Encoder.query(query)).addListener(done -> {
-            if (done.isSuccess() && next.stage == Stage.PARTLY_WRITTEN) {
-                next.stage = Stage.WRITTEN;
+            if (done.isSuccess() && started.stage == Stage.PARTLY_WRITTEN) {
+                started.stage = Stage.WRITTEN;
             }
         });
     }
@@ -68,39 +80,74 @@
         if (closed) {
             return;
         } else if (message instanceof NodeMessage.Malformed malformed) {
-            pool.log("node " + pool.node.id() + " sent " + malformed.why());
-            close();
-        } else if (message instanceof NodeMessage.ReadyForQuery) {
-            ready();
-        } else if (attempt != null) {
+            spoilt(malformed.why());
+        } else if (next == Next.NOTHING) {
+            spoilt("what it was not asked");
+        } else if (next == Next.WELCOME) {
+            welcome(message);
+        } else {
             collect(message);
+        }
+    }
+
+    private void welcome(Object message) {
+        if (message instanceof NodeMessage.ReadyForQuery) {
+            up = true;
+            next = Next.NOTHING;
+            pool.opened(this);
         } else if (message instanceof NodeMessage.ErrorResponse error) {
             refusal = error.code();
+        } else if (message instanceof NodeMessage.Part) {
+            spoilt("a row before it was asked");
         }
     }
 
     private void collect(Object message) {
         attempt.stage = Stage.ANSWERING;
-        if (message instanceof NodeMessage.Part part) {
+        if (message instanceof NodeMessage.ParameterStatus status) {
+            status(status.name(), status.value());
+        } else if (message instanceof NodeMessage.Part part && part.type() == expected()) {
+            next = Next.values()[next.ordinal() + 1];
             parts.writeBytes(part.message());
-            row |= part.type() == 'D';
-            complete |= part.type() == 'C';
-            probed = part.type() == 'D' && attempt.dispatch == null ? part.firstColumn() : probed;
-        } else if (message instanceof NodeMessage.ErrorResponse error) {
+            probed = part.type() == 'D' && attempt.dispatch == null ? part.column() : probed;
+        } else if (message instanceof NodeMessage.ErrorResponse error && next == Next.DESCRIPTION) {
+            next = Next.READINESS;
             refusal = error.code();
             pool.refused(error);
-        } else if (message instanceof NodeMessage.ParameterStatus status) {
-            status(status.name(), status.value());
+        } else if (message instanceof NodeMessage.ReadyForQuery && next == Next.READINESS) {
+            ready();
+        } else if (!(message instanceof NodeMessage.Notice)) {
+            spoilt("an answer out of order");
         }
     }
 
+    private char expected() {
+        return switch (next) {
+            case DESCRIPTION -> 'T';
+            case ROW -> 'D';
+            case COMPLETION -> 'C';
+            default -> 0;
+        };
+    }
+
+    /** Nothing that was told with it counts, and the connection is of no further use. */
+    private void spoilt(String why) {
+        pool.log("node " + pool.node.id() + " sent " + why);
+        end(new Ending.Spoilt());
+        close();
+    }
+
     private void status(String name, String value) {
         try {
             switch (name) {
                 case "role" -> role = value.equals("primary") ? Role.PRIMARY
                         : value.equals("replica") ? Role.REPLICA : Role.UNKNOWN;
-                case "applied_ms" -> position = Long.parseLong(value) / 1000.0;
-                case "load" -> report = LoadReport.parse(value, '=', 0);
+                case "applied_ms" -> position = believable(Long.parseLong(value) / 1000.0);
+                case "load" -> {
+                    LoadReport told = LoadReport.parse(value, '=', 0);
+                    believable(told.position());
+                    report = told;
+                }
                 default -> { }
             }
         } catch (IllegalArgumentException e) {
@@ -108,22 +155,39 @@
         }
     }
 
+    /** No node has data of the future; the clocks agree but for the correction of this one. */
+    private double believable(double told) {
+        if (told < 0 || told > pool.now() + FUTURE) {
+            throw new IllegalArgumentException("a position that cannot be");
+        }
+        return told;
+    }
+
+    private static final double FUTURE = 1;
+
     private void ready() {
-        if (!up) {
-            up = true;
-            pool.opened(this);
-        } else if (attempt == null) {
-            pool.log("node " + pool.node.id() + " answered what it was not asked");
-            close();
-        } else {
-            if (probed != null) {
-                status("load", probed);
-            }
-            Ending ending = refusal != null ? new Ending.Refused(refusal)
-                    : row && complete ? new Ending.Answered() : new Ending.Refused("");
-            end(ending);
-            pool.freed(this);
+        if (probed != null) {
+            status("load", probed);
+        }
+        next = Next.NOTHING;
+        settling = true;
+        end(refusal != null ? new Ending.Refused(refusal) : new Ending.Answered());
+    }
+
+    /** What was read together with an answer has been looked at; what is left of it belongs to no one. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (!closed && next == Next.NOTHING && decoder.holdsPart()) {
+            spoilt("part of what it was not asked");
+        } else if (!closed && settling) {
+            settling = false;
+            ctx.executor().schedule(() -> {
+                if (!closed) {
+                    pool.freed(this);
+                }
+            }, QUIET_MS, TimeUnit.MILLISECONDS);
         }
+        ctx.fireChannelReadComplete();
     }
 
     private void end(Ending ending) {
@@ -134,9 +198,11 @@
         }
     }
 
-    /** What was told with the answer in hand. */
+    /** What was told with the answer in hand, if that was whole. */
     Reply reply(Ending ending, double took) {
-        return new Reply(ending.outcome(), took, role, position, report.role(), report.position(), report.load());
+        boolean whole = ending instanceof Ending.Answered || ending instanceof Ending.Refused;
+        return whole ? new Reply(ending.outcome(), took, role, position, report.role(), report.position(), report.load())
+                : Reply.untold(ending.outcome(), took);
     }
 
     byte[] answer() {
--- a/src/main/java/clayhook/nodes/Nodes.java
+++ b/src/main/java/clayhook/nodes/Nodes.java
@@ -4,8 +4,6 @@
 import clayhook.Node;
 import clayhook.Outcome;
 import clayhook.Reply;
-import clayhook.Role;
-import clayhook.protocol.NodeDecoder;
 import clayhook.protocol.NodeMessage;
 import clayhook.protocol.Statement;
 import clayhook.serve.Clock;
@@ -124,12 +122,17 @@
         return descriptors.ofNodes();
     }
 
+    /** How many of them wait for something to carry. */
+    public int idle() {
+        return pools.values().stream().mapToInt(Pool::idle).sum();
+    }
+
     boolean mayOpen() {
         return descriptors.takeForNode();
     }
 
-    void connect(NodeConnection connection, InetSocketAddress address) {
-        transport.connect(address, connectTimeout, () -> new ChannelHandler[] {new NodeDecoder(), connection},
+    void connect(NodeConnection connection) {
+        transport.connect(connection.address, connectTimeout, () -> new ChannelHandler[] {connection.decoder, connection},
                 connection::close);
     }
 
@@ -147,8 +150,7 @@
 
     void ended(Attempt attempt, Ending ending, NodeConnection by) {
         double took = clock.now() - (attempt.dispatch == null ? attempt.startedAt : attempt.dispatch.sentAt);
-        Reply reply = by == null ? new Reply(ending.outcome(), took, Role.UNKNOWN, 0, Role.UNKNOWN, 0, -1)
-                : by.reply(ending, took);
+        Reply reply = by == null ? Reply.untold(ending.outcome(), took) : by.reply(ending, took);
         if (attempt.dispatch == null) {
             listener.probed(attempt.node, reply);
         } else {
--- a/src/main/java/clayhook/nodes/Pool.java
+++ b/src/main/java/clayhook/nodes/Pool.java
@@ -60,9 +60,9 @@
                 ended(waiting.poll(), new Ending.Broken(Stage.NOT_CONNECTED), null);
                 continue;
             }
-            var connection = new NodeConnection(this, nodes.now());
+            var connection = new NodeConnection(this, address, nodes.now());
             opening.add(connection);
-            nodes.connect(connection, address);
+            nodes.connect(connection);
         }
     }
 
@@ -73,6 +73,11 @@
     }
 
     void freed(NodeConnection connection) {
+        if (!connection.address.equals(address)) {
+            connection.close();
+            serve();
+            return;
+        }
         connection.idleSince = nodes.now();
         idle.push(connection);
         serve();
@@ -121,6 +126,14 @@
         return old.size();
     }
 
+    double now() {
+        return nodes.now();
+    }
+
+    int idle() {
+        return idle.size();
+    }
+
     double oldestIdle() {
         return idle.isEmpty() ? Double.POSITIVE_INFINITY : idle.peekLast().idleSince;
     }
--- a/src/main/java/clayhook/protocol/NodeDecoder.java
+++ b/src/main/java/clayhook/protocol/NodeDecoder.java
@@ -4,6 +4,9 @@
 
 /** Decodes what a node sends. */
 public final class NodeDecoder extends FrameDecoder {
+    /** What describes a column after its name: table, number, type, size, modifier and format. */
+    private static final int COLUMN = 18;
+
     @Override
     boolean typed() {
         return true;
@@ -21,15 +24,59 @@
 
     @Override
     Object message(char type, ByteBuf body) {
-        return switch (type) {
+        byte[] whole = "TDC".indexOf(type) < 0 ? null : whole(body);
+        Object message = switch (type) {
             case 'R' -> body.readInt() == 0 ? new NodeMessage.AuthenticationOk() : malformed("asks for a password");
             case 'S' -> new NodeMessage.ParameterStatus(text(body), text(body));
-            case 'T', 'D', 'C' -> new NodeMessage.Part(type, whole(body));
+            case 'T', 'D', 'C' -> {
+                part(type, body);
+                yield new NodeMessage.Part(type, whole);
+            }
             case 'E' -> error(body);
-            case 'Z' -> new NodeMessage.ReadyForQuery();
-            case 'K', 'N', 'I' -> new NodeMessage.Ignored();
+            case 'N' -> {
+                error(body);
+                yield new NodeMessage.Notice();
+            }
+            case 'Z' -> {
+                check(body.readByte() == 'I');
+                yield new NodeMessage.ReadyForQuery();
+            }
+            case 'K' -> {
+                body.skipBytes(8);
+                yield new NodeMessage.CancelKey();
+            }
             default -> malformed("an unknown message of type " + (int) type);
         };
+        check(!body.isReadable() || message instanceof NodeMessage.Malformed);
+        return message;
+    }
+
+    /** Checks a part of an answer: one column, and lengths that fit. */
+    private static void part(char type, ByteBuf body) {
+        if (type == 'C') {
+            text(body);
+            return;
+        }
+        check(body.readShort() == 1);
+        if (type == 'T') {
+            text(body);
+            body.skipBytes(COLUMN);
+        } else {
+            int length = body.readInt();
+            check(length >= 0);
+            body.skipBytes(length);
+        }
+    }
+
+    private static void check(boolean fits) {
+        if (!fits) {
+            throw new IllegalArgumentException("a message that does not fit its form");
+        }
+    }
+
+    /** Part of a message has come. */
+    public boolean holdsPart() {
+        return actualReadableBytes() > 0;
     }
 
     private static byte[] whole(ByteBuf body) {
--- a/src/main/java/clayhook/protocol/NodeMessage.java
+++ b/src/main/java/clayhook/protocol/NodeMessage.java
@@ -12,12 +12,12 @@
 
     /** RowDescription, DataRow or CommandComplete, whole as it came. */
     record Part(char type, byte[] message) implements NodeMessage {
-        /** The first column of a DataRow as text, or null. */
-        public String firstColumn() {
-            int length = message.length < 11 ? -1 : (message[7] & 0xff) << 24 | (message[8] & 0xff) << 16
-                    | (message[9] & 0xff) << 8 | message[10] & 0xff;
-            return length < 0 || 11 + length > message.length ? null
-                    : new String(message, 11, length, StandardCharsets.UTF_8);
+        /** Where the value of a DataRow stands: after the type, its length, the count and its own length. */
+        private static final int VALUE = 1 + 4 + 2 + 4;
+
+        /** The column of a DataRow as text. */
+        public String column() {
+            return new String(message, VALUE, message.length - VALUE, StandardCharsets.UTF_8);
         }
     }
 
@@ -27,8 +27,11 @@
     record ReadyForQuery() implements NodeMessage {
     }
 
-    /** A notice, or the key for cancelling. */
-    record Ignored() implements NodeMessage {
+    record Notice() implements NodeMessage {
+    }
+
+    /** The key for cancelling, which is not used. */
+    record CancelKey() implements NodeMessage {
     }
 
     /** Nothing after it can be understood. */
--- a/src/main/java/clayhook/rehearsal/StandInClient.java
+++ b/src/main/java/clayhook/rehearsal/StandInClient.java
@@ -43,7 +43,7 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             if (message instanceof NodeMessage.Part part && part.type() == 'D') {
-                word = part.firstColumn();
+                word = part.column();
             } else if (message instanceof NodeMessage.ErrorResponse error) {
                 word = error.code();
             } else if (message instanceof NodeMessage.ReadyForQuery) {
--- a/src/main/java/clayhook/rehearsal/StandInNode.java
+++ b/src/main/java/clayhook/rehearsal/StandInNode.java
@@ -18,12 +18,20 @@
 
 /** A node that does to each statement what it is told to. */
 public final class StandInNode extends StandIn {
-    /** What a node may do: answer with a row, or an error of that code, reset the connection, or say nothing. */
-    public record Deed(String value, String errorCode, boolean resets) {
+    /** What a node may do: answer with a row, an error of that code, or that, reset the connection, or say nothing. */
+    public record Deed(String value, String errorCode, boolean resets, ByteBuf bytes) {
+        private Deed(String value, String errorCode, boolean resets) {
+            this(value, errorCode, resets, null);
+        }
+
         public static Deed answer(String value) {
             return new Deed(value, null, false);
         }
 
+        public static Deed bytes(ByteBuf bytes) {
+            return new Deed(null, null, false, bytes);
+        }
+
         public static Deed error(String code) {
             return new Deed(null, code, false);
         }
@@ -70,6 +78,8 @@
         private void done(ChannelHandlerContext ctx, Deed deed) {
             if (deed.resets()) {
                 ctx.close();
+            } else if (deed.bytes() != null) {
+                ctx.writeAndFlush(deed.bytes().retainedDuplicate());
             } else if (deed.errorCode() != null) {
                 ctx.writeAndFlush(Encoder.error(false, deed.errorCode(), "as told", null));
             } else if (deed.value() != null) {
--- a/src/test/java/clayhook/nodes/NodesTest.java
+++ b/src/test/java/clayhook/nodes/NodesTest.java
@@ -1,18 +1,22 @@
 package clayhook.nodes;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import clayhook.Command;
 import clayhook.Dispatch;
 import clayhook.Node;
 import clayhook.Outcome;
 import clayhook.Reply;
+import clayhook.Role;
 import clayhook.protocol.Statement;
 import clayhook.rehearsal.StandInNode;
 import clayhook.rehearsal.StandInNode.Deed;
 import clayhook.serve.Clock;
 import clayhook.serve.Descriptors;
 import clayhook.serve.Transport;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -20,6 +24,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class NodesTest implements Nodes.Listener {
     private static final Statement READ =
@@ -29,9 +34,13 @@
     private final LinkedBlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
     private final AtomicInteger statements = new AtomicInteger();
     private boolean may = true;
+    private Reply reply;
+    private String answer;
 
     @Override
     public void ended(Dispatch dispatch, Reply reply, byte[] answer) {
+        this.reply = reply;
+        this.answer = answer == null ? "" : new String(answer, StandardCharsets.ISO_8859_1);
         outcomes.add(reply.outcome());
     }
 
@@ -75,6 +84,12 @@
         return outcomes.take();
     }
 
+    private void awaitIdle(Nodes nodes) throws Exception {
+        while (transport.loop().submit(nodes::idle).get() == 0) {
+            Thread.onSpinWait();
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"mute, 0.5, TIMED_OUT", "replica, 60, ANSWERED"})
     void aProbeIsBoundedInTimeAndTheNextOneGoesOut(String role, double timeout, Outcome outcome) throws Exception {
@@ -125,6 +140,7 @@
         Node node = node(nodes, "replica", Deed.error(code), Deed.answer("a"));
         send(nodes, node);
         assertEquals(outcome, next(nodes));
+        awaitIdle(nodes);
         send(nodes, node);
         assertEquals(Outcome.ANSWERED, next(nodes));
         assertEquals(1, transport.loop().submit(() -> nodes.connections()).get());
@@ -136,10 +152,75 @@
         Nodes nodes = nodes(60, idle);
         send(nodes, node(nodes, "replica", Deed.answer("a"), Deed.answer("a")));
         assertEquals(Outcome.ANSWERED, outcomes.take());
+        awaitIdle(nodes);
         transport.loop().submit(nodes::sweep).get();
         assertEquals(left, transport.loop().submit(() -> nodes.connections()).get());
     }
 
+    /** T, D, C, S, E and Z are good messages; a small letter is one whose inside does not fit. */
+    private static ByteBuf messages(String letters) {
+        ByteBuf out = Unpooled.buffer();
+        for (char letter : letters.toCharArray()) {
+            String body = switch (letter) {
+                case 'T' -> "\0\1val\0" + "\0".repeat(18);
+                case 't' -> "\0\2val\0" + "\0".repeat(18);
+                case 'D' -> "\0\1\0\0\0\3old";
+                case 'd' -> "\0\1\0\0\0\2old";
+                case 'n' -> "\0\1\377\377\377\377";
+                case 'C' -> "SELECT 1\0";
+                case 'c' -> "SELECT 1";
+                case 'S' -> "applied_ms\0" + "1000\0";
+                case 'r' -> "load\0x0=1e300\0";
+                case 'E' -> "C53300\0\0";
+                case 'Z' -> "I";
+                default -> "";
+            };
+            char type = letter == 'n' ? 'D' : letter == 'r' ? 'S' : Character.toUpperCase(letter);
+            out.writeByte(type).writeInt(4 + body.length()).writeCharSequence(body, StandardCharsets.ISO_8859_1);
+        }
+        return out;
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"DCZ", "TCZ", "TDZ", "TDDCZ", "TTDCZ", "TDSCEZ", "SZ", "tDCZ", "TdCZ", "TnCZ", "TDcZ", "STDCz",
+        "STDCq", "STDCSs", "Eq"})
+    void aSpoiltAnswerMayHaveRunTellsNothingAndEndsItsConnection(String letters) throws Exception {
+        Nodes nodes = nodes(60, 60);
+        Node node = node(nodes, "replica", Deed.bytes(messages(letters)), Deed.answer("new"));
+        send(nodes, node);
+        assertEquals(Outcome.ERROR, next(nodes));
+        assertEquals(Reply.untold(Outcome.ERROR, reply.took()), reply);
+        send(nodes, node);
+        assertEquals(Outcome.ANSWERED, next(nodes));
+        assertTrue(answer.contains("new"), answer);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"TDCZTDCZ", "TDCZq", "TDCZT", "TDCZS", "TDSCZZ", "EZTDCZ"})
+    void whatFollowsAGoodAnswerIsNotTheNextOnes(String letters) throws Exception {
+        Nodes nodes = nodes(60, 60);
+        ByteBuf bytes = messages(letters);
+        for (int cut : new int[] {0, 1, 5}) {
+            statements.set(0);
+            Node node = node(nodes, "replica", Deed.bytes(bytes.slice(0, bytes.readableBytes() - cut)),
+                    Deed.answer("new"));
+            send(nodes, node);
+            assertEquals(letters.startsWith("E") ? Outcome.FULL : Outcome.ANSWERED, next(nodes));
+            send(nodes, node);
+            assertEquals(Outcome.ANSWERED, next(nodes));
+            assertTrue(answer.contains("new"), answer);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"TDrCZ, 0", "TDrSCZ, 1"})
+    void aReportThatCannotBeCostsOnlyItself(String letters, double position) throws Exception {
+        Nodes nodes = nodes(60, 60);
+        send(nodes, node(nodes, "replica", Deed.bytes(messages(letters)), null));
+        assertEquals(Outcome.ANSWERED, next(nodes));
+        assertEquals(new Reply(Outcome.ANSWERED, reply.took(), Role.UNKNOWN, position, Role.UNKNOWN, 0, -1), reply);
+    }
+
     @Test
     void aNodeThatMovedIsMetAtItsNewAddress() throws Exception {
         Nodes nodes = nodes(60, 60);
--- a/src/test/java/clayhook/protocol/DecodersTest.java
+++ b/src/test/java/clayhook/protocol/DecodersTest.java
@@ -70,8 +70,8 @@
     @ValueSource(ints = {1, 5, 1000})
     void nodeMessagesMayBeSplitAnywhere(int size) {
         ByteBuf bytes = Unpooled.wrappedBuffer(Encoder.welcome(0), Encoder.error(false, "53300", "full", null),
-                message('D', 4), message('Z', 4));
-        assertEquals(List.of("AuthenticationOk", "ParameterStatus", "ParameterStatus", "ParameterStatus", "Ignored",
+                message('C', 5).writeByte(0), Encoder.ready());
+        assertEquals(List.of("AuthenticationOk", "ParameterStatus", "ParameterStatus", "ParameterStatus", "CancelKey",
                 "ReadyForQuery", "ErrorResponse", "ReadyForQuery", "Part", "ReadyForQuery"),
                 kinds(new NodeDecoder(), bytes, size));
     }
