Follow discovery to its new address on SIGHUP

Now it is handled from the start (serve.Hangup); the file is read and checked whole, a faulty one changes nothing and is logged with its key; discovery is asked for the whole list at its new address, while the old one goes on until the new one answers. Keys that only a start reads are named in the log.

--- a/src/main/java/clayhook/cli/Main.java
+++ b/src/main/java/clayhook/cli/Main.java
@@ -5,6 +5,7 @@
 import clayhook.config.Configuration;
 import clayhook.config.Json;
 import clayhook.rehearsal.Rehearsal;
+import clayhook.serve.Hangup;
 import clayhook.serve.Log;
 import clayhook.serve.Server;
 import clayhook.serve.Transport;
@@ -16,6 +17,7 @@
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.Semaphore;
 
 /** The command line. */
 public final class Main {
@@ -86,9 +88,21 @@
         }
     }
 
-    /** Serves until the process is told to end; the thread of the router keeps it running. */
+    private static void reload(Server server) {
+        try {
+            server.reload(Configuration.read(System.getenv()));
+        } catch (BadConfig e) {
+            Log.warn("reload", "reload: the configuration stays as it was: " + e.getMessage());
+        } catch (RuntimeException e) {
+            Log.fault("a reload failed", e);
+        }
+    }
+
+    /** Serves until the process is told to end, and reads the configuration again when it is told that. */
     private static void serve() {
+        var reloads = new Semaphore(0);
         try {
+            Hangup.handle(reloads::release);
             Configuration configuration = Configuration.read(System.getenv());
             rehearse(configuration.settings());
             Log.info("serving as " + configuration.name() + " at " + configuration.listen());
@@ -100,6 +114,11 @@
                     Log.fault("the end was cut short", e);
                 }
             }));
+            while (true) {
+                reloads.acquire();
+                reloads.drainPermits(); // several in a row are one, as the file is read after them
+                reload(server);
+            }
         } catch (BadConfig e) {
             System.err.println("clayhook: " + e.getMessage());
             System.exit(2);
--- a/src/main/java/clayhook/config/Configuration.java
+++ b/src/main/java/clayhook/config/Configuration.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -65,6 +66,24 @@
                 (int) limit(map, "sockets", SOCKETS), known(map.get("known")), read, reader.connectTimeout());
     }
 
+    /** The keys in which another differs and which only a start reads; the seed and the known list are for starts. */
+    public String unlike(Configuration other) {
+        var keys = new ArrayList<String>();
+        if (!name.equals(other.name)) {
+            keys.add("name");
+        }
+        if (!listen.equals(other.listen)) {
+            keys.add("listen");
+        }
+        if (memory != other.memory || sockets != other.sockets) {
+            keys.add("limits");
+        }
+        if (!settings.equals(other.settings) || connectTimeout != other.connectTimeout) {
+            keys.add("settings");
+        }
+        return String.join(", ", keys);
+    }
+
     /** One value a path; lists of plain values are joined by commas, those of objects state their length. */
     private static void flatten(String path, Object json, Map<String, String> values) {
         if (json instanceof Map<?, ?> map) {
--- a/src/main/java/clayhook/discovery/DiscoveryClient.java
+++ b/src/main/java/clayhook/discovery/DiscoveryClient.java
@@ -11,34 +11,29 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 
-/** Watches the list of nodes: one connection, one call after the other, each as soon as the last is answered. */
-public final class DiscoveryClient {
+/** Watches one service: one connection, one call after the other, each as soon as the last is answered. */
+final class DiscoveryClient {
+    /** Asks for the whole list. */
+    static final long NO_VERSION = -1;
+
     /** Long beside the cost of a call; short beside the time after which a silent service is found out. */
     private static final int WAIT_MS = 10_000;
     /** Above the time that a call may wait for its turn; below the time at which news count as told. */
-    private static final int SILENT_MS = WAIT_MS + 1900;
+    private static final int TURN_MS = 1900;
 
     /** As long as a call may wait for its turn. */
     private static final double CONNECT_S = 2;
 
-    /** Hears what discovery tells. */
-    public interface Listener {
-        void listed(NodeList list);
-
-        /** A call failed; the next one is made when {@link #watch} is called. */
-        void listFailed();
-    }
-
     private final Transport transport;
-    private final InetSocketAddress address;
-    private final Listener listener;
+    final InetSocketAddress address;
+    private final Discovery.Listener listener;
     private final String host;
     private long version;
     /** The call in hand, or null. */
     private Call call;
     private Channel connection;
 
-    public DiscoveryClient(Transport transport, InetSocketAddress address, long version, Listener listener) {
+    DiscoveryClient(Transport transport, InetSocketAddress address, long version, Discovery.Listener listener) {
         this.transport = transport;
         this.address = address;
         this.version = version;
@@ -79,7 +74,7 @@
     }
 
     /** Sees to it that a watch stands. */
-    public void watch() {
+    void watch() {
         if (call != null) {
             return;
         }
@@ -106,20 +101,21 @@
     }
 
     /** Watches no more. */
-    public void close() {
+    void close() {
         call = null;
         drop();
     }
 
     private void ask(Call made) {
-        String request = "GET /v1/endpoints?after=" + version + "&wait_ms=" + WAIT_MS + " HTTP/1.1\r\nHost: "
-                + host + "\r\n\r\n";
+        boolean whole = version == NO_VERSION;
+        String query = whole ? "" : "?after=" + version + "&wait_ms=" + WAIT_MS;
+        String request = "GET /v1/endpoints" + query + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n";
         connection.writeAndFlush(Unpooled.copiedBuffer(request, StandardCharsets.US_ASCII));
         connection.eventLoop().schedule(() -> {
             if (call == made) {
                 failed("no answer");
             }
-        }, SILENT_MS, TimeUnit.MILLISECONDS);
+        }, whole ? TURN_MS : WAIT_MS + TURN_MS, TimeUnit.MILLISECONDS);
     }
 
     private void answered(HttpResponse response) {
--- a/src/main/java/clayhook/serve/Router.java
+++ b/src/main/java/clayhook/serve/Router.java
@@ -12,7 +12,7 @@
 import clayhook.Reply;
 import clayhook.Settings;
 import clayhook.config.Configuration;
-import clayhook.discovery.DiscoveryClient;
+import clayhook.discovery.Discovery;
 import clayhook.discovery.NodeList;
 import clayhook.front.ClientCommand;
 import clayhook.front.Front;
@@ -31,7 +31,7 @@
 import java.util.function.DoubleConsumer;
 
 /** The loop: gathers what is ready, hands it to the module in one go, carries out what came back. */
-public final class Router implements Session.Listener, Nodes.Listener, DiscoveryClient.Listener {
+public final class Router implements Session.Listener, Nodes.Listener, Discovery.Listener {
     /** Time between summaries in the log. */
     private static final double SUMMARY = 10;
     /** Time between looks at connections that open or stand idle; short beside a connection's time limit. */
@@ -42,6 +42,7 @@
     /** Where a corrected clock falls short of the time asked for. */
     private static final double LEAST_WAKE = 0.001;
 
+    private final Configuration started;
     private final EventLoop loop;
     private final Clock clock = new Clock();
     private final Settings settings;
@@ -49,7 +50,7 @@
     private final Decide decide;
     private final Hand hand;
     private final Nodes nodes;
-    private final DiscoveryClient discovery;
+    private final Discovery discovery;
     private final Front front;
     private final Descriptors descriptors;
     /** The commands that sessions wait for; each leaves with its final answer. */
@@ -68,6 +69,7 @@
     private double summaryAt = clock.now() + SUMMARY;
 
     public Router(Transport transport, Configuration configuration) throws InterruptedException {
+        started = configuration;
         loop = transport.loop();
         settings = configuration.settings();
         settings.groups().forEach(g -> groups.put(g.name(), g));
@@ -76,7 +78,7 @@
         hand = new Hand(decide, fault -> Log.fault("a turn failed", fault));
         nodes = new Nodes(transport, clock, descriptors, configuration.connectTimeout(),
                 settings.connectionIdle(), this);
-        discovery = new DiscoveryClient(transport, configuration.discovery(), configuration.known().version(), this);
+        discovery = new Discovery(transport, configuration.discovery(), configuration.known().version(), this);
         decide.listed(listings(configuration.known()), true, clock.now());
         descriptors.giveBackBy(this::giveBack);
         front = new Front(transport, configuration.listen(), descriptors, configuration.memory(), this);
@@ -253,6 +255,14 @@
         }
     }
 
+    /** Follows discovery; what else differs from the start is only told. */
+    void reload(Configuration fresh) {
+        String kept = started.unlike(fresh);
+        Log.info("reload: discovery at " + fresh.discovery()
+                + (kept.isEmpty() ? "" : "; a restart is needed for " + kept));
+        discovery.move(fresh.discovery());
+    }
+
     InetSocketAddress address() {
         return front.address();
     }
--- a/src/main/java/clayhook/serve/Server.java
+++ b/src/main/java/clayhook/serve/Server.java
@@ -28,6 +28,13 @@
         return router.address();
     }
 
+    /** Takes over what can be changed while it serves. */
+    public synchronized void reload(Configuration fresh) {
+        if (!closed) {
+            transport.loop().execute(() -> router.reload(fresh));
+        }
+    }
+
     /** Serves on for a moment, answers what it has taken, then closes; returns when all is over. */
     public void end() throws Exception {
         Log.info("ending: serves on for " + STILL_OPEN_MS + " ms");
--- a/src/test/java/clayhook/config/ConfigurationTest.java
+++ b/src/test/java/clayhook/config/ConfigurationTest.java
@@ -61,6 +61,15 @@
         assertTrue(bad.getMessage().startsWith(key + ":"), bad.getMessage());
     }
 
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"\"n3\" | \"n4\" | name", "0.4:6543 | 0.4:6544 | listen",
+        "\"memory_mb\":192 | \"memory_mb\":128 | limits", "\"idempotent\" | \"at_most_once\" | settings",
+        "250000000} | 260000000} | settings", "\"rev\":41 | \"rev\":42 | ''", "8c1f30d27a5be964 | 1 | ''"})
+    void whatNeedsARestartIsNamed(String part, String by, String keys) throws BadConfig {
+        assertTrue(TEXT.contains(part));
+        assertEquals(keys, read(TEXT).unlike(read(TEXT.replace(part, by))));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"", "/nowhere/config.json"})
     void aMissingFileIsNamed(String file) {
