Serve on after SIGTERM while the platform waits; give all up before it kills

Ruled out: the reload (lists come from each new address in 0.4 s), descriptors, throttles. Server.end() now takes commands until the longest target before the kill, ends sessions that are between commands, and at 3.3 s gives up what is left (Decide.giveUp), so nothing is found unanswered.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -297,7 +297,7 @@
     private static final double LEEWAY = 0.03;
 
     /** The final answer to a command that this router gives up: a throttle wherever the rules allow it. */
-    private Choice giveUp(Command cmd) {
+    public Choice giveUp(Command cmd) {
         boolean harmless = cmd.group.effect() == Effect.REPLAYABLE || cmd.firstThatMayHaveRun() == null
                 || cmd.group.effect() == Effect.KEYED && cmd.group.repeatScope() == Scope.ALL;
         // Soon enough for an answer within the target, spread so that clients don't return together.
--- a/src/main/java/clayhook/hand/Hand.java
+++ b/src/main/java/clayhook/hand/Hand.java
@@ -65,6 +65,15 @@
         release(command);
     }
 
+    /** All that is in hand gets its final answer now. */
+    public void giveUp() {
+        for (Command command : List.copyOf(held)) {
+            if (!command.over) {
+                order(command, () -> decide.giveUp(command));
+            }
+        }
+    }
+
     /** The dispatches whose time limit has passed. */
     public List<Dispatch> overdue(double now) {
         if (now < nextLimit) {
--- a/src/main/java/clayhook/serve/Router.java
+++ b/src/main/java/clayhook/serve/Router.java
@@ -278,6 +278,11 @@
         front.end();
     }
 
+    /** Nothing can be waited for any more. */
+    void giveUp() {
+        tell(rest, now -> hand.giveUp());
+    }
+
     boolean ended() {
         return front.size() == 0;
     }
--- a/src/main/java/clayhook/serve/Server.java
+++ b/src/main/java/clayhook/serve/Server.java
@@ -1,27 +1,37 @@
 package clayhook.serve;
 
+import clayhook.CommandGroup;
 import clayhook.config.Configuration;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.Callable;
 
 /** One router from its start to its end. */
 public final class Server {
     /** After a request to end, new connections keep coming for up to 0.4 s. */
     private static final long STILL_OPEN_MS = 500;
-    /** The platform kills no sooner than 0.7 s after the longest client timeout. */
-    private static final long AFTER_TIMEOUT_MS = 600;
+    /** The platform kills no sooner than this after the longest client timeout, or after three seconds if that is less. */
+    private static final double KILLED_AFTER = 0.7;
+    private static final double LONGEST_COUNTED = 3;
+    /** To write the last answers and end. */
+    private static final double AT_LAST = 0.4;
     private static final long LOOK_MS = 20;
 
     private final Transport transport;
     private final Router router;
-    private final long longest;
+    /** Seconds after a request to end: until no more commands are taken, and until what is left is given up. */
+    private final double takesUntil;
+    private final double givesUpAt;
     private boolean closed;
 
     public Server(Transport transport, Configuration configuration) throws InterruptedException {
         this.transport = transport;
         router = new Router(transport, configuration);
-        longest = (long) (1000 * configuration.settings().groups().stream()
-                .mapToDouble(g -> g.clientTimeout()).max().orElse(3));
+        List<CommandGroup> groups = configuration.settings().groups();
+        double longest = groups.stream().mapToDouble(CommandGroup::clientTimeout).max().orElse(LONGEST_COUNTED);
+        double target = groups.stream().mapToDouble(CommandGroup::responseTarget).max().orElse(0);
+        givesUpAt = Math.min(longest, LONGEST_COUNTED) + KILLED_AFTER - AT_LAST;
+        takesUntil = givesUpAt - Math.min(target, givesUpAt / 2);
     }
 
     public InetSocketAddress address() {
@@ -35,18 +45,26 @@
         }
     }
 
-    /** Serves on for a moment, answers what it has taken, then closes; returns when all is over. */
+    /** Serves on while the platform waits, answers what it has taken, then closes; returns when all is over. */
     public void end() throws Exception {
-        Log.info("ending: serves on for " + STILL_OPEN_MS + " ms");
-        long until = System.nanoTime() + (longest + AFTER_TIMEOUT_MS) * 1_000_000;
+        Log.info("ending: takes commands for " + takesUntil + " s");
+        long start = System.nanoTime();
         Thread.sleep(STILL_OPEN_MS);
+        await(start, takesUntil);
         transport.loop().submit(router::end).get();
+        await(start, givesUpAt);
+        transport.loop().submit(router::giveUp).get();
+        await(start, givesUpAt + AT_LAST / 2);
+        close();
+        Log.info("ended");
+    }
+
+    /** Waits so many seconds from the start, or until no client is left. */
+    private void await(long start, double seconds) throws Exception {
         Callable<Boolean> ended = router::ended;
-        while (!transport.loop().submit(ended).get() && System.nanoTime() < until) {
+        while ((System.nanoTime() - start) / 1e9 < seconds && !transport.loop().submit(ended).get()) {
             Thread.sleep(LOOK_MS);
         }
-        close();
-        Log.info("ended");
     }
 
     /** Ends at once, whatever is in hand. */
--- a/src/test/java/clayhook/serve/ServerTest.java
+++ b/src/test/java/clayhook/serve/ServerTest.java
@@ -194,11 +194,7 @@
         assertEquals("closed", client.next());
     }
 
-    @Test
-    void whatWasTakenBeforeTheEndIsAnswered() throws Exception {
-        start(always(Deed.silence()), always(Deed.answer("r")), 1024);
-        greet("id=1,c=brief,d=1500,cluster=1");
-        sent.take();
+    private Thread end() {
         var ending = new Thread(() -> {
             try {
                 server.end();
@@ -207,7 +203,20 @@
             }
         });
         ending.start();
-        assertEquals("40003", client.next());
+        return ending;
+    }
+
+    @ParameterizedTest
+    @CsvSource({MUTATING_CSV + ", 40003", READ_CSV + ", 53300"})
+    void whatWasTakenIsAnsweredBeforeTheEndAsIsWhatComesMeanwhile(String fields, String word) throws Exception {
+        start(always(Deed.silence()), statement -> sent.size() < 3 ? Deed.answer("r") : Deed.silence(), 1024);
+        greet(READ);
+        assertEquals("r", client.next());
+        Thread ending = end();
+        client.send(StandInClient.statement(READ));
+        assertEquals("r", client.next());
+        client.send(StandInClient.statement(fields));
+        assertEquals(word, client.next());
         assertEquals("closed", client.next());
         ending.join();
     }
