--- a/src/main/java/clayhook/cli/Main.java
+++ b/src/main/java/clayhook/cli/Main.java
@@ -66,6 +66,7 @@
     /** Not for service: the build makes the archive of classes from what this loads. */
     private static int rehearse() {
         try {
+            Hangup.handle(() -> { });
             Settings settings = Configuration.of(Json.parse(REHEARSED), Map.of()).settings();
             Rehearsal.run(settings, Transport.rehearsal());
             Rehearsal.run(settings, Transport.tcp());
--- a/src/main/java/clayhook/serve/Server.java
+++ b/src/main/java/clayhook/serve/Server.java
@@ -31,7 +31,7 @@
         double longest = groups.stream().mapToDouble(CommandGroup::clientTimeout).max().orElse(LONGEST_COUNTED);
         double target = groups.stream().mapToDouble(CommandGroup::responseTarget).max().orElse(0);
         givesUpAt = Math.min(longest, LONGEST_COUNTED) + KILLED_AFTER - AT_LAST;
-        takesUntil = givesUpAt - Math.min(target, givesUpAt / 2);
+        takesUntil = givesUpAt - Math.min(target, givesUpAt) / 2; // most answers come in half of their target
     }
 
     public InetSocketAddress address() {
@@ -47,7 +47,7 @@
 
     /** Serves on while the platform waits, answers what it has taken, then closes; returns when all is over. */
     public void end() throws Exception {
-        Log.info("ending: takes commands for " + takesUntil + " s");
+        Log.info("ending: takes commands for " + Math.round(takesUntil * 1000) + " ms");
         long start = System.nanoTime();
         Thread.sleep(STILL_OPEN_MS);
         await(start, takesUntil);
