Take only statements of the form that nodes take, and no id of an open command

Statement.parse took any text with a comment; Router.taken looked at the command group alone. Now the whole statement must be a read or write of the form, each field once and of its form, the kind that of its command group, a key where that is keyed, a group of nodes that was listed (an unknown one made a table entry in the module), no id of an open command; waits end at the client timeout.

--- a/src/main/java/clayhook/front/ClientCommand.java
+++ b/src/main/java/clayhook/front/ClientCommand.java
@@ -10,7 +10,8 @@
     public final Statement statement;
 
     public ClientCommand(CommandGroup group, Statement statement, Session session, double now) {
-        super(group, statement.nodeGroup, statement.key, statement.after, now, now + statement.wait);
+        super(group, statement.nodeGroup, statement.key, statement.after, now,
+                now + Math.min(statement.wait, group.clientTimeout()));
         this.session = session;
         this.statement = statement;
     }
--- a/src/main/java/clayhook/nodes/Nodes.java
+++ b/src/main/java/clayhook/nodes/Nodes.java
@@ -62,6 +62,11 @@
         return pool.node;
     }
 
+    /** Whether any node of that group was ever listed. */
+    public boolean listed(int group) {
+        return pools.values().stream().anyMatch(pool -> pool.node.group() == group);
+    }
+
     public void send(Dispatch dispatch, Statement statement) {
         var attempt = new Attempt(dispatch.node, dispatch, statement, clock.now());
         attempts.put(dispatch, attempt);
--- a/src/main/java/clayhook/protocol/Statement.java
+++ b/src/main/java/clayhook/protocol/Statement.java
@@ -1,16 +1,30 @@
 package clayhook.protocol;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.US_ASCII;
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** A client's statement and what its comment says; it goes on to nodes with no change but the time to wait. */
 public final class Statement {
+    private static final String KEY = "[^'\\\\\\p{Cntrl}]{1,256}";
+    /** The two forms that nodes take; a character is a byte here. */
+    private static final Pattern FORM = Pattern.compile("(?:SELECT val FROM state WHERE uid = '(?<read>" + KEY
+            + ")'|INSERT INTO state \\(uid, val\\) VALUES \\('(?<written>" + KEY
+            + ")', '\\\\x(?:[0-9a-fA-F]{2})*+'\\) RETURNING val)\\s*/\\*(?<comment>[^*]*+)\\*/\\s*;?\\s*");
+    private static final Pattern ID = Pattern.compile("[0-9A-Za-z_-]{1,64}");
+    /** Far above any time in milliseconds, and any position. */
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,15}");
+    private static final Pattern SMALL = Pattern.compile("[0-9]{1,9}");
+
     private final byte[] text;
     /** Where the value of {@code d} stands in the text. */
     private final int waitFrom;
     private final int waitTo;
+    public final String id;
     /** The name of its command group. */
     public final String group;
     public final int nodeGroup;
@@ -20,77 +34,62 @@
     public final double after;
     /** The quoted key. */
     public final String key;
+    public final boolean writes;
+    /** It has a key by which nodes drop its repeats. */
+    public final boolean keyed;
 
-    private Statement(byte[] text, int commentFrom, Map<String, Integer> at, Map<String, String> values) {
+    private Statement(byte[] text, Matcher form) {
         this.text = text;
-        waitFrom = at.get("d");
-        waitTo = waitFrom + values.get("d").length();
-        group = values.get("c");
-        nodeGroup = Integer.parseInt(values.get("cluster"));
-        wait = Integer.parseUnsignedInt(values.get("d")) / 1000.0;
-        after = Long.parseLong(values.getOrDefault("after", "0")) / 1000.0;
-        key = quoted(commentFrom);
-    }
-
-    /** Throws IllegalArgumentException naming what its comment lacks. */
-    public static Statement parse(byte[] text) {
-        int from = comment(text);
+        writes = form.group("read") == null;
+        key = form.group(writes ? "written" : "read");
         Map<String, Integer> at = new HashMap<>();
         Map<String, String> values = new HashMap<>();
-        int end = Math.max(0, from);
-        while (end + 1 < text.length && !(text[end] == '*' && text[end + 1] == '/')) {
-            end++;
-        }
-        if (from < 0 || end + 1 >= text.length) {
-            throw new IllegalArgumentException("the statement has no comment that names its command");
-        }
-        for (int i = from; i < end; ) {
-            int stop = i;
-            int sign = -1;
-            for (; stop < end && text[stop] != ','; stop++) {
-                sign = sign < 0 && text[stop] == '=' ? stop : sign;
+        int from = form.start("comment");
+        for (String field : form.group("comment").split(",", -1)) {
+            int sign = field.indexOf('=');
+            String name = field.substring(0, Math.max(0, sign)).strip();
+            String value = field.substring(sign + 1);
+            at.put(name, from + sign + 1 + value.length() - value.stripLeading().length());
+            if (name.isEmpty() || values.put(name, value.strip()) != null) {
+                throw new IllegalArgumentException("the comment has a field without a name, or one twice");
             }
-            if (sign >= 0) {
-                String name = new String(text, i, sign - i, UTF_8).trim();
-                String value = new String(text, sign + 1, stop - sign - 1, UTF_8);
-                at.put(name, sign + 1 + value.length() - value.stripLeading().length());
-                values.put(name, value.trim());
-            }
-            i = stop + 1;
+            from += field.length() + 1;
         }
-        for (String name : new String[] {"id", "c", "d", "cluster"}) {
-            if (values.getOrDefault(name, "").isEmpty()) {
-                throw new IllegalArgumentException("the comment lacks " + name);
-            }
+        id = value(values, "id", ID);
+        group = values.get("c");
+        if (group == null) {
+            throw new IllegalArgumentException("the comment lacks c");
         }
-        return new Statement(text, from, at, values);
+        nodeGroup = Integer.parseInt(value(values, "cluster", SMALL));
+        String milliseconds = value(values, "d", NUMBER);
+        wait = Long.parseLong(milliseconds) / 1000.0;
+        waitFrom = at.get("d");
+        waitTo = waitFrom + milliseconds.length();
+        after = values.containsKey("after") ? Long.parseLong(value(values, "after", NUMBER)) / 1000.0 : 0;
+        keyed = values.containsKey("k") && !value(values, "k", ID).isEmpty();
     }
 
-    /** The start of the last comment's content, or -1. */
-    private static int comment(byte[] text) {
-        for (int i = text.length - 2; i >= 0; i--) {
-            if (text[i] == '/' && text[i + 1] == '*') {
-                return i + 2;
-            }
+    private static String value(Map<String, String> values, String name, Pattern form) {
+        String value = values.get(name);
+        if (value == null || !form.matcher(value).matches()) {
+            throw new IllegalArgumentException(
+                    "the comment " + (value == null ? "lacks " + name : "has no valid " + name));
         }
-        return -1;
+        return value;
     }
 
-    private String quoted(int before) {
-        int from = 0;
-        while (from < before && text[from] != '\'') {
-            from++;
-        }
-        int to = from + 1;
-        while (to < before && text[to] != '\'') {
-            to++;
+    /** Throws IllegalArgumentException naming what does not fit. */
+    public static Statement parse(byte[] text) {
+        Matcher form = FORM.matcher(new String(text, ISO_8859_1));
+        if (!form.matches()) {
+            throw new IllegalArgumentException("no read or write of the form that nodes take, with a comment that names it");
         }
-        return to < before ? new String(text, from + 1, to - from - 1, UTF_8) : null;
+        return new Statement(text, form);
     }
 
     /** The text to send to a node that will be waited for so long. */
     public byte[] withWait(double seconds) {
-        byte[] wait = Long.toString(Math.max(1, (long) (seconds * 1000))).getBytes(UTF_8);
+        byte[] wait = Long.toString(Math.max(1, (long) (seconds * 1000))).getBytes(US_ASCII);
         byte[] out = new byte[text.length - (waitTo - waitFrom) + wait.length];
         System.arraycopy(text, 0, out, 0, waitFrom);
         System.arraycopy(wait, 0, out, waitFrom, wait.length);
--- a/src/main/java/clayhook/rehearsal/Rehearsal.java
+++ b/src/main/java/clayhook/rehearsal/Rehearsal.java
@@ -1,5 +1,6 @@
 package clayhook.rehearsal;
 
+import clayhook.CommandGroup.ReadLevel;
 import clayhook.CommandGroup;
 import clayhook.Settings;
 import clayhook.config.Configuration;
@@ -47,7 +48,8 @@
         for (int i = 0; i < COMMANDS && System.nanoTime() / 1e9 < until; i++) {
             for (int j = 0; j < CLIENTS; j++) {
                 CommandGroup group = settings.groups().get(j % settings.groups().size());
-                ByteBuf statement = StandInClient.statement("id=1,c=" + group.name() + ",d=400,k=2,cluster=1");
+                ByteBuf statement = StandInClient.statement(group.level() == ReadLevel.WRITE,
+                        "id=" + j + ",c=" + group.name() + ",d=400,k=2,cluster=1");
                 if (i % STAY == 0) {
                     clients.add(new StandInClient(transport, server.address()));
                     clients.get(j).send(StandInClient.hello(statement));
--- a/src/main/java/clayhook/rehearsal/StandInClient.java
+++ b/src/main/java/clayhook/rehearsal/StandInClient.java
@@ -75,8 +75,10 @@
     }
 
     /** A statement whose comment holds these fields. */
-    public static ByteBuf statement(String fields) {
-        return Encoder.query(("SELECT val FROM state WHERE uid = 'k' /* " + fields + " */").getBytes(UTF_8));
+    public static ByteBuf statement(boolean writes, String fields) {
+        String text = writes ? "INSERT INTO state (uid, val) VALUES ('k', '\\x9f03') RETURNING val"
+                : "SELECT val FROM state WHERE uid = 'k'";
+        return Encoder.query((text + " /* " + fields + " */").getBytes(UTF_8));
     }
 
     /** Startup and a first statement in one piece. */
--- a/src/main/java/clayhook/serve/Router.java
+++ b/src/main/java/clayhook/serve/Router.java
@@ -3,6 +3,8 @@
 import clayhook.Choice.Verdict;
 import clayhook.Choice;
 import clayhook.Command;
+import clayhook.CommandGroup.Effect;
+import clayhook.CommandGroup.ReadLevel;
 import clayhook.CommandGroup;
 import clayhook.Decide;
 import clayhook.Dispatch;
@@ -25,8 +27,10 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleConsumer;
 
@@ -55,6 +59,8 @@
     private final Descriptors descriptors;
     /** The commands that sessions wait for; each leaves with its final answer. */
     private final Map<Session, ClientCommand> waiting = new HashMap<>();
+    /** Their ids. */
+    private final Set<String> open = new HashSet<>();
     /** What came in since the last turn; lists go before the rest. */
     private List<DoubleConsumer> lists = new ArrayList<>();
     private List<DoubleConsumer> rest = new ArrayList<>();
@@ -103,11 +109,13 @@
     @Override
     public void taken(Session session, Statement statement) {
         CommandGroup group = groups.get(statement.group);
-        if (group == null) {
-            Log.warn("client", "unknown command group " + statement.group);
-            loop.execute(() -> session.rejected("unknown command group"));
+        String fault = fault(group, statement);
+        if (fault != null) {
+            Log.warn("client", fault);
+            loop.execute(() -> session.rejected(fault));
             return;
         }
+        open.add(statement.id);
         tell(rest, now -> {
             var command = new ClientCommand(group, statement, session, now);
             waiting.put(session, command);
@@ -115,11 +123,21 @@
         });
     }
 
+    /** Why the statement is none that can be taken, or null. */
+    private String fault(CommandGroup group, Statement statement) {
+        return group == null ? "unknown command group"
+                : group.level() == ReadLevel.WRITE != statement.writes ? "a statement of another kind than its command group"
+                : group.effect() == Effect.KEYED && !statement.keyed ? "no key in a keyed command group"
+                : !nodes.listed(statement.nodeGroup) ? "unknown group of nodes"
+                : open.contains(statement.id) ? "the id of an open command" : null;
+    }
+
     @Override
     public void left(Session session) {
         tell(rest, now -> {
             ClientCommand command = waiting.remove(session);
             if (command != null) {
+                open.remove(command.statement.id);
                 Log.count("left");
                 hand.left(command);
             }
@@ -246,6 +264,7 @@
         if (!waiting.remove(order.session, order)) {
             return;
         }
+        open.remove(order.statement.id);
         if (answer != null) {
             order.session.answered(answer);
         } else if (choice.verdict() == Verdict.THROTTLE) {
--- a/src/test/java/clayhook/nodes/NodesTest.java
+++ b/src/test/java/clayhook/nodes/NodesTest.java
@@ -28,7 +28,7 @@
 
 class NodesTest implements Nodes.Listener {
     private static final Statement READ =
-            Statement.parse("SELECT 1 /* id=1,c=a,d=9,cluster=1 */".getBytes(StandardCharsets.UTF_8));
+            Statement.parse("SELECT val FROM state WHERE uid = 'k' /* id=1,c=a,d=9,cluster=1 */".getBytes(StandardCharsets.UTF_8));
     private final Transport transport = Transport.tcp();
     private final Clock clock = new Clock();
     private final LinkedBlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
--- a/src/test/java/clayhook/protocol/DecodersTest.java
+++ b/src/test/java/clayhook/protocol/DecodersTest.java
@@ -90,14 +90,37 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"SELECT 1 | no comment", "SELECT 1 /* id=1,c=a,d=5 | no comment",
-        "SELECT 1 /* id=1,c=a,d=5 */ | lacks cluster", "SELECT 1 /* c=a,d=5,cluster=1 */ | lacks id",
-        "SELECT 1 /* id=1,c=a,d=-5,cluster=1 */ | -5", "SELECT 1 /* id=1,c=a,d=5,cluster=x */ | x"})
-    void anUnreadableCommentIsNamed(String text, String named) {
+    @CsvSource(delimiter = '|', value = {"id=1,c=a,d=5 | lacks cluster", "c=a,d=5,cluster=1 | lacks id",
+        "id=1,d=5,cluster=1 | lacks c", "id=1,c=a,cluster=1 | lacks d", "id=1,c=a,d=-5,cluster=1 | no valid d",
+        "id=1,c=a,d=4e9,cluster=1 | no valid d", "id=1,c=a,d=9999999999999999,cluster=1 | no valid d",
+        "id=1,c=a,d=5,cluster=x | no valid cluster", "id=1,c=a,d=5,cluster=1,after=now | no valid after",
+        "id=1,c=a,d=5,cluster=1,id=2 | one twice", "id=1,c=a,d=5,cluster=1, | without a name",
+        "id= ,c=a,d=5,cluster=1 | no valid id", "id=1,c=a,d=5,cluster=1,k=* | no read or write"})
+    void anUnreadableCommentIsNamed(String comment, String named) {
+        String text = "SELECT val FROM state WHERE uid = 'k' /* " + comment + " */";
         var bad = assertThrows(IllegalArgumentException.class, () -> Statement.parse(text.getBytes(UTF_8)));
         assertTrue(bad.getMessage().contains(named), bad.getMessage());
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"SELECT 1", "SELECT val FROM state WHERE uid = 'a' OR 'b'", "SELECT val FROM state WHERE uid = ''",
+        "INSERT INTO state (uid, val) VALUES ('a', '\\x9') RETURNING val", "DELETE FROM state",
+        "INSERT INTO state (uid, val) VALUES ('a', 'x9f') RETURNING val", "INSERT INTO state (uid, val) VALUES ('a', '\\x9f')",
+        "SELECT val FROM state WHERE uid = 'a'; SELECT val FROM state WHERE uid = 'b'"})
+    void aStatementThatNodesDoNotTakeIsNoStatement(String text) {
+        String fields = " /* id=1,c=a,d=5,cluster=1 */";
+        assertThrows(IllegalArgumentException.class, () -> Statement.parse((text + fields).getBytes(UTF_8)));
+        assertThrows(IllegalArgumentException.class, () -> Statement.parse(text.getBytes(UTF_8)));
+    }
+
+    @Test
+    void theLongestValueIsRead() {
+        String text = "INSERT INTO state (uid, val) VALUES ('a', '\\x" + "9f".repeat(1 << 16) + "') RETURNING val "
+                + "/* id=1,c=a,d=5,k=7,cluster=1 */";
+        Statement write = Statement.parse(text.getBytes(UTF_8));
+        assertEquals(List.of(true, true, "a", 0.005), List.of(write.writes, write.keyed, write.key, write.wait));
+    }
+
     @Test
     void longStatementsOfAllClientsShareOneAllowance() {
         var allowance = new Allowance(200_000);
--- a/src/test/java/clayhook/serve/ServerTest.java
+++ b/src/test/java/clayhook/serve/ServerTest.java
@@ -79,8 +79,13 @@
         return any -> deed;
     }
 
+    /** Only the command group any reads. */
+    private static ByteBuf statement(String fields) {
+        return StandInClient.statement(!fields.contains("c=any"), fields);
+    }
+
     private void greet(String fields) throws InterruptedException {
-        client.send(StandInClient.hello(StandInClient.statement(fields)));
+        client.send(StandInClient.hello(statement(fields)));
         assertEquals("ready", client.next());
     }
 
@@ -125,7 +130,7 @@
         start(statement -> sent.size() == 1 ? Deed.silence() : Deed.answer("late"), always(Deed.answer("r")), 1024);
         greet("id=1,c=brief,d=1500,cluster=1");
         assertEquals("40003", client.next());
-        client.send(StandInClient.statement(READ));
+        client.send(statement(READ));
         assertEquals("r", client.next());
     }
 
@@ -137,28 +142,45 @@
         greet(READ);
         assertEquals("here", client.next());
         for (int i = 0; i < 4; i++) {
-            client.send(StandInClient.statement(READ));
+            client.send(statement(READ));
             assertEquals("here", client.next());
         }
     }
 
     @ParameterizedTest
-    @CsvSource({"'id=1,c=any,d=5,cluster=9', 53300", "'id=1,c=none,d=30000,cluster=1', 42601", "'id=1', 42601",
-        "'id=1,c=any,d=x,cluster=1', 42601"})
-    void whatCannotBeServedGetsAnErrorAndTheSessionGoesOn(String fields, String word) throws Exception {
+    @CsvSource({"false, 'id=1,c=any,d=30000,cluster=9'", "false, 'id=1,c=none,d=30000,cluster=1'", "false, id=1",
+        "false, 'id=1,c=any,d=x,cluster=1'", "true, 'id=1,c=any,d=30000,cluster=1'",
+        "false, 'id=1,c=mutating,d=30000,cluster=1'", "true, 'id=1,c=write,d=30000,cluster=1'"})
+    void whatCannotBeTakenGetsAnErrorComesToNoNodeAndTheSessionGoesOn(boolean writes, String fields) throws Exception {
         start(always(Deed.answer("p")), always(Deed.answer("r")), 1024);
-        greet(fields);
-        assertEquals(word, client.next());
-        client.send(StandInClient.statement(READ));
+        client.send(StandInClient.hello(StandInClient.statement(writes, fields)));
+        assertEquals("ready", client.next());
+        assertEquals("42601", client.next());
+        assertEquals(0, sent.size());
+        client.send(statement(READ));
         assertEquals("r", client.next());
     }
 
+    @Test
+    void anotherCommandWithTheIdOfAnOpenOneIsRefusedUntilThatIsAnswered() throws Exception {
+        start(always(Deed.silence()), always(Deed.answer("r")), 1024);
+        greet("id=2,c=brief,d=1500,cluster=1");
+        sent.take();
+        var other = new StandInClient(transport, server.address());
+        other.send(StandInClient.hello(statement("id=2,c=any,d=30000,cluster=1")));
+        assertEquals("ready", other.next());
+        assertEquals("42601", other.next());
+        assertEquals("40003", client.next());
+        other.send(statement("id=2,c=any,d=30000,cluster=1"));
+        assertEquals("r", other.next());
+    }
+
     @Test
     void answersComeInTheOrderOfTheCommands() throws Exception {
         start(always(Deed.answer("p")), always(Deed.answer("r")), 1024);
         greet(READ);
-        client.send(Unpooled.wrappedBuffer(StandInClient.statement(WRITE), Encoder.query(new byte[] {' '}),
-                extended('P'), extended('B'), extended('S'), StandInClient.statement(READ)));
+        client.send(Unpooled.wrappedBuffer(statement(WRITE), Encoder.query(new byte[] {' '}),
+                extended('P'), extended('B'), extended('S'), statement(READ)));
         for (String word : List.of("r", "p", "ready", "0A000", "r")) {
             assertEquals(word, client.next());
         }
@@ -187,7 +209,7 @@
         assertEquals("r", client.next());
         for (int i = 0; i < 4; i++) {
             var next = new StandInClient(transport, server.address());
-            next.send(StandInClient.hello(StandInClient.statement(READ)));
+            next.send(StandInClient.hello(statement(READ)));
             assertEquals("ready", next.next());
             assertEquals("r", next.next());
         }
@@ -213,9 +235,9 @@
         greet(READ);
         assertEquals("r", client.next());
         Thread ending = end();
-        client.send(StandInClient.statement(READ));
+        client.send(statement(READ));
         assertEquals("r", client.next());
-        client.send(StandInClient.statement(fields));
+        client.send(statement(fields));
         assertEquals(word, client.next());
         assertEquals("closed", client.next());
         ending.join();
