Bound each client in time and commands; clients and nodes keep descriptors apart

Lines at fault: Router.giveBack (nodes first), Session without a time limit, sessions turned away or given back but lingering 2 s uncounted, and read at full speed meanwhile. Now each side has half of the descriptors; what has ended, then what never asked, then what has been quiet longest makes room; without a whole command in 2.2 s, or with half a one, a client is ended; 33 commands ahead end a session; nothing is read after a fatal error; one connection reads twice a turn.

--- a/src/main/java/clayhook/front/Front.java
+++ b/src/main/java/clayhook/front/Front.java
@@ -2,14 +2,22 @@
 
 import clayhook.protocol.Allowance;
 import clayhook.protocol.ClientDecoder;
+import clayhook.protocol.Encoder;
 import clayhook.serve.Descriptors;
+import clayhook.serve.Log;
 import clayhook.serve.Transport;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 
 /** Where clients connect. */
 public final class Front {
@@ -21,20 +29,42 @@
     private final Channel listening;
 
     public Front(Transport transport, InetSocketAddress address, Descriptors descriptors, long memory,
-            Session.Listener listener) throws InterruptedException {
+            DoubleSupplier clock, Session.Listener listener) throws InterruptedException {
         this.descriptors = descriptors;
         asked = address;
+        descriptors.clientsGiveBackBy(this::giveBack);
         var allowance = new Allowance(memory / MEMORY_PART);
         listening = transport.listen(address, () -> {
-            boolean room = descriptors.takeForClient();
-            var session = new Session(listener, !room, this::ended);
-            if (room) {
-                sessions.add(session);
+            if (!descriptors.takeForClient()) {
+                Log.count("turned away");
+                return new ChannelHandler[] {new Refusal()};
             }
-            return new ChannelHandler[] {new ClientDecoder(allowance), session};
+            var decoder = new ClientDecoder(allowance);
+            var session = new Session(listener, decoder, clock, this::ended);
+            sessions.add(session);
+            return new ChannelHandler[] {decoder, session};
         });
     }
 
+    /** Takes no commands, as there are no descriptors for more. */
+    private static final class Refusal extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            ctx.writeAndFlush(Encoder.error(true, "53300", "no descriptors are left for more clients", null))
+                    .addListener(ChannelFutureListener.CLOSE);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            ReferenceCountUtil.release(message);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
     private void ended(Session session) {
         if (sessions.remove(session)) {
             descriptors.giveOfClient();
@@ -52,15 +82,21 @@
         List.copyOf(sessions).forEach(Session::end);
     }
 
-    /** Ends the oldest session that is between commands, to make room for one; false if there is none. */
-    public boolean giveBack() {
-        Session idle = sessions.stream().filter(Session::idle).findFirst().orElse(null);
-        if (idle != null) {
-            sessions.remove(idle);
+    /** Ends those that have been silent for too long. */
+    public void sweep(double now) {
+        List.copyOf(sessions).forEach(session -> session.sweep(now));
+    }
+
+    /** Ends the session without a command that is worth least, to make room for one; false if there is none. */
+    private boolean giveBack() {
+        Session least = sessions.stream().filter(session -> !session.busy())
+                .min(Comparator.comparingDouble(Session::worth)).orElse(null);
+        if (least != null) {
+            sessions.remove(least);
             descriptors.giveOfClient();
-            idle.end();
+            least.close();
         }
-        return idle != null;
+        return least != null;
     }
 
     public int size() {
--- a/src/main/java/clayhook/front/Session.java
+++ b/src/main/java/clayhook/front/Session.java
@@ -1,5 +1,6 @@
 package clayhook.front;
 
+import clayhook.protocol.ClientDecoder;
 import clayhook.protocol.ClientMessage;
 import clayhook.protocol.Encoder;
 import clayhook.protocol.Statement;
@@ -13,13 +14,16 @@
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 
 /** One client's connection: one command after the other, each answered before the next is begun. */
 public final class Session extends ChannelInboundHandlerAdapter {
-    /** What a client may send ahead; more is left unread in the connection. */
-    private static final int MOST_AHEAD = 16;
-    /** What was sent before a fatal error is read for so long, so that the error reaches the client. */
-    private static final int LINGER_MS = 2000;
+    /** What a client may send ahead of its answers; one that sends more is ended after these. */
+    private static final int MOST_AHEAD = 32;
+    /** What a client that says nothing, or no whole message, is given; a client may be closed after 2 s without a command. */
+    private static final double SILENT = 2.2;
+    /** The sending side is ended for so long before the rest: the client reads the error, and nothing more is read. */
+    private static final int LINGER_MS = 100;
 
     /** Hears what sessions want. */
     public interface Listener {
@@ -32,21 +36,30 @@
 
     private final Listener listener;
     private final Consumer<Session> ended;
-    /** Takes no commands, as there are no descriptors for more. */
-    private final boolean turnedAway;
+    private final ClientDecoder decoder;
+    private final DoubleSupplier clock;
     private final ArrayDeque<Object> ahead = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private boolean started;
     private boolean waiting;
     private boolean skipping;
     private boolean ending;
+    /** It sent more than may be ahead. */
+    private boolean flooding;
+    /** It has sent a command that was taken. */
+    private boolean proven;
+    /** When it connected or got its last answer, and since when part of a message has been there; 0 for none. */
+    private double quietSince;
+    private double partSince;
     /** It ends as soon as what it has taken is answered. */
     private boolean endSoon;
 
-    Session(Listener listener, boolean turnedAway, Consumer<Session> ended) {
+    Session(Listener listener, ClientDecoder decoder, DoubleSupplier clock, Consumer<Session> ended) {
         this.listener = listener;
+        this.decoder = decoder;
+        this.clock = clock;
         this.ended = ended;
-        this.turnedAway = turnedAway;
+        quietSince = clock.getAsDouble();
     }
 
     @Override
@@ -56,41 +69,46 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        if (ending) {
+        if (ending || flooding) {
             return;
         }
-        ahead.add(message);
-        if (ahead.size() >= MOST_AHEAD) {
+        partSince = 0;
+        flooding = ahead.size() >= MOST_AHEAD;
+        ahead.add(flooding ? new ClientMessage.Malformed("54000", "too many commands ahead") : message);
+        if (flooding) {
             ctx.channel().config().setAutoRead(false);
         }
         next();
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        partSince = !decoder.holdsPart() ? 0 : partSince > 0 ? partSince : clock.getAsDouble();
+    }
+
     private void next() {
         while (!waiting && !ending && !ahead.isEmpty()) {
             Object message = ahead.poll();
-            if (ahead.isEmpty()) {
-                context.channel().config().setAutoRead(true);
-            }
             if (started) {
                 handle(message);
             } else {
                 begin(message);
             }
         }
-        if (endSoon && idle()) {
-            end(Unpooled.EMPTY_BUFFER);
+        if (idle()) {
+            decoder.release();
+            if (endSoon) {
+                end(Unpooled.EMPTY_BUFFER);
+            }
         }
     }
 
     private void begin(Object message) {
         if (message instanceof ClientMessage.EncryptionRequest) {
             write(Encoder.noEncryption());
-        } else if (message instanceof ClientMessage.Startup startup && !turnedAway) {
+        } else if (message instanceof ClientMessage.Startup startup) {
             started = true;
             write(Encoder.welcome(startup.minor()));
-        } else if (message instanceof ClientMessage.Startup) {
-            end(Encoder.error(true, "53300", "no descriptors are left for more clients", null));
         } else if (message instanceof ClientMessage.Malformed malformed) {
             malformed(malformed);
         } else {
@@ -105,6 +123,7 @@
         }
         if (message instanceof ClientMessage.Query query) {
             waiting = true;
+            proven = true;
             listener.taken(this, query.statement());
         } else if (message instanceof ClientMessage.EmptyQuery) {
             write(Encoder.emptyQueryResponse());
@@ -159,6 +178,7 @@
     private void conclude(ByteBuf bytes) {
         if (waiting) {
             waiting = false;
+            quietSince = clock.getAsDouble();
             write(bytes);
             next();
         } else {
@@ -170,16 +190,42 @@
         return !waiting && !ending && ahead.isEmpty();
     }
 
-    /** Answers what it has taken, then ends the sending side, and the rest once the client has done so too. */
+    /** Something it sent is owed an answer. */
+    boolean busy() {
+        return waiting || !ahead.isEmpty();
+    }
+
+    /** Which of those without a command goes first: what has ended, what never sent one, what has been quiet longest. */
+    double worth() {
+        return ending ? 0 : (proven ? 2 : 1) * quietSince;
+    }
+
+    /** Ends it if it has been silent for too long. */
+    void sweep(double now) {
+        boolean half = partSince > 0 && now > partSince + SILENT;
+        if (idle() && (half || !proven && now > quietSince + SILENT)) {
+            Log.warn("client", half ? "half a message" : "a client that says nothing");
+            end(Encoder.error(true, "57P05", "no whole command came in time", null));
+        }
+    }
+
+    /** Answers what it has taken, then ends. */
     void end() {
         endSoon = true;
         next();
     }
 
+    /** Ends it at once; only without a command. */
+    void close() {
+        context.close();
+    }
+
     private void end(ByteBuf last) {
         ending = true;
-        context.channel().config().setAutoRead(true);
+        ahead.clear();
+        decoder.release();
         ChannelHandlerContext ctx = context;
+        ctx.channel().config().setAutoRead(false);
         ctx.writeAndFlush(last).addListener(done -> ((DuplexChannel) ctx.channel()).shutdownOutput());
         ctx.executor().schedule(() -> ctx.close(), LINGER_MS, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/clayhook/nodes/Nodes.java
+++ b/src/main/java/clayhook/nodes/Nodes.java
@@ -53,6 +53,7 @@
         this.connectTimeout = connectTimeout;
         this.idle = idle * IDLE_PART;
         this.transport = transport;
+        descriptors.nodesGiveBackBy(this::giveBack);
     }
 
     /** The node of that id, at that address. */
@@ -113,7 +114,7 @@
     }
 
     /** Gives the longest idle connection of any node back, if there is one. */
-    public boolean giveBack() {
+    private boolean giveBack() {
         Pool oldest = null;
         for (Pool pool : pools.values()) {
             oldest = oldest == null || pool.oldestIdle() < oldest.oldestIdle() ? pool : oldest;
@@ -146,7 +147,7 @@
     }
 
     void closed() {
-        descriptors.give();
+        descriptors.giveOfNode();
     }
 
     double now() {
--- a/src/main/java/clayhook/protocol/ClientDecoder.java
+++ b/src/main/java/clayhook/protocol/ClientDecoder.java
@@ -10,10 +10,10 @@
     private static final int GSS = 80877104;
     /** As long as the reference server takes it. */
     private static final int LONGEST_STARTUP = 10_000;
-    /** Shorter messages go without an allowance: all clients together may send one each. */
-    private static final int SHORT = 4096;
+    /** Shorter messages go without an allowance: all clients together may send as many as a session reads ahead. */
+    private static final int SHORT = 1024;
     private final Allowance allowance;
-    /** What this client's last message takes of the allowance, until its next one or its end. */
+    /** What this client's messages take of the allowance until they are done with, or its end. */
     private int taken;
     private boolean started;
 
@@ -23,19 +23,22 @@
 
     @Override
     boolean mayCome(int length) {
-        allowance.give(taken);
-        taken = 0;
         boolean may = length <= SHORT || allowance.take(length);
-        taken = may && length > SHORT ? length : 0;
+        taken += may && length > SHORT ? length : 0;
         return may;
     }
 
-    @Override
-    protected void handlerRemoved0(ChannelHandlerContext context) {
+    /** All messages that came are done with. */
+    public void release() {
         allowance.give(taken);
         taken = 0;
     }
 
+    @Override
+    protected void handlerRemoved0(ChannelHandlerContext context) {
+        release();
+    }
+
     @Override
     boolean typed() {
         return started;
--- a/src/main/java/clayhook/protocol/FrameDecoder.java
+++ b/src/main/java/clayhook/protocol/FrameDecoder.java
@@ -52,6 +52,11 @@
         }
     }
 
+    /** Part of a message has come. */
+    public final boolean holdsPart() {
+        return actualReadableBytes() > 0;
+    }
+
     /** Whether the next message has a type. */
     abstract boolean typed();
 
--- a/src/main/java/clayhook/protocol/NodeDecoder.java
+++ b/src/main/java/clayhook/protocol/NodeDecoder.java
@@ -74,11 +74,6 @@
         }
     }
 
-    /** Part of a message has come. */
-    public boolean holdsPart() {
-        return actualReadableBytes() > 0;
-    }
-
     private static byte[] whole(ByteBuf body) {
         byte[] message = new byte[body.writerIndex()];
         body.getBytes(0, message);
--- a/src/main/java/clayhook/serve/Descriptors.java
+++ b/src/main/java/clayhook/serve/Descriptors.java
@@ -4,59 +4,59 @@
 
 /** The budget of descriptors over clients and nodes. */
 public final class Descriptors {
-    /** For the runtime's own files, the listener, the selector and discovery. */
-    private static final int RESERVE = 64;
-    /** The part that connections to nodes may take; clients may take what these leave. */
-    private static final double NODES_PART = 0.5;
-    private final int most;
-    private int all;
+    /** For the runtime's own files, the listener, the selector, discovery, and what is accepted and closed at once. */
+    private static final int RESERVE = 48;
+    /** Each side keeps to its half: a flood of clients costs no connection to a node. */
+    private final int mostOfEach;
+    private int ofClients;
+    private int ofNodes;
     private int peak;
-    /** Gives idle ones back; false if there is none. */
-    private BooleanSupplier giveBack = () -> false;
-    private int nodes;
+    /** Give idle ones back; false if there is none. */
+    private BooleanSupplier clientsGiveBack = () -> false;
+    private BooleanSupplier nodesGiveBack = () -> false;
 
     public Descriptors(int limit) {
-        most = Math.max(1, limit - RESERVE);
+        mostOfEach = Math.max(1, (limit - RESERVE) / 2);
     }
 
-    void giveBackBy(BooleanSupplier way) {
-        giveBack = way;
+    public void clientsGiveBackBy(BooleanSupplier way) {
+        clientsGiveBack = way;
+    }
+
+    public void nodesGiveBackBy(BooleanSupplier way) {
+        nodesGiveBack = way;
     }
 
     public boolean takeForNode() {
-        if (nodes >= most * NODES_PART || !take()) {
+        if (ofNodes >= mostOfEach && !nodesGiveBack.getAsBoolean()) {
             return false;
         }
-        nodes++;
+        ofNodes++;
+        peak = Math.max(peak, ofNodes + ofClients);
         return true;
     }
 
-    public void give() {
-        nodes--;
-        all--;
+    public void giveOfNode() {
+        ofNodes--;
     }
 
     public int ofNodes() {
-        return nodes;
+        return ofNodes;
     }
 
     public boolean takeForClient() {
-        return take();
-    }
-
-    public void giveOfClient() {
-        all--;
-    }
-
-    private boolean take() {
-        if (all >= most && !giveBack.getAsBoolean()) {
+        if (ofClients >= mostOfEach && !clientsGiveBack.getAsBoolean()) {
             return false;
         }
-        all++;
-        peak = Math.max(peak, all);
+        ofClients++;
+        peak = Math.max(peak, ofNodes + ofClients);
         return true;
     }
 
+    public void giveOfClient() {
+        ofClients--;
+    }
+
     int peak() {
         return peak;
     }
--- a/src/main/java/clayhook/serve/Router.java
+++ b/src/main/java/clayhook/serve/Router.java
@@ -86,16 +86,11 @@
                 settings.connectionIdle(), this);
         discovery = new Discovery(transport, configuration.discovery(), configuration.known().version(), this);
         decide.listed(listings(configuration.known()), true, clock.now());
-        descriptors.giveBackBy(this::giveBack);
-        front = new Front(transport, configuration.listen(), descriptors, configuration.memory(), this);
+        front = new Front(transport, configuration.listen(), descriptors, configuration.memory(), clock::now, this);
         turning = true;
         loop.execute(this::turn);
     }
 
-    private boolean giveBack() {
-        return nodes.giveBack() || front.giveBack();
-    }
-
     private void tell(List<DoubleConsumer> inbox, DoubleConsumer news) {
         inbox.add(news);
         if (!turning) {
@@ -222,6 +217,7 @@
         if (now >= sweepAt) {
             sweepAt = now + SWEEP;
             nodes.sweep();
+            front.sweep(now);
         }
         if (now >= summaryAt) {
             summaryAt = now + SUMMARY;
--- a/src/main/java/clayhook/serve/Transport.java
+++ b/src/main/java/clayhook/serve/Transport.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
@@ -27,6 +28,8 @@
 public final class Transport {
     /** Connections that the machine may accept before the process does. */
     private static final int BACKLOG = 1024;
+    /** Of one connection in one turn, so that none holds up the others. */
+    private static final int READS = 2;
     /** Where the sockets of a rehearsal lie; null for TCP. */
     private final Path folder;
     private final MultiThreadIoEventLoopGroup group =
@@ -57,7 +60,8 @@
     /** Listens at an address; {@code handlers} makes the handlers of each connection. */
     public Channel listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers) throws InterruptedException {
         var bootstrap = new ServerBootstrap().group(group).childHandler(initializer(handlers))
-                .option(ChannelOption.SO_BACKLOG, BACKLOG);
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(READS));
         if (folder == null) {
             bootstrap.channel(NioServerSocketChannel.class).option(ChannelOption.SO_REUSEADDR, true)
                     .childOption(ChannelOption.TCP_NODELAY, true);
--- a/src/test/java/clayhook/serve/ServerTest.java
+++ b/src/test/java/clayhook/serve/ServerTest.java
@@ -204,7 +204,7 @@
 
     @Test
     void withoutDescriptorsTheOldestIdleClientMakesRoom() throws Exception {
-        start(always(Deed.answer("p")), always(Deed.answer("r")), 64 + 3);
+        start(always(Deed.answer("p")), always(Deed.answer("r")), 48 + 2 * 3);
         greet(READ);
         assertEquals("r", client.next());
         for (int i = 0; i < 4; i++) {
