Forget nodes that are gone once their connections have ended

A pool goes when the module knows its node no more (Decide.knows) and nothing is open or waits; a node is a value, so one that is listed again meets its row.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -194,12 +194,10 @@
     }
 
     /** What trouble may add to the work: a fifth of the commands, and for all routers this many at once. */
-    private static final double EXTRAS_SHARE = 0.2;
-    private static final double EXTRAS_CAP = 90;
+    private static final double EXTRAS_SHARE = 0.2, EXTRAS_CAP = 90;
 
     /** Probes a command brings: most reads find a fresh row; the store is two or three looks at a group. */
-    private static final double LOOKS_SHARE = 0.45;
-    private static final double LOOKS_CAP = 15;
+    private static final double LOOKS_SHARE = 0.45, LOOKS_CAP = 15;
 
     /** Guards against probing by routers times nodes: members are looked at when a command needs it. */
     private boolean look(Row row, double now) {
@@ -224,8 +222,7 @@
     }
 
     /** A few round trips; and about the time in which reports are made anew. */
-    private static final double LOOK_WAIT = 0.02;
-    private static final double LOOK_AGAIN = 0.15;
+    private static final double LOOK_WAIT = 0.02, LOOK_AGAIN = 0.15;
 
     /** Guards against a gate that stays empty because nothing is sent to those that it dropped. */
     private void lookNowAndThen(Row row, double now) {
@@ -260,9 +257,7 @@
     }
 
     /** Above what work itself takes of the target, below where most answers come late; a few always test. */
-    private static final double SHED_FROM = 0.4;
-    private static final double SHED_ALL = 0.65;
-    private static final double MOST_SHED = 0.9;
+    private static final double SHED_FROM = 0.4, SHED_ALL = 0.65, MOST_SHED = 0.9;
 
     /** Nothing can be earned any more: what is out may come any moment, what is held takes its time. */
     private boolean hopeless(Command cmd, double now, boolean sent) {
@@ -496,8 +491,7 @@
         return Math.max(PATIENCE, SILENCE * usual.get(group));
     }
     /** Above ordinary pauses, below the shortest targets; the 95th percentile of usual spreads of work. */
-    private static final double PATIENCE = 0.2;
-    private static final double SILENCE = 3;
+    private static final double PATIENCE = 0.2, SILENCE = 3;
 
     /** A part of its turns for a node that is cold, crowded, or would have to be connected to. */
     private boolean takesTurn(Row row, double now) {
@@ -676,8 +670,7 @@
     }
 
     /** Of the response target: the rest is for the spread of work, which is wide. */
-    private static final double QUICK = 0.25;
-    private static final double SLOW = 0.32;
+    private static final double QUICK = 0.25, SLOW = 0.32;
 
     /** Keeps answers under a third of the target. Guards against queues that make all late for long. */
     private void adapt(Row row, double slowness) {
@@ -716,9 +709,7 @@
     }
 
     /** A round trip; a small part of the shortest targets; nothing to do but to mind the list. */
-    private static final double LOOK_PAUSE = 0.004;
-    private static final double BUSY_PAUSE = 0.01;
-    private static final double IDLE_PAUSE = 1;
+    private static final double LOOK_PAUSE = 0.004, BUSY_PAUSE = 0.01, IDLE_PAUSE = 1;
 
     /** Half of the least patience with others. */
     private static final double OWN_PAUSE = 0.1;
@@ -744,6 +735,11 @@
         watchAt = watchAt > 0 ? Double.POSITIVE_INFINITY : watchAt;
     }
 
+    /** Whether it may still be sent something, or an outcome is awaited of it. */
+    public boolean knows(Node node) {
+        return rows.containsKey(node);
+    }
+
     /** Where the list's word that a node is gone binds nobody, it counts only of a node that drained. */
     private Listing delisted(Row row) {
         return settings.goneBinds() || row.closed() ? null : row.listing;
--- a/src/main/java/clayhook/nodes/Nodes.java
+++ b/src/main/java/clayhook/nodes/Nodes.java
@@ -32,6 +32,9 @@
 
         /** Whether a dispatch that waited for its connection may still go out. */
         boolean mayGo(Dispatch dispatch);
+
+        /** Whether anything may be sent to that node yet. */
+        boolean knows(Node node);
     }
 
     private final Listener listener;
@@ -40,7 +43,7 @@
     private final double connectTimeout;
     private final double idle;
     private final Transport transport;
-    /** Nodes leave with the list. */
+    /** Nodes leave once they are known no more and their last connection has ended. */
     private final Map<String, Pool> pools = new HashMap<>();
     /** Each leaves with its outcome. */
     private final Map<Dispatch, Attempt> attempts = new HashMap<>();
@@ -99,6 +102,7 @@
         for (Pool pool : pools.values()) {
             pool.sweep(now - connectTimeout, now - idle);
         }
+        pools.values().removeIf(pool -> pool.unused() && !listener.knows(pool.node));
     }
 
     /** What to write for an attempt now, or null if it may not go out any more and has ended. */
--- a/src/main/java/clayhook/nodes/Pool.java
+++ b/src/main/java/clayhook/nodes/Pool.java
@@ -18,6 +18,8 @@
     private final ArrayDeque<NodeConnection> idle = new ArrayDeque<>();
     private final Set<NodeConnection> opening = new LinkedHashSet<>();
     private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
+    /** Connections that stand, open or carry something. */
+    private int open;
     /** The probe that is out, or null. */
     private Attempt probe;
 
@@ -61,6 +63,7 @@
                 continue;
             }
             var connection = new NodeConnection(this, address, nodes.now());
+            open++;
             opening.add(connection);
             nodes.connect(connection);
         }
@@ -85,6 +88,7 @@
 
     /** A connection ended; one that never came up takes the attempt that has waited longest with it. */
     void closed(NodeConnection connection, boolean up, String refusal) {
+        open--;
         idle.remove(connection);
         nodes.closed();
         if (opening.remove(connection) && !up && waiting.size() > opening.size()) {
@@ -130,6 +134,11 @@
         return nodes.now();
     }
 
+    /** No connection and no attempt is left of it. */
+    boolean unused() {
+        return open == 0 && waiting.isEmpty();
+    }
+
     int idle() {
         return idle.size();
     }
--- a/src/main/java/clayhook/serve/Router.java
+++ b/src/main/java/clayhook/serve/Router.java
@@ -163,6 +163,11 @@
         return decide.mayStillGo(dispatch, clock.now());
     }
 
+    @Override
+    public boolean knows(Node node) {
+        return decide.knows(node);
+    }
+
     @Override
     public void listed(NodeList list) {
         tell(lists, now -> decide.listed(listings(list), list.whole(), now));
--- a/src/test/java/clayhook/nodes/NodesTest.java
+++ b/src/test/java/clayhook/nodes/NodesTest.java
@@ -34,6 +34,7 @@
     private final LinkedBlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
     private final AtomicInteger statements = new AtomicInteger();
     private boolean may = true;
+    private boolean knows = true;
     private Reply reply;
     private String answer;
 
@@ -54,6 +55,11 @@
         return may;
     }
 
+    @Override
+    public boolean knows(Node node) {
+        return knows;
+    }
+
     @AfterEach
     void close() {
         transport.close();
@@ -221,6 +227,18 @@
         assertEquals(new Reply(Outcome.ANSWERED, reply.took(), Role.UNKNOWN, position, Role.UNKNOWN, 0, -1), reply);
     }
 
+    @ParameterizedTest
+    @CsvSource({"true, 0, true", "false, 60, true", "false, 0, false"})
+    void aNodeIsForgottenOnceItIsNotKnownAndItsConnectionsHaveEnded(boolean known, double idle, boolean left) throws Exception {
+        Nodes nodes = nodes(60, idle);
+        send(nodes, node(nodes, "replica", Deed.answer("a"), null));
+        assertEquals(Outcome.ANSWERED, next(nodes));
+        awaitIdle(nodes);
+        knows = known;
+        transport.loop().submit(nodes::sweep).get();
+        assertEquals(left, transport.loop().submit(() -> nodes.listed(1)).get());
+    }
+
     @Test
     void aNodeThatMovedIsMetAtItsNewAddress() throws Exception {
         Nodes nodes = nodes(60, 60);
