Serve clients that wait less than a usual answer takes

The log of what was throttled showed waits of 66 ms: Decide.hopeless asks for a whole usual answer (mean 45 ms) before LEEWAY (30 ms). Ruled out: shedding (pressure under its threshold), descriptors, full nodes, late turns. Now a part of the usual time by pressure (a quarter at the least), the leeway at most a tenth of the wait, and a time-out of a client's short wait counts by its time, not as a full target.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -259,12 +259,16 @@
     /** Above what work itself takes of the target, below where most answers come late; a few always test. */
     private static final double SHED_FROM = 0.4, SHED_ALL = 0.65, MOST_SHED = 0.9;
 
-    /** Nothing can be earned any more: what is out may come any moment, what is held takes its time. */
+    /** Guards against turning away clients that wait for less than a usual answer takes: half come sooner. */
     private boolean hopeless(Command cmd, double now, boolean sent) {
-        double least = Math.min(usual.get(cmd.group), cmd.group.responseTarget() / 2);
+        double part = Math.max(SOONEST, Math.min(1, team(cmd.nodeGroup).of(cmd.group).value(now) / SHED_FROM));
+        double least = Math.min(usual.get(cmd.group), cmd.group.responseTarget() / 2) * part;
         return now + (sent ? 0 : least) >= usefulUntil(cmd);
     }
 
+    /** Of the usual time: a quarter of the answers come by then; where work is pressing only the usual is worth it. */
+    private static final double SOONEST = 0.25;
+
     /** Guards against dispatches held into their limit and lines of late writes; they wait for a primary. */
     private boolean heldTooLong(Command cmd, double now) {
         boolean write = cmd.group.primaryOnly();
@@ -284,12 +288,12 @@
     private static final double ELECTION_HOLD = 0.45;
 
     private static double usefulUntil(Command cmd) {
-        double last = cmd.expires - LEEWAY;
+        double last = cmd.expires - Math.min(LEEWAY, LEEWAY_PART * (cmd.expires - cmd.arrived));
         return cmd.group.lateShare() > 0 ? last : Math.min(last, cmd.arrived + cmd.group.responseTarget());
     }
 
     /** Guards against a last answer too late where this router stood still: a few of its usual pauses. */
-    private static final double LEEWAY = 0.03;
+    private static final double LEEWAY = 0.03, LEEWAY_PART = 0.1;
 
     /** The final answer to a command that this router gives up: a throttle wherever the rules allow it. */
     public Choice giveUp(Command cmd) {
@@ -647,7 +651,10 @@
             }
             case ERROR, CONNECT_FAILED, RESET -> rest(row, reply.outcome() == Outcome.ERROR ? 0 : 1, now);
             case TIMED_OUT, CANCELLED -> {
-                pressure.add(reply.outcome() == Outcome.TIMED_OUT ? 1 : slowness, now);
+                // Guards against taking a client's short wait for the slowness of nodes.
+                boolean late = reply.outcome() == Outcome.TIMED_OUT
+                        && dispatch.limit > dispatch.command.arrived + group.responseTarget() / 2;
+                pressure.add(late ? 1 : slowness, now);
                 adapt(row, Math.max(row.slowness, slowness));
                 if (dispatch.sentAt > row.answeredAt && reply.took() > patience(group)) {
                     rest(row, 1, now);
