Rest no node for a reset where it answered since

Now a reset is no strike (a dead node shows by its connections), and no rest where the node answered since.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -124,8 +124,7 @@
     /** An outcome weighs a tenth where many come, more the longer none has come; a burst lasts seconds. */
     private static final double PRESS_MEMORY = 3;
 
-    private record Wrote(Team team, double position) {
-    }
+    private record Wrote(Team team, double position) { }
 
     private final Settings settings;
     private final Random random;
@@ -261,12 +260,13 @@
 
     /** Guards against turning away clients that wait for less than a usual answer takes: half come sooner. */
     private boolean hopeless(Command cmd, double now, boolean sent) {
-        double part = Math.max(SOONEST, Math.min(1, team(cmd.nodeGroup).of(cmd.group).value(now) / SHED_FROM));
+        double pressure = team(cmd.nodeGroup).of(cmd.group).value(now);
+        double part = Math.max(SOONEST, Math.min(1, pressure / SHED_FROM));
         double least = Math.min(usual.get(cmd.group), cmd.group.responseTarget() / 2) * part;
         return now + (sent ? 0 : least) >= usefulUntil(cmd);
     }
 
-    /** Of the usual time: a quarter of the answers come by then; where work is pressing only the usual is worth it. */
+    /** Of the usual time: a quarter of answers come by then; where work presses, only the usual is worth it. */
     private static final double SOONEST = 0.25;
 
     /** Guards against dispatches held into their limit and lines of late writes; they wait for a primary. */
@@ -438,8 +438,7 @@
     }
 
     /** One second, as the design starts; its half of the bound did a little worse everywhere than this. */
-    private static final double TIME_GATE = 1;
-    private static final double LAG_GATE = 0.75;
+    private static final double TIME_GATE = 1, LAG_GATE = 0.75;
 
     /** Rule 5: a position already told reaches what the read must see. Positions stay valid once told. */
     private boolean covers(Row row, Team team, Command cmd, double now) {
@@ -649,7 +648,12 @@
                 row.window = Math.max(leastWindow, row.window * 0.8);
                 rest(row, 0, now);
             }
-            case ERROR, CONNECT_FAILED, RESET -> rest(row, reply.outcome() == Outcome.ERROR ? 0 : 1, now);
+            case ERROR, CONNECT_FAILED, RESET -> {
+                // Guards against leaving nodes out for what befalls connections: the dead take no new ones.
+                if (reply.outcome() != Outcome.RESET || row.answeredAt < dispatch.sentAt) {
+                    rest(row, reply.outcome() == Outcome.CONNECT_FAILED ? 1 : 0, now);
+                }
+            }
             case TIMED_OUT, CANCELLED -> {
                 // Guards against taking a client's short wait for the slowness of nodes.
                 boolean late = reply.outcome() == Outcome.TIMED_OUT
@@ -663,10 +667,8 @@
         }
     }
 
-    /** For all routers together: a few for each core of a small machine. */
-    private static final double FIRST_WINDOW = 10;
-    /** Also for all together: any machine can do so many at once, and slow answers then have other causes. */
-    private static final double LEAST_WINDOW = 4;
+    /** For all routers together: a few for each core of a small machine; what any machine does at once. */
+    private static final double FIRST_WINDOW = 10, LEAST_WINDOW = 4;
     /** The document's circuit break. */
     private static final double BENCH = 10;
 
@@ -725,9 +727,7 @@
 
     /** The node list: all of it, or what changed. */
     public void listed(List<Listing> entries, boolean whole, double now) {
-        if (whole) {
-            rows.values().forEach(row -> row.listing = delisted(row));
-        }
+        rows.values().forEach(row -> row.listing = whole ? delisted(row) : row.listing);
         for (Listing entry : entries) {
             Row row = rows.computeIfAbsent(entry.node(), node -> {
                 Row made = new Row(node, Math.max(leastWindow, FIRST_WINDOW / settings.routers()));
--- a/src/test/java/clayhook/DecideTest.java
+++ b/src/test/java/clayhook/DecideTest.java
@@ -510,6 +510,21 @@
         assertFalse(advised.nodesOf(advised.any, 4).contains(advised.replica));
     }
 
+    @ParameterizedTest
+    @CsvSource({"RESET, true, true", "RESET, false, false", "CONNECT_FAILED, true, false", "ERROR, true, false"})
+    void aResetTellsOfTheConnectionWhereTheNodeAnsweredSince(Outcome outcome, boolean answered, boolean serves) {
+        for (int i = 0; i < (serves ? 3 : 1); i++) {
+            Dispatch broken = fleet.send(fleet.write);
+            Dispatch other = fleet.send(fleet.write);
+            fleet.now += 0.01;
+            if (answered) {
+                fleet.answer(other, Outcome.ANSWERED, Role.PRIMARY, fleet.now);
+            }
+            fleet.answer(broken, outcome, Role.UNKNOWN, 0);
+        }
+        assertEquals(serves, fleet.decide.where(fleet.command(fleet.write, 0), fleet.now).verdict() == Verdict.SEND);
+    }
+
     @Test
     void aNodeThatIsFullRests() {
         Dispatch read = fleet.send(fleet.any);
