Spread reads without a bound over all replicas once those behind are slow

A line of beliefs by node showed two of four replicas of one group 2 to 5 s behind, windows of 2, the pressure of those reads 0.69, of others 0.24: Decide.pickReader sends them round the laggards first, and what is slow there sheds them all. Now laggards go first only while those reads are quick (a quarter of the target) or no slower than others.

--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -15,8 +15,7 @@
 /**
  * All decisions of one router. A front asks {@link #where} for each command taken, {@link #after} for each
  * outcome and {@link #pause} once it has told all it heard; after the pause it asks {@link #where} for every
- * command in hand. News comes by {@link #listed}, {@link #listFailed} and {@link #probed}. The interface is
- * the other types of this package; docs/design.md tells the exceptions from the design.
+ * command in hand. News comes by {@link #listed}, {@link #listFailed} and {@link #probed}.
  */
 public final class Decide {
     private static final double NEVER = Double.NEGATIVE_INFINITY;
@@ -266,7 +265,7 @@
         return now + (sent ? 0 : least) >= usefulUntil(cmd);
     }
 
-    /** Of the usual time: a quarter of answers come by then; where work presses, only the usual is worth it. */
+    /** Of the usual time: a quarter of answers come by then; where work presses, the whole is asked for. */
     private static final double SOONEST = 0.25;
 
     /** Guards against dispatches held into their limit and lines of late writes; they wait for a primary. */
@@ -374,8 +373,10 @@
         }
         int size = team.rows.size();
         Row unseen = null;
-        // Reads without a bound go round those outside the gate first, which spares the others.
-        for (int i = cmd.group.level() == ReadLevel.ANY ? 1 : size + 1; i <= 2 * size; i++) {
+        // Reads without a bound go round those outside the gate first, while they bear it: it spares others.
+        boolean spares = cmd.group.level() == ReadLevel.ANY
+                && team.ofAny.value(now) <= Math.max(QUICK, team.ofOthers.value(now));
+        for (int i = spares ? 1 : size + 1; i <= 2 * size; i++) {
             int at = (team.turn + i) % size;
             Row row = team.rows.get(at);
             if (row == primary || i <= size && row.lag <= tightestGate) {
@@ -717,11 +718,8 @@
         return pause;
     }
 
-    /** A round trip; a small part of the shortest targets; nothing to do but to mind the list. */
-    private static final double LOOK_PAUSE = 0.004, BUSY_PAUSE = 0.01, IDLE_PAUSE = 1;
-
-    /** Half of the least patience with others. */
-    private static final double OWN_PAUSE = 0.1;
+    /** A round trip; a small part of short targets; to mind the list; half the patience with others. */
+    private static final double LOOK_PAUSE = 0.004, BUSY_PAUSE = 0.01, IDLE_PAUSE = 1, OWN_PAUSE = 0.1;
 
     // ---- news ----
 
--- a/src/test/java/clayhook/DecideTest.java
+++ b/src/test/java/clayhook/DecideTest.java
@@ -123,6 +123,25 @@
         assertTrue(met.contains(fleet.other) && met.size() == nodes, met.toString());
     }
 
+    @ParameterizedTest
+    @CsvSource({"0.1, true", "0.9, false"})
+    void replicasOutsideTheGateAreSparedOnceReadsWithoutABoundAreSlowThere(double slowness, boolean alone) {
+        for (int i = 0; i < 30; i++) {
+            fleet.now += 0.5;
+            fleet.tell(fleet.primary, Role.PRIMARY, fleet.now);
+            fleet.tell(fleet.replica, Role.REPLICA, fleet.now);
+            fleet.tell(fleet.other, Role.REPLICA, fleet.now - 9);
+            Choice choice = fleet.ask(fleet.command(fleet.any, 0));
+            if (choice.verdict() == Verdict.SEND) {
+                boolean behind = choice.dispatch().node == fleet.other;
+                fleet.decide.after(choice.dispatch(), new Reply(Outcome.ANSWERED, 0.4 * (behind ? slowness : 0.1),
+                        Role.REPLICA, fleet.now - (behind ? 9 : 0), Role.UNKNOWN, 0, -1), true, fleet.now);
+            }
+        }
+        Set<Node> met = fleet.nodesOf(fleet.any, 3);
+        assertEquals(alone, met.equals(Set.of(fleet.other)), met.toString());
+    }
+
     @Test
     void looksGoToTheOwnZoneFirst() {
         for (int i = 0; i < 6; i++) {
