Pass on values of up to a megabyte within an allowance of memory

PROTOCOL speaks of 64 KiB, but what was written elsewhere is longer; FrameDecoder gave up at 160 KiB. Now rows may have 1 MiB, within an eighth of the memory for answers under way, and go on uncopied; a client that does not read its answers gets no more of them, and none at all after ten seconds.

--- a/src/main/java/clayhook/front/Session.java
+++ b/src/main/java/clayhook/front/Session.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.DuplexChannel;
 import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
@@ -22,6 +23,8 @@
     private static final int MOST_AHEAD = 32;
     /** What a client that says nothing, or no whole message, is given; a client may be closed after 2 s without a command. */
     private static final double SILENT = 2.2;
+    /** An answer that is not read for so long is dropped with its connection; above any client timeout. */
+    private static final double UNREAD = 10;
     /** The sending side is ended for so long before the rest: the client reads the error, and nothing more is read. */
     private static final int LINGER_MS = 100;
 
@@ -87,7 +90,7 @@
     }
 
     private void next() {
-        while (!waiting && !ending && !ahead.isEmpty()) {
+        while (!waiting && !ending && !ahead.isEmpty() && context.channel().isWritable()) {
             Object message = ahead.poll();
             if (started) {
                 handle(message);
@@ -103,6 +106,12 @@
         }
     }
 
+    /** A client that does not read its answers gets no more of them. */
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        next();
+    }
+
     private void begin(Object message) {
         if (message instanceof ClientMessage.EncryptionRequest) {
             write(Encoder.noEncryption());
@@ -155,7 +164,7 @@
     }
 
     /** The messages of the answer as the node gave them. */
-    public void answered(byte[] messages) {
+    public void answered(List<byte[]> messages) {
         conclude(Encoder.answer(messages));
     }
 
@@ -202,6 +211,9 @@
 
     /** Ends it if it has been silent for too long. */
     void sweep(double now) {
+        if (!waiting && !context.channel().isWritable() && now > quietSince + UNREAD) {
+            context.close();
+        }
         boolean half = partSince > 0 && now > partSince + SILENT;
         if (idle() && (half || !proven && now > quietSince + SILENT)) {
             Log.warn("client", half ? "half a message" : "a client that says nothing");
--- a/src/main/java/clayhook/nodes/NodeConnection.java
+++ b/src/main/java/clayhook/nodes/NodeConnection.java
@@ -3,13 +3,15 @@
 import clayhook.Reply;
 import clayhook.Role;
 import clayhook.config.LoadReport;
+import clayhook.protocol.Allowance;
 import clayhook.protocol.Encoder;
 import clayhook.protocol.NodeDecoder;
 import clayhook.protocol.NodeMessage;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /** One connection to a node; it carries one attempt at a time. */
@@ -20,7 +22,7 @@
     /** What may come next. Nothing may come on a connection that is idle. */
     private enum Next { WELCOME, DESCRIPTION, ROW, COMPLETION, READINESS, NOTHING }
 
-    final NodeDecoder decoder = new NodeDecoder();
+    final NodeDecoder decoder;
     private final Pool pool;
     final InetSocketAddress address;
     final double openedAt;
@@ -33,15 +35,16 @@
     private boolean settling;
     private Attempt attempt;
     // what the answer in hand has told so far
-    private final ByteArrayOutputStream parts = new ByteArrayOutputStream();
+    private List<byte[]> parts = List.of();
     private String probed;
     private String refusal;
     private Role role;
     private double position;
     private LoadReport report;
 
-    NodeConnection(Pool pool, InetSocketAddress address, double openedAt) {
+    NodeConnection(Pool pool, InetSocketAddress address, Allowance allowance, double openedAt) {
         this.pool = pool;
+        decoder = new NodeDecoder(allowance);
         this.address = address;
         this.openedAt = openedAt;
     }
@@ -62,7 +65,7 @@
         started.connection = this;
         started.stage = Stage.PARTLY_WRITTEN;
         next = Next.DESCRIPTION;
-        parts.reset();
+        parts = new ArrayList<>();
         probed = null;
         refusal = null;
         role = Role.UNKNOWN;
@@ -108,7 +111,7 @@
             status(status.name(), status.value());
         } else if (message instanceof NodeMessage.Part part && part.type() == expected()) {
             next = Next.values()[next.ordinal() + 1];
-            parts.writeBytes(part.message());
+            parts.add(part.message());
             probed = part.type() == 'D' && attempt.dispatch == null ? part.column() : probed;
         } else if (message instanceof NodeMessage.ErrorResponse error && next == Next.DESCRIPTION) {
             next = Next.READINESS;
@@ -193,6 +196,7 @@
     private void end(Ending ending) {
         Attempt ended = attempt;
         attempt = null;
+        decoder.release();
         if (ended != null) {
             pool.ended(ended, ending, this);
         }
@@ -205,8 +209,8 @@
                 : Reply.untold(ending.outcome(), took);
     }
 
-    byte[] answer() {
-        return parts.toByteArray();
+    List<byte[]> answer() {
+        return parts;
     }
 
     /** Ends the attempt in hand without waiting for its answer; a late one is never read. */
--- a/src/main/java/clayhook/nodes/Nodes.java
+++ b/src/main/java/clayhook/nodes/Nodes.java
@@ -4,6 +4,7 @@
 import clayhook.Node;
 import clayhook.Outcome;
 import clayhook.Reply;
+import clayhook.protocol.Allowance;
 import clayhook.protocol.NodeMessage;
 import clayhook.protocol.Statement;
 import clayhook.serve.Clock;
@@ -14,6 +15,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /** Sends dispatches and probes to nodes over pooled connections and tells how each ended. */
@@ -26,7 +28,7 @@
     /** Hears how attempts ended. */
     public interface Listener {
         /** {@code answer} holds the messages for the client after an answer. */
-        void ended(Dispatch dispatch, Reply reply, byte[] answer);
+        void ended(Dispatch dispatch, Reply reply, List<byte[]> answer);
 
         void probed(Node node, Reply reply);
 
@@ -37,6 +39,10 @@
         boolean knows(Node node);
     }
 
+    /** An eighth of the memory for answers that are coming in, as clients' statements may take another. */
+    private static final int MEMORY_PART = 8;
+
+    final Allowance allowance;
     private final Listener listener;
     private final Clock clock;
     private final Descriptors descriptors;
@@ -48,8 +54,9 @@
     /** Each leaves with its outcome. */
     private final Map<Dispatch, Attempt> attempts = new HashMap<>();
 
-    public Nodes(Transport transport, Clock clock, Descriptors descriptors, double connectTimeout, double idle,
-            Listener listener) {
+    public Nodes(Transport transport, Clock clock, Descriptors descriptors, long memory, double connectTimeout,
+            double idle, Listener listener) {
+        allowance = new Allowance(memory / MEMORY_PART);
         this.listener = listener;
         this.clock = clock;
         this.descriptors = descriptors;
--- a/src/main/java/clayhook/nodes/Pool.java
+++ b/src/main/java/clayhook/nodes/Pool.java
@@ -62,7 +62,7 @@
                 ended(waiting.poll(), new Ending.Broken(Stage.NOT_CONNECTED), null);
                 continue;
             }
-            var connection = new NodeConnection(this, address, nodes.now());
+            var connection = new NodeConnection(this, address, nodes.allowance, nodes.now());
             open++;
             opening.add(connection);
             nodes.connect(connection);
--- a/src/main/java/clayhook/protocol/Allowance.java
+++ b/src/main/java/clayhook/protocol/Allowance.java
@@ -1,6 +1,6 @@
 package clayhook.protocol;
 
-/** The memory that long messages of all clients together may take. */
+/** The memory that long messages of all connections of a kind together may take. */
 public final class Allowance {
     /** What a message takes while it is read, held and passed on, for each byte of it. */
     private static final int COPIES = 4;
--- a/src/main/java/clayhook/protocol/ClientDecoder.java
+++ b/src/main/java/clayhook/protocol/ClientDecoder.java
@@ -8,6 +8,8 @@
     private static final int CANCEL = 80877102;
     private static final int SSL = 80877103;
     private static final int GSS = 80877104;
+    /** Values hold 64 KiB, and twice that in hex digits; the rest is for the statement around them. */
+    private static final int LONGEST = 160 * 1024;
     /** As long as the reference server takes it. */
     private static final int LONGEST_STARTUP = 10_000;
     /** Shorter messages go without an allowance: all clients together may send as many as a session reads ahead. */
@@ -45,8 +47,8 @@
     }
 
     @Override
-    int longestUntyped() {
-        return LONGEST_STARTUP;
+    int longest() {
+        return started ? LONGEST : LONGEST_STARTUP;
     }
 
     @Override
--- a/src/main/java/clayhook/protocol/Encoder.java
+++ b/src/main/java/clayhook/protocol/Encoder.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.util.List;
 
 /** Encodes what goes to clients and nodes. */
 public final class Encoder {
@@ -46,8 +47,10 @@
     }
 
     /** The messages of an answer as the node gave them, and that the session is ready again. */
-    public static ByteBuf answer(byte[] messages) {
-        return Unpooled.buffer(messages.length + READY.length).writeBytes(messages).writeBytes(READY);
+    public static ByteBuf answer(List<byte[]> messages) {
+        byte[][] parts = messages.toArray(new byte[messages.size() + 1][]);
+        parts[messages.size()] = READY;
+        return Unpooled.wrappedBuffer(parts);
     }
 
     /** An error; {@code detail} may be null. After a fatal one the connection ends. */
--- a/src/main/java/clayhook/protocol/FrameDecoder.java
+++ b/src/main/java/clayhook/protocol/FrameDecoder.java
@@ -8,8 +8,6 @@
 
 /** Cuts the stream into messages: a type, a length that counts itself, a body. Holds only what has come. */
 abstract class FrameDecoder extends ByteToMessageDecoder {
-    /** Values hold 64 KiB, and twice that in hex digits; the rest is for the statement around them. */
-    private static final int LONGEST = 160 * 1024;
     private boolean broken;
     /** The message in hand has been let in. */
     private boolean coming;
@@ -25,7 +23,7 @@
             return;
         }
         int length = in.getInt(in.readerIndex() + header);
-        if (length < 4 || length > (typed() ? LONGEST : longestUntyped())) {
+        if (length < 4 || length > longest()) {
             broken = true;
             in.skipBytes(in.readableBytes());
             out.add(malformed("a message of length " + Integer.toUnsignedString(length)));
@@ -60,7 +58,8 @@
     /** Whether the next message has a type. */
     abstract boolean typed();
 
-    abstract int longestUntyped();
+    /** The longest message that may come next. */
+    abstract int longest();
 
     /** The message whose body is to be read; its header has been. */
     abstract Object message(char type, ByteBuf body);
--- a/src/main/java/clayhook/serve/Router.java
+++ b/src/main/java/clayhook/serve/Router.java
@@ -65,7 +65,7 @@
     private List<DoubleConsumer> lists = new ArrayList<>();
     private List<DoubleConsumer> rest = new ArrayList<>();
     /** Answers to be passed on at the end of the turn. */
-    private final Map<ClientCommand, byte[]> answers = new HashMap<>();
+    private final Map<ClientCommand, List<byte[]>> answers = new HashMap<>();
     private boolean turning;
     private ScheduledFuture<?> wake;
     private double sweepAt;
@@ -82,7 +82,7 @@
         descriptors = new Descriptors(configuration.sockets());
         decide = new Decide(settings, configuration.seed());
         hand = new Hand(decide, fault -> Log.fault("a turn failed", fault));
-        nodes = new Nodes(transport, clock, descriptors, configuration.connectTimeout(),
+        nodes = new Nodes(transport, clock, descriptors, configuration.memory(), configuration.connectTimeout(),
                 settings.connectionIdle(), this);
         discovery = new Discovery(transport, configuration.discovery(), configuration.known().version(), this);
         decide.listed(listings(configuration.known()), true, clock.now());
@@ -140,7 +140,7 @@
     }
 
     @Override
-    public void ended(Dispatch dispatch, Reply reply, byte[] answer) {
+    public void ended(Dispatch dispatch, Reply reply, List<byte[]> answer) {
         Log.count(reply.outcome().toString());
         tell(rest, now -> {
             var command = (ClientCommand) dispatch.command;
@@ -261,7 +261,7 @@
             return;
         }
         Log.count(choice.verdict() + " " + order.group.name());
-        byte[] answer = answers.remove(order);
+        List<byte[]> answer = answers.remove(order);
         if (!waiting.remove(order.session, order)) {
             return;
         }
