--- a/src/main/java/clayhook/Decide.java
+++ b/src/main/java/clayhook/Decide.java
@@ -37,8 +37,7 @@
         final ArrayDeque<Dispatch> abandoned = new ArrayDeque<>();
         /** How many dispatches it may have, and its smoothed time of answer over the response target. */
         double window, slowness;
-        /** Commands that it last reported to hold. */
-        double load;
+        double load; // commands that it last reported to hold
         /** Connections that should stand to it, as long as they are used. */
         int connections;
         double usedAt = NEVER;
@@ -281,10 +280,8 @@
 
     /** A few looks for room: a client that is asked back at once does better than one that is held. */
     private static final double HOLD = 0.08;
-    /** A line at the one node that takes writes is worth more patience, as there is no other. */
-    private static final double WRITE_HOLD = 0.5;
-    /** Without a primary: the client keeps more than half its time for another try, here or elsewhere. */
-    private static final double ELECTION_HOLD = 0.45;
+    /** A line at the one node that takes writes is worth more; without a primary there may be another try. */
+    private static final double WRITE_HOLD = 0.5, ELECTION_HOLD = 0.45;
 
     private static double usefulUntil(Command cmd) {
         double last = cmd.expires - Math.min(LEEWAY, LEEWAY_PART * (cmd.expires - cmd.arrived));
@@ -541,10 +538,8 @@
         return row.coldBudget >= 0;
     }
 
-    /** Warm nodes seldom bear more than they can: this part leaves room for chance. */
-    private static final double COLD_SAFETY = 0.75;
-    /** Work a second that any node can do for all routers, part of a core, when no answer came lately. */
-    private static final double LEAST_RATE = 0.15;
+    /** Of what warm nodes bear; and work a second, part of a core, that any does if no answer came lately. */
+    private static final double COLD_SAFETY = 0.75, LEAST_RATE = 0.15;
 
     private double doneRate(double now) {
         return doneRate * Math.exp((doneRateAt - now) / RATE_MEMORY);
@@ -740,6 +735,13 @@
         watchAt = watchAt > 0 ? Double.POSITIVE_INFINITY : watchAt;
     }
 
+    /** For the log, of each node: what is out of its window, seconds since it was heard, what is special. */
+    public String beliefs(double now) {
+        return rows.values().stream().map(row -> String.format(java.util.Locale.ROOT, "%s %d/%.0f %.1f%s%s",
+                row.node.id(), row.out.size(), row.window, now - row.heardAt, row.claimsPrimary() ? " primary"
+                : "", row.closed() ? " closed" : usable(row, now) ? "" : " out")).toList().toString();
+    }
+
     /** Whether it may still be sent something, or an outcome is awaited of it. */
     public boolean knows(Node node) {
         return rows.containsKey(node);
--- a/src/main/java/clayhook/nodes/Nodes.java
+++ b/src/main/java/clayhook/nodes/Nodes.java
@@ -17,6 +17,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /** Sends dispatches and probes to nodes over pooled connections and tells how each ended. */
 public final class Nodes {
@@ -134,6 +135,13 @@
                 && oldest.closeIdle(Math.nextUp(oldest.oldestIdle())) > 0;
     }
 
+    /** What really is under way at each node: attempts that were written or wait. */
+    public String underWay() {
+        var counts = new TreeMap<String, Integer>();
+        attempts.values().forEach(attempt -> counts.merge(attempt.node.id(), 1, Integer::sum));
+        return counts.toString();
+    }
+
     /** How many connections stand or open. */
     public int connections() {
         return descriptors.ofNodes();
--- a/src/test/java/clayhook/DecideTest.java
+++ b/src/test/java/clayhook/DecideTest.java
@@ -544,6 +544,17 @@
         assertEquals(serves, fleet.decide.where(fleet.command(fleet.write, 0), fleet.now).verdict() == Verdict.SEND);
     }
 
+    @Test
+    void beliefsTellWhatIsOutAndWhoIsLeftOut() {
+        fleet.send(fleet.write);
+        Dispatch read = fleet.send(fleet.any);
+        fleet.answer(read, Outcome.CONNECT_FAILED, Role.UNKNOWN, 0);
+        fleet.list(fleet.primary, State.DRAINING, 0);
+        String beliefs = fleet.decide.beliefs(fleet.now);
+        assertTrue(beliefs.contains("c 1/3 0.0 primary closed"), beliefs);
+        assertTrue(beliefs.contains(read.node.id() + " 0/3 0.0 out"), beliefs);
+    }
+
     @Test
     void aNodeThatIsFullRests() {
         Dispatch read = fleet.send(fleet.any);
