--- a/src/main/java/clayhook/front/Front.java
+++ b/src/main/java/clayhook/front/Front.java
@@ -23,6 +23,8 @@
 public final class Front {
     /** An eighth of the memory: the runtime itself takes half. */
     private static final int MEMORY_PART = 8;
+    /** Of what clients may hold here: whoever deals their connections out may grant them less. */
+    private static final double CROWDED = 0.5;
     private final Set<Session> sessions = new LinkedHashSet<>();
     private final Descriptors descriptors;
     private final InetSocketAddress asked;
@@ -82,9 +84,16 @@
         List.copyOf(sessions).forEach(Session::end);
     }
 
-    /** Ends those that have been silent for too long. */
+    /** Ends those that have been silent for too long; where they are many, also those that asked once and stay. */
     public void sweep(double now) {
         List.copyOf(sessions).forEach(session -> session.sweep(now));
+        List<Session> atRest = sessions.stream().filter(Session::atRest)
+                .sorted(Comparator.comparingDouble(Session::worth)).toList();
+        int tooMany = atRest.size() - (int) (descriptors.mostOfEach() * CROWDED);
+        atRest.stream().limit(Math.max(0, tooMany)).forEach(session -> {
+            Log.count("let go");
+            session.end();
+        });
     }
 
     /** Ends the session without a command that is worth least, to make room for one; false if there is none. */
--- a/src/main/java/clayhook/front/Session.java
+++ b/src/main/java/clayhook/front/Session.java
@@ -25,6 +25,8 @@
     private static final double SILENT = 2.2;
     /** An answer that is not read for so long is dropped with its connection; above any client timeout. */
     private static final double UNREAD = 10;
+    /** A client that has asked is spared so much longer; one that asked once and stays must not bar those that come. */
+    private static final double SPARED = 2;
     /** The sending side is ended for so long before the rest: the client reads the error, and nothing more is read. */
     private static final int LINGER_MS = 100;
 
@@ -199,14 +201,19 @@
         return !waiting && !ending && ahead.isEmpty();
     }
 
+    /** It has asked and got its answer. */
+    boolean atRest() {
+        return proven && idle();
+    }
+
     /** Something it sent is owed an answer. */
     boolean busy() {
         return waiting || !ahead.isEmpty();
     }
 
-    /** Which of those without a command goes first: what has ended, what never sent one, what has been quiet longest. */
+    /** Which of those without a command goes first: what has ended, then what has been quiet longest. */
     double worth() {
-        return ending ? 0 : (proven ? 2 : 1) * quietSince;
+        return ending ? 0 : quietSince + (proven ? SPARED : 0);
     }
 
     /** Ends it if it has been silent for too long. */
--- a/src/main/java/clayhook/serve/Descriptors.java
+++ b/src/main/java/clayhook/serve/Descriptors.java
@@ -27,6 +27,10 @@
         nodesGiveBack = way;
     }
 
+    public int mostOfEach() {
+        return mostOfEach;
+    }
+
     public boolean takeForNode() {
         if (ofNodes >= mostOfEach && !nodesGiveBack.getAsBoolean()) {
             return false;
