--- a/src/main/java/clayhook/protocol/ClientDecoder.java
+++ b/src/main/java/clayhook/protocol/ClientDecoder.java
@@ -1,7 +1,6 @@
 package clayhook.protocol;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelHandlerContext;
 
 /** Decodes what a client sends. */
 public final class ClientDecoder extends FrameDecoder {
@@ -14,31 +13,10 @@
     private static final int LONGEST_STARTUP = 10_000;
     /** Shorter messages go without an allowance: all clients together may send as many as a session reads ahead. */
     private static final int SHORT = 1024;
-    private final Allowance allowance;
-    /** What this client's messages take of the allowance until they are done with, or its end. */
-    private int taken;
     private boolean started;
 
     public ClientDecoder(Allowance allowance) {
-        this.allowance = allowance;
-    }
-
-    @Override
-    boolean mayCome(int length) {
-        boolean may = length <= SHORT || allowance.take(length);
-        taken += may && length > SHORT ? length : 0;
-        return may;
-    }
-
-    /** All messages that came are done with. */
-    public void release() {
-        allowance.give(taken);
-        taken = 0;
-    }
-
-    @Override
-    protected void handlerRemoved0(ChannelHandlerContext context) {
-        release();
+        super(allowance, SHORT);
     }
 
     @Override
--- a/src/main/java/clayhook/protocol/FrameDecoder.java
+++ b/src/main/java/clayhook/protocol/FrameDecoder.java
@@ -8,10 +8,20 @@
 
 /** Cuts the stream into messages: a type, a length that counts itself, a body. Holds only what has come. */
 abstract class FrameDecoder extends ByteToMessageDecoder {
+    private final Allowance allowance;
+    /** Shorter messages go without an allowance. */
+    private final int untaken;
+    /** What the messages that came take of it until they are done with, or the connection ends. */
+    private int taken;
     private boolean broken;
     /** The message in hand has been let in. */
     private boolean coming;
 
+    FrameDecoder(Allowance allowance, int untaken) {
+        this.allowance = allowance;
+        this.untaken = untaken;
+    }
+
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
         if (broken) {
@@ -66,9 +76,21 @@
 
     abstract Object malformed(String why);
 
-    /** Whether there is memory for a message of that length. */
-    boolean mayCome(int length) {
-        return true;
+    private boolean mayCome(int length) {
+        boolean may = length <= untaken || allowance.take(length);
+        taken += may && length > untaken ? length : 0;
+        return may;
+    }
+
+    /** All messages that came are done with. */
+    public final void release() {
+        allowance.give(taken);
+        taken = 0;
+    }
+
+    @Override
+    protected final void handlerRemoved0(ChannelHandlerContext context) {
+        release();
     }
 
     /** What is told of a message that there is no memory for. */
--- a/src/main/java/clayhook/protocol/NodeDecoder.java
+++ b/src/main/java/clayhook/protocol/NodeDecoder.java
@@ -1,7 +1,6 @@
 package clayhook.protocol;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelHandlerContext;
 
 /** Decodes what a node sends. */
 public final class NodeDecoder extends FrameDecoder {
@@ -12,30 +11,8 @@
     /** What describes a column after its name: table, number, type, size, modifier and format. */
     private static final int COLUMN = 18;
 
-    private final Allowance allowance;
-    /** What the messages of the answer in hand take of the allowance. */
-    private int taken;
-
     public NodeDecoder(Allowance allowance) {
-        this.allowance = allowance;
-    }
-
-    @Override
-    boolean mayCome(int length) {
-        boolean may = length <= SHORT || allowance.take(length);
-        taken += may && length > SHORT ? length : 0;
-        return may;
-    }
-
-    /** The answer is passed on or dropped. */
-    public void release() {
-        allowance.give(taken);
-        taken = 0;
-    }
-
-    @Override
-    protected void handlerRemoved0(ChannelHandlerContext context) {
-        release();
+        super(allowance, SHORT);
     }
 
     @Override
