Move log, clock, transport and descriptors below what uses them

Cause: nodes, discovery and front reached up into serve for its log, clock and descriptors. Change: packages log and transport hold them; nothing else changes.

--- a/daemon/src/main/java/clayhook/config/SettingsReader.java
+++ b/daemon/src/main/java/clayhook/config/SettingsReader.java
@@ -1,9 +1,9 @@
 package clayhook.config;
 
-import clayhook.CommandGroup;
 import clayhook.CommandGroup.Effect;
 import clayhook.CommandGroup.ReadLevel;
 import clayhook.CommandGroup.Scope;
+import clayhook.CommandGroup;
 import clayhook.Settings;
 import java.util.ArrayList;
 import java.util.List;
--- a/daemon/src/main/java/clayhook/discovery/Discovery.java
+++ b/daemon/src/main/java/clayhook/discovery/Discovery.java
@@ -1,6 +1,6 @@
 package clayhook.discovery;
 
-import clayhook.serve.Transport;
+import clayhook.transport.Transport;
 import java.net.InetSocketAddress;
 
 /** The watch on the list of nodes, whatever address its service moves to. */
--- a/daemon/src/main/java/clayhook/discovery/DiscoveryClient.java
+++ b/daemon/src/main/java/clayhook/discovery/DiscoveryClient.java
@@ -1,7 +1,7 @@
 package clayhook.discovery;
 
-import clayhook.serve.Log;
-import clayhook.serve.Transport;
+import clayhook.log.Log;
+import clayhook.transport.Transport;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
--- a/daemon/src/main/java/clayhook/front/Front.java
+++ b/daemon/src/main/java/clayhook/front/Front.java
@@ -1,11 +1,11 @@
 package clayhook.front;
 
+import clayhook.log.Log;
 import clayhook.protocol.Allowance;
 import clayhook.protocol.ClientDecoder;
 import clayhook.protocol.Encoder;
-import clayhook.serve.Descriptors;
-import clayhook.serve.Log;
-import clayhook.serve.Transport;
+import clayhook.transport.Descriptors;
+import clayhook.transport.Transport;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
--- a/daemon/src/main/java/clayhook/front/Session.java
+++ b/daemon/src/main/java/clayhook/front/Session.java
@@ -1,10 +1,10 @@
 package clayhook.front;
 
+import clayhook.log.Log;
 import clayhook.protocol.ClientDecoder;
 import clayhook.protocol.ClientMessage;
 import clayhook.protocol.Encoder;
 import clayhook.protocol.Statement;
-import clayhook.serve.Log;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
--- a/daemon/src/main/java/clayhook/serve/Log.java
+++ b/daemon/src/main/java/clayhook/log/Log.java
@@ -1,4 +1,4 @@
-package clayhook.serve;
+package clayhook.log;
 
 import java.util.Map;
 import java.util.TreeMap;
--- a/daemon/src/main/java/clayhook/serve/StandardError.java
+++ b/daemon/src/main/java/clayhook/log/StandardError.java
@@ -1,4 +1,4 @@
-package clayhook.serve;
+package clayhook.log;
 
 import java.time.Instant;
 import java.util.ResourceBundle;
--- a/daemon/src/main/java/clayhook/rehearsal/StandIn.java
+++ b/daemon/src/main/java/clayhook/rehearsal/StandIn.java
@@ -1,6 +1,6 @@
 package clayhook.rehearsal;
 
-import clayhook.serve.Transport;
+import clayhook.transport.Transport;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import java.net.InetSocketAddress;
--- a/daemon/src/main/java/clayhook/rehearsal/StandInClient.java
+++ b/daemon/src/main/java/clayhook/rehearsal/StandInClient.java
@@ -6,7 +6,7 @@
 import clayhook.protocol.Encoder;
 import clayhook.protocol.NodeDecoder;
 import clayhook.protocol.NodeMessage;
-import clayhook.serve.Transport;
+import clayhook.transport.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
--- a/daemon/src/main/java/clayhook/rehearsal/StandInDiscovery.java
+++ b/daemon/src/main/java/clayhook/rehearsal/StandInDiscovery.java
@@ -2,7 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
 
-import clayhook.serve.Transport;
+import clayhook.transport.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandler;
--- a/daemon/src/main/java/clayhook/rehearsal/StandInNode.java
+++ b/daemon/src/main/java/clayhook/rehearsal/StandInNode.java
@@ -7,7 +7,7 @@
 import clayhook.protocol.ClientMessage;
 import clayhook.protocol.Encoder;
 import clayhook.protocol.Statement;
-import clayhook.serve.Transport;
+import clayhook.transport.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandler;
--- a/daemon/src/main/java/clayhook/serve/Server.java
+++ b/daemon/src/main/java/clayhook/serve/Server.java
@@ -2,6 +2,8 @@
 
 import clayhook.CommandGroup;
 import clayhook.config.Configuration;
+import clayhook.log.Log;
+import clayhook.transport.Transport;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.Callable;
--- a/daemon/src/main/java/clayhook/sim/Instance.java
+++ b/daemon/src/main/java/clayhook/sim/Instance.java
@@ -1,7 +1,7 @@
 package clayhook.sim;
 
-import clayhook.Choice;
 import clayhook.Choice.Verdict;
+import clayhook.Choice;
 import clayhook.Command;
 import clayhook.CommandGroup;
 import clayhook.Decide;
--- a/daemon/src/main/java/clayhook/serve/Clock.java
+++ b/daemon/src/main/java/clayhook/transport/Clock.java
@@ -1,4 +1,4 @@
-package clayhook.serve;
+package clayhook.transport;
 
 import java.time.Instant;
 
--- a/daemon/src/main/java/clayhook/serve/Descriptors.java
+++ b/daemon/src/main/java/clayhook/transport/Descriptors.java
@@ -1,4 +1,4 @@
-package clayhook.serve;
+package clayhook.transport;
 
 import java.util.function.BooleanSupplier;
 
@@ -61,7 +61,7 @@
         ofClients--;
     }
 
-    int peak() {
+    public int peak() {
         return peak;
     }
 }
--- a/daemon/src/main/java/clayhook/serve/Transport.java
+++ b/daemon/src/main/java/clayhook/transport/Transport.java
@@ -1,4 +1,4 @@
-package clayhook.serve;
+package clayhook.transport;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
--- a/daemon/src/test/java/clayhook/config/ConfigurationTest.java
+++ b/daemon/src/test/java/clayhook/config/ConfigurationTest.java
@@ -4,10 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import clayhook.CommandGroup;
 import clayhook.CommandGroup.Effect;
 import clayhook.CommandGroup.ReadLevel;
 import clayhook.CommandGroup.Scope;
+import clayhook.CommandGroup;
 import clayhook.Role;
 import java.util.Arrays;
 import java.util.List;
--- a/daemon/src/test/java/clayhook/discovery/WatchTest.java
+++ b/daemon/src/test/java/clayhook/discovery/WatchTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import clayhook.rehearsal.StandInDiscovery;
-import clayhook.serve.Transport;
+import clayhook.transport.Transport;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
--- a/daemon/src/test/java/clayhook/serve/ServerTest.java
+++ b/daemon/src/test/java/clayhook/serve/ServerTest.java
@@ -1,12 +1,9 @@
 package clayhook.serve;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
-import clayhook.CommandGroup;
 import clayhook.CommandGroup.Effect;
 import clayhook.CommandGroup.ReadLevel;
 import clayhook.CommandGroup.Scope;
+import clayhook.CommandGroup;
 import clayhook.Settings;
 import clayhook.config.Configuration;
 import clayhook.discovery.NodeList;
@@ -14,8 +11,9 @@
 import clayhook.protocol.Statement;
 import clayhook.rehearsal.StandInClient;
 import clayhook.rehearsal.StandInDiscovery;
-import clayhook.rehearsal.StandInNode;
 import clayhook.rehearsal.StandInNode.Deed;
+import clayhook.rehearsal.StandInNode;
+import clayhook.transport.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.net.InetSocketAddress;
@@ -26,6 +24,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** The whole router on loopback, between stand-ins. */
 class ServerTest {
