Add the module statements: shapes, proof of harmlessness, cost, rules, a bounded cache

Need: other installations have clients that write any statement, with no comment that names a command group. Change: a lexer by PostgreSQL's public rules, a grammar for ANTLR over shapes, a verdict that is a read only where every part is known to change nothing, measured cost by shape, the operator's rules, a cache by frequency within a bound of bytes, and a budget of reading by turn. Nothing uses it yet.

--- /dev/null
+++ b/statements/src/main/java/clayhook/statements/Reader.java
@@ -0,0 +1,231 @@
+package clayhook.statements;
+
+import clayhook.statements.Tokens.Kind;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.antlr.v4.runtime.BailErrorStrategy;
+import org.antlr.v4.runtime.CommonToken;
+import org.antlr.v4.runtime.CommonTokenStream;
+import org.antlr.v4.runtime.ListTokenSource;
+import org.antlr.v4.runtime.Token;
+import org.antlr.v4.runtime.atn.ParserATNSimulator;
+import org.antlr.v4.runtime.atn.PredictionContextCache;
+import org.antlr.v4.runtime.atn.PredictionMode;
+import org.antlr.v4.runtime.dfa.DFA;
+import org.antlr.v4.runtime.misc.ParseCancellationException;
+import org.antlr.v4.runtime.tree.ParseTreeWalker;
+
+/** Reads a shape: what every statement of it may do. A shape that it cannot understand may do anything. */
+final class Reader {
+    /** Brackets and CASE within one another. The parser takes some thirty frames a level; no one writes more by hand. */
+    private static final int DEEPEST = 40;
+    /** Longer shapes are generated; lists of literals count as one token whatever their length. */
+    static final int LONGEST = 4000;
+    /** Lookahead that the parser has learnt, in states: some hundred bytes each. It grows with shapes, so it is dropped. */
+    static final int MOST_STATES = 20_000;
+    private static final Map<String, Integer> WORDS = words();
+    private static final Set<String> BLOCKS = Set.of("begin", "start", "commit", "end", "rollback", "abort", "savepoint",
+            "release");
+    private static final Set<String> BINDING = Set.of("copy", "listen", "unlisten", "prepare", "execute", "deallocate",
+            "declare", "fetch", "move", "close", "lock", "discard", "set", "reset", "load");
+    private static final Set<String> CHANGING = Set.of("insert", "update", "delete", "merge", "into", "truncate",
+            "create", "drop", "alter", "call");
+    /** After these the session of the node may be another. */
+    private static final Set<String> OPAQUE = Set.of("do", "call");
+
+    private final Known known;
+    private final Sql parser;
+    private int states;
+
+    Reader(Known known) {
+        this.known = known;
+        parser = new Sql(new CommonTokenStream(new ListTokenSource(List.of())));
+        parser.removeErrorListeners();
+        parser.setErrorHandler(new BailErrorStrategy());
+        forget();
+    }
+
+    private static Map<String, Integer> words() {
+        Map<String, Integer> words = new HashMap<>();
+        for (int type = Sql.ALL; type <= Sql.VOCABULARY.getMaxTokenType(); type++) {
+            String name = Sql.VOCABULARY.getSymbolicName(type);
+            words.put(Names.fold(name.endsWith("_") ? name.substring(0, name.length() - 1) : name), type);
+        }
+        return words;
+    }
+
+    /** Tables of its own, which the parser would else share with all others and never empty. */
+    private void forget() {
+        var decisions = new DFA[parser.getATN().getNumberOfDecisions()];
+        for (int i = 0; i < decisions.length; i++) {
+            decisions[i] = new DFA(parser.getATN().getDecisionState(i), i);
+        }
+        var simulator = new ParserATNSimulator(parser, parser.getATN(), decisions, new PredictionContextCache());
+        // What the weaker prediction cannot tell apart is not understood, which costs speed at the worst.
+        simulator.setPredictionMode(PredictionMode.SLL);
+        parser.setInterpreter(simulator);
+    }
+
+    /** States of lookahead held now; for the bound. */
+    int states() {
+        return states;
+    }
+
+    Facts read(Tokens shape) {
+        if (shape.size == 0) {
+            return Facts.unread(Verdict.READ, "nothing to do", "", false);
+        }
+        Facts refusal = refusal(shape);
+        if (refusal != null) {
+            return refusal;
+        }
+        String kind = word(shape, first(shape));
+        if (shape.size > LONGEST) {
+            return Facts.unread(Verdict.WRITE, "longer than is read", kind, true);
+        } else if (depth(shape) > DEEPEST) {
+            return Facts.unread(Verdict.WRITE, "nested deeper than is read", kind, true);
+        }
+        Facts facts = parse(shape, kind);
+        String changing = facts.verdict() == Verdict.READ ? changing(shape) : null;
+        // Two proofs: the grammar's, and that no word of a change stands anywhere outside quotes.
+        return changing == null ? facts : Facts.unread(Verdict.WRITE, "the word " + changing, kind, true);
+    }
+
+    private Facts parse(Tokens shape, String kind) {
+        var tokens = new ArrayList<Token>(shape.size);
+        for (int i = 0; i < shape.size; i++) {
+            String text = text(shape, i);
+            var token = new CommonToken(type(shape.kinds[i], text), text);
+            token.setTokenIndex(i);
+            tokens.add(token);
+        }
+        try {
+            parser.setTokenStream(new CommonTokenStream(new ListTokenSource(tokens)));
+            var reading = new Reading(known);
+            ParseTreeWalker.DEFAULT.walk(reading, parser.entry());
+            return reading.facts(kind);
+        } catch (ParseCancellationException e) {
+            return Facts.unread(Verdict.WRITE, "not understood", kind, true);
+        } finally {
+            states = 0;
+            for (DFA decision : parser.getInterpreter().decisionToDFA) {
+                states += decision.states.size();
+            }
+            if (states > MOST_STATES) {
+                forget();
+            }
+        }
+    }
+
+    private static int type(Kind kind, String text) {
+        return switch (kind) {
+            case WORD -> WORDS.getOrDefault(text, Sql.WORD);
+            case QUOTED -> Sql.QUOTED;
+            case LITERAL -> Sql.LITERAL;
+            case OP -> Sql.OP;
+            case EQ -> Sql.EQ;
+            case STAR -> Sql.STAR;
+            case LP -> Sql.LP;
+            case RP -> Sql.RP;
+            case LB -> Sql.LB;
+            case RB -> Sql.RB;
+            case COMMA -> Sql.COMMA;
+            case SEMI -> Sql.SEMI;
+            case DOT -> Sql.DOT;
+            case COLON -> Sql.COLON;
+            case COLON_EQ -> Sql.COLON_EQ;
+            case ARROW -> Sql.ARROW;
+            case CAST_TO -> Sql.CAST_TO;
+        };
+    }
+
+    private static String text(Tokens shape, int i) {
+        return new String(shape.text, shape.from[i], shape.to[i] - shape.from[i], StandardCharsets.UTF_8);
+    }
+
+    /** A word that is not quoted, or an empty text. */
+    private static String word(Tokens shape, int i) {
+        return i < shape.size && shape.kinds[i] == Kind.WORD ? text(shape, i) : "";
+    }
+
+    /** Queries may stand in brackets. */
+    private static int first(Tokens shape) {
+        int i = 0;
+        while (i < shape.size && shape.kinds[i] == Kind.LP) {
+            i++;
+        }
+        return i;
+    }
+
+    private static int depth(Tokens shape) {
+        int depth = 0;
+        int deepest = 0;
+        for (int i = 0; i < shape.size; i++) {
+            boolean word = shape.kinds[i] == Kind.WORD;
+            boolean opens = shape.kinds[i] == Kind.LP || shape.kinds[i] == Kind.LB || word && shape.is(i, "case");
+            boolean closes = shape.kinds[i] == Kind.RP || shape.kinds[i] == Kind.RB || word && shape.is(i, "end");
+            depth += opens ? 1 : closes ? -1 : 0;
+            deepest = Math.max(deepest, depth);
+        }
+        return deepest;
+    }
+
+    private static String changing(Tokens shape) {
+        for (int i = 0; i < shape.size; i++) {
+            String word = word(shape, i);
+            if (CHANGING.contains(word)) {
+                return word;
+            }
+        }
+        return null;
+    }
+
+    // ---- what no shared connection can run ----
+
+    /** The refusal of what binds a session to a connection, opens a transaction, or does so in one of several. */
+    private static Facts refusal(Tokens shape) {
+        int statements = 1;
+        int start = 0;
+        for (int i = 0; i <= shape.size; i++) {
+            if (i < shape.size && shape.kinds[i] != Kind.SEMI) {
+                continue;
+            }
+            if (i == start) {
+                start = i + 1;
+                continue;
+            }
+            String first = word(shape, start);
+            if (BLOCKS.contains(first) || first.equals("prepare") && word(shape, start + 1).equals("transaction")) {
+                return Facts.unread(Verdict.REFUSED, "transaction blocks are not taken yet: " + first, first, false);
+            } else if (BINDING.contains(first)) {
+                return Facts.unread(Verdict.REFUSED, "binds the session to a connection: " + first, first, false);
+            }
+            statements += start > 0 ? 1 : 0;
+            start = i + 1;
+        }
+        for (int i = 0; i + 1 < shape.size; i++) {
+            if (shape.kinds[i] == Kind.WORD && (shape.is(i, "temp") || shape.is(i, "temporary"))
+                    && (i <= MODIFIERS || word(shape, i - 1).equals("into"))
+                    && (word(shape, 0).equals("create") || word(shape, i - 1).equals("into"))) {
+                return Facts.unread(Verdict.REFUSED, "binds the session to a connection: a temporary object",
+                        word(shape, 0), false);
+            }
+            String name = shape.kinds[i + 1] != Kind.LP ? "" : shape.kinds[i] == Kind.WORD ? text(shape, i)
+                    : shape.kinds[i] == Kind.QUOTED ? Names.unquote(text(shape, i)) : "";
+            if (Known.BINDING.contains(name)) {
+                return Facts.unread(Verdict.REFUSED, "binds the session to a connection: " + name, word(shape, first(shape)),
+                        false);
+            }
+        }
+        String kind = word(shape, first(shape));
+        return statements > 1 ? Facts.unread(Verdict.WRITE, "several statements in one", kind, true)
+                : OPAQUE.contains(kind) ? Facts.unread(Verdict.WRITE, kind + " may run anything", kind, true) : null;
+    }
+
+    /** CREATE, OR, REPLACE, LOCAL or GLOBAL may stand before TEMPORARY. */
+    private static final int MODIFIERS = 4;
+}
--- /dev/null
+++ b/statements/src/test/java/clayhook/statements/CorpusTest.java
@@ -0,0 +1,84 @@
+package clayhook.statements;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class CorpusTest {
+    record Case(Verdict verdict, String text) {
+        byte[] bytes() {
+            return text.getBytes(UTF_8);
+        }
+
+        @Override
+        public String toString() {
+            return verdict + " " + text;
+        }
+    }
+
+    static List<Case> corpus() throws IOException {
+        try (var in = CorpusTest.class.getResourceAsStream("corpus.txt")) {
+            return new String(in.readAllBytes(), UTF_8).lines().filter(line -> !line.startsWith("#")).map(line -> {
+                String[] parts = (line + " ").split(" ", 2);
+                return new Case(Verdict.valueOf(parts[0].toUpperCase(Locale.ROOT)),
+                        parts[1].replace("\\n", "\n").strip());
+            }).toList();
+        }
+    }
+
+    private static final Classifier CLASSIFIER = new Classifier(StatementRules.DEFAULT, 1);
+
+    static Classed classed(String text) {
+        CLASSIFIER.turn();
+        return CLASSIFIER.classify(text.getBytes(UTF_8), Client.UNKNOWN);
+    }
+
+    @ParameterizedTest
+    @MethodSource("corpus")
+    void everyStatementIsWhatItIs(Case given) {
+        assertEquals(given.verdict(), classed(given.text()).verdict(), () -> classed(given.text()).why());
+    }
+
+    @Test
+    void theSameClassComesFromTheCacheAndForAnyOrder() throws IOException {
+        var classifier = new Classifier(StatementRules.DEFAULT, 1);
+        for (int round = 0; round < 2; round++) {
+            for (Case given : corpus()) {
+                classifier.turn();
+                assertEquals(given.verdict(), classifier.classify(given.bytes(), Client.UNKNOWN).verdict(), given::text);
+            }
+        }
+        assertTrue(classifier.counts().hits() > corpus().size() / 2);
+    }
+
+    /** Whatever stands around a write, it stays one. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/* a */ %s", "-- a\n%s", "(%s)", "with x as (%s) select 1", "select * from (%s) x",
+        "select 1 where exists (%s)", "explain analyze %s", "explain (analyze) %s", "select (%s)", "values ((%s))",
+        "select array(%s)", "select 1 union all %s", "select 1; %s", "%s; select 1", "select case when (%s) then 1 end",
+        "with a as (with b as (%s) select 1) select 1", "select 1 from t where a in (%s) order by 1 limit 1",
+        "explain with a as (%s) select 1", "select 'x' /* ' */ , (%s)", "select \"a\"\"b\", (%s)", "select $$'$$, (%s)"})
+    void noWriteIsAReadAfterWrapping(String wrapping) throws IOException {
+        for (Case given : corpus()) {
+            if (given.verdict() == Verdict.WRITE && closed(given.text())) {
+                String wrapped = wrapping.replace("%s", given.text());
+                assertTrue(classed(wrapped).verdict() != Verdict.READ, wrapped);
+            }
+        }
+    }
+
+    /** It swallows nothing that follows, and is no single word, which would be a name in brackets. */
+    private static boolean closed(String text) {
+        var tokens = new Tokens();
+        new Lexer(true).lex(text.getBytes(UTF_8), tokens);
+        return tokens.fault == null && tokens.size > 1 && !text.contains("--");
+    }
+}
