--- /dev/null
+++ b/cli/src/main/java/clayhook/cli/RehearseCommand.java
@@ -0,0 +1,47 @@
+package clayhook.cli;
+
+import clayhook.Settings;
+import clayhook.config.Configuration;
+import clayhook.config.Json;
+import clayhook.rehearsal.Rehearsal;
+import clayhook.serve.Hangup;
+import clayhook.transport.Transport;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+
+@Command(name = "rehearse", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+        description = "Serves stand-ins for a moment; the build keeps the classes that this loads.")
+final class RehearseCommand implements Callable<Integer> {
+    /** Settings of every kind of command group. */
+    private static final String REHEARSED = """
+            {"name": "rehearsal", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1", "settings": {
+            "balancers": 1, "zone": "a", "discovery": "subscribe", "report": {"how": "inline"},
+            "domain": {"read_level": ["bounded", "any", "write"], "max_age": [200000000, 0, 0],
+            "when_behind": "wait", "write_marks": "carried"}, "limits": {"most_tries": 3},
+            "grades": [
+            {"name": "bounded", "effect": "idempotent", "aim": 250000000, "hard_limit": 500000000},
+            {"name": "any", "effect": "idempotent", "aim": 250000000, "hard_limit": 500000000},
+            {"name": "write", "effect": "deduplicated", "group": "cell", "aim": 250000000, "hard_limit": 500000000,
+            "repeat_window": 1000000000}]}}
+            """;
+
+    @Override
+    public Integer call() {
+        return run();
+    }
+
+    /** Not for service: the build makes the archive of classes from what this loads. */
+    static int run() {
+        try {
+            Hangup.handle(() -> { });
+            Settings settings = Configuration.of(Json.parse(REHEARSED), Map.of()).settings();
+            Rehearsal.run(settings, Transport.rehearsal(), false);
+            Rehearsal.run(settings, Transport.tcp(), false);
+            return Main.DONE;
+        } catch (Exception e) {
+            System.err.println("clayhook: " + e);
+            return Main.FAILED;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/clayhook/config/Operator.java
@@ -0,0 +1,49 @@
+package clayhook.config;
+
+import clayhook.CommandGroup;
+import clayhook.statements.StatementRules;
+import java.util.List;
+
+/**
+ * What the operator's own file says, beside the platform's configuration.
+ *
+ * @param statements null where only the two fixed forms of statement are taken
+ * @param user as which the router connects to nodes
+ * @param database that it connects to
+ */
+public record Operator(Statements statements, String user, String database) {
+    /** Without a file. */
+    public static final Operator OFF = new Operator(null, "clayhook", "core");
+
+    /**
+     * Statements of any kind.
+     *
+     * @param trustComments the comment that names a command counts, where it makes no read of a write
+     * @param timeout seconds that a client waits where neither rule nor client says so; 0 for its command group's time
+     * @param longestAnswer bytes of an answer that are passed on
+     */
+    public record Statements(StatementRules rules, boolean trustComments, double timeout, int longestAnswer) {
+    }
+
+    /** Checks what it says against the command groups there are; throws BadConfig naming place and key. */
+    interface GroupCheck {
+        void check(String key, boolean writes, boolean marked, String group) throws BadConfig;
+
+        /** Where the command groups are not known, as in tools, any name will do. */
+        static GroupCheck of(List<CommandGroup> groups, Toml toml) {
+            return groups == null ? (key, writes, marked, name) -> { } : (key, writes, marked, name) -> {
+                CommandGroup group = groups.stream().filter(g -> g.name().equals(name)).findFirst().orElse(null);
+                if (group == null) {
+                    throw toml.fault(key, "there is no command group '" + name + "'");
+                } else if (writes != (group.level() == CommandGroup.ReadLevel.WRITE)) {
+                    throw toml.fault(key, "command group '" + name + "' is for " + (writes ? "reads" : "writes"));
+                } else if (writes && marked != (group.effect() == CommandGroup.Effect.KEYED)) {
+                    throw toml.fault(key, "command group '" + name + "' is " + (marked ? "not keyed, but the rule names a mark"
+                            : group.effect() == CommandGroup.Effect.KEYED ? "keyed, which needs a rule with a mark" : "fit"));
+                } else if (writes && group.effect() == CommandGroup.Effect.REPLAYABLE) {
+                    throw toml.fault(key, "command group '" + name + "' is replayable, which no unknown write is");
+                }
+            };
+        }
+    }
+}
--- a/daemon/src/main/java/clayhook/front/ClientCommand.java
+++ b/daemon/src/main/java/clayhook/front/ClientCommand.java
@@ -2,17 +2,38 @@
 
 import clayhook.Command;
 import clayhook.CommandGroup;
+import clayhook.protocol.Outgoing;
 import clayhook.protocol.Statement;
+import clayhook.statements.Classed;
+import java.util.List;
 
 /** A command that a client session waits for. */
 public final class ClientCommand extends Command {
     public final Session session;
-    public final Statement statement;
+    public final Outgoing outgoing;
+    /** Its id among all open commands, or null where the router needs none. */
+    public final String id;
+    /** What the statement was taken for; null where its comment says that. */
+    public final Classed classed;
+    /** The error that a node answered last, for the client where that is all that is known; or null. */
+    public List<byte[]> error;
 
     public ClientCommand(CommandGroup group, Statement statement, Session session, double now) {
         super(group, statement.nodeGroup, statement.key, statement.after, now,
                 now + Math.min(statement.wait, group.clientTimeout()));
         this.session = session;
-        this.statement = statement;
+        outgoing = statement;
+        id = statement.id;
+        classed = null;
+    }
+
+    /** {@code wait}: seconds that the client waits, at most those of its command group. */
+    public ClientCommand(CommandGroup group, int nodes, Outgoing outgoing, Classed classed, Session session,
+            double wroteAt, double now, double wait) {
+        super(group, nodes, session.name(), wroteAt, now, now + Math.min(wait, group.clientTimeout()));
+        this.session = session;
+        this.outgoing = outgoing;
+        id = null;
+        this.classed = classed;
     }
 }
--- a/daemon/src/main/java/clayhook/front/Front.java
+++ b/daemon/src/main/java/clayhook/front/Front.java
@@ -4,6 +4,7 @@
 import clayhook.protocol.Allowance;
 import clayhook.protocol.ClientDecoder;
 import clayhook.protocol.Encoder;
+import clayhook.statements.SessionSettings;
 import clayhook.transport.Descriptors;
 import clayhook.transport.Transport;
 import io.netty.channel.Channel;
@@ -18,6 +19,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 
 /** Where clients connect. */
 public final class Front {
@@ -30,8 +32,9 @@
     private final InetSocketAddress asked;
     private final Channel listening;
 
+    /** {@code settings} makes those of a new session; null where only the two forms of statement are taken. */
     public Front(Transport transport, InetSocketAddress address, Descriptors descriptors, long memory,
-            DoubleSupplier clock, Session.Listener listener) throws InterruptedException {
+            Supplier<SessionSettings> settings, DoubleSupplier clock, Session.Listener listener) throws InterruptedException {
         this.descriptors = descriptors;
         asked = address;
         descriptors.clientsGiveBackBy(this::giveBack);
@@ -41,8 +44,8 @@
                 Log.count("turned away");
                 return new ChannelHandler[] {new Refusal()};
             }
-            var decoder = new ClientDecoder(allowance);
-            var session = new Session(listener, decoder, clock, this::ended);
+            var decoder = new ClientDecoder(allowance, settings != null);
+            var session = new Session(listener, decoder, settings == null ? null : settings.get(), clock, this::ended);
             sessions.add(session);
             return new ChannelHandler[] {decoder, session};
         });
--- a/daemon/src/main/java/clayhook/front/Session.java
+++ b/daemon/src/main/java/clayhook/front/Session.java
@@ -5,6 +5,7 @@
 import clayhook.protocol.ClientMessage;
 import clayhook.protocol.Encoder;
 import clayhook.protocol.Statement;
+import clayhook.statements.SessionSettings;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -12,7 +13,9 @@
 import io.netty.channel.socket.DuplexChannel;
 import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
@@ -35,6 +38,9 @@
         /** A command came; it gets one of the final answers below. */
         void taken(Session session, Statement statement);
 
+        /** The same of a statement of any kind. */
+        void asked(Session session, byte[] text);
+
         /** The client has gone before it got its answer. */
         void left(Session session);
     }
@@ -43,7 +49,11 @@
     private final Consumer<Session> ended;
     private final ClientDecoder decoder;
     private final DoubleSupplier clock;
+    /** Null where only the two forms of statement are taken. */
+    private final SessionSettings settings;
     private final ArrayDeque<Object> ahead = new ArrayDeque<>();
+    /** Seconds; the position of its last write, for its own reads. */
+    private double wroteAt;
     private ChannelHandlerContext context;
     private boolean started;
     private boolean waiting;
@@ -59,7 +69,9 @@
     /** It ends as soon as what it has taken is answered. */
     private boolean endSoon;
 
-    Session(Listener listener, ClientDecoder decoder, DoubleSupplier clock, Consumer<Session> ended) {
+    Session(Listener listener, ClientDecoder decoder, SessionSettings settings, DoubleSupplier clock,
+            Consumer<Session> ended) {
+        this.settings = settings;
         this.listener = listener;
         this.decoder = decoder;
         this.clock = clock;
@@ -119,7 +131,7 @@
             write(Encoder.noEncryption());
         } else if (message instanceof ClientMessage.Startup startup) {
             started = true;
-            write(Encoder.welcome(startup.minor()));
+            welcome(startup);
         } else if (message instanceof ClientMessage.Malformed malformed) {
             malformed(malformed);
         } else {
@@ -127,6 +139,62 @@
         }
     }
 
+    private void welcome(ClientMessage.Startup startup) {
+        String fault = settings == null ? null : settings.introduced(startup.parameters());
+        if (fault != null) {
+            Log.warn("client", fault);
+            end(Encoder.error(true, "0A000", fault, null));
+            return;
+        }
+        Map<String, String> told = new LinkedHashMap<>();
+        if (settings != null) {
+            told.put("server_encoding", "UTF8");
+            told.put("integer_datetimes", "on");
+            told.put("session_authorization", settings.client().user());
+            startup.parameters().forEach((name, value) -> {
+                if (TOLD.contains(name)) {
+                    told.put(name, value);
+                }
+            });
+        }
+        write(Encoder.welcome(startup.minor(), told));
+    }
+
+    /** Settings whose values servers tell, as they write them. */
+    private static final List<String> TOLD = List.of("application_name", "DateStyle", "IntervalStyle", "TimeZone");
+
+    private void sql(byte[] text) {
+        SessionSettings.Reply reply = settings.asked(text);
+        if (reply instanceof SessionSettings.Reply.Refused refused) {
+            write(Encoder.error(false, "0A000", refused.why(), null));
+        } else if (reply instanceof SessionSettings.Reply.Done done) {
+            String told = TOLD.stream().filter(name -> name.equalsIgnoreCase(done.name())).findFirst().orElse(null);
+            write(Encoder.completed(done.tag(), told, done.value()));
+        } else {
+            waiting = true;
+            listener.asked(this, text);
+        }
+    }
+
+    /** Its own among all sessions of this router. */
+    public String name() {
+        return context.channel().id().asShortText();
+    }
+
+    /** The log position in seconds that its reads must cover to see its own writes; 0 for none. */
+    public double wroteAt() {
+        return wroteAt;
+    }
+
+    public void wrote(double position) {
+        wroteAt = Math.max(wroteAt, position);
+    }
+
+    /** What the client has set; null where only the two forms of statement are taken. */
+    public SessionSettings settings() {
+        return settings;
+    }
+
     private void handle(Object message) {
         if (skipping && !(message instanceof ClientMessage.Sync || message instanceof ClientMessage.Terminate
                 || message instanceof ClientMessage.Malformed)) {
@@ -136,6 +204,9 @@
             waiting = true;
             proven = true;
             listener.taken(this, query.statement());
+        } else if (message instanceof ClientMessage.Sql query) {
+            proven = true;
+            sql(query.text());
         } else if (message instanceof ClientMessage.EmptyQuery) {
             write(Encoder.emptyQueryResponse());
         } else if (message instanceof ClientMessage.UnreadableQuery unreadable) {
@@ -182,8 +253,8 @@
     }
 
     /** The statement could not be taken. */
-    public void rejected(String why) {
-        conclude(Encoder.error(false, "42601", why, null));
+    public void rejected(String code, String why) {
+        conclude(Encoder.error(false, code, why, null));
     }
 
     private void conclude(ByteBuf bytes) {
--- a/daemon/src/main/java/clayhook/nodes/Ending.java
+++ b/daemon/src/main/java/clayhook/nodes/Ending.java
@@ -1,6 +1,8 @@
 package clayhook.nodes;
 
 import clayhook.Outcome;
+import java.util.List;
+import java.util.Set;
 
 /** How an attempt ended. */
 sealed interface Ending {
@@ -26,6 +28,31 @@
         }
     }
 
+    /** The router answers in the node's place, which has nothing more to tell: a final answer of these messages. */
+    record Concluded(List<byte[]> messages) implements Ending {
+        @Override
+        public Outcome outcome() {
+            return Outcome.ANSWERED;
+        }
+    }
+
+    /**
+     * How a whole answer ends that holds an error, or none. Where statements of any kind are sent, most errors say what
+     * is wrong with the statement, which has had no effect, and are answers; the classes that speak of the node are not.
+     */
+    static Ending of(String code, boolean free) {
+        boolean answer = code == null || free && !OF_NODES.contains(code) && (code.equals(CANCELLED)
+                || !CLASSES_OF_NODES.contains(code.substring(0, Math.min(2, code.length()))));
+        return answer ? new Answered() : new Refused(code);
+    }
+
+    /** Read-only or behind; these are refusals of this very node. */
+    Set<String> OF_NODES = Set.of("25006", "72000");
+    /** Connections, resources, operator intervention, system errors, configuration file, internal errors. */
+    Set<String> CLASSES_OF_NODES = Set.of("08", "53", "57", "58", "F0", "XX");
+    /** The statement was cancelled, by a time limit of the node for one; it has had no effect. */
+    String CANCELLED = "57014";
+
     /** What came cannot be understood; the node works, and the command may have run. */
     record Spoilt() implements Ending {
         @Override
--- a/daemon/src/main/java/clayhook/nodes/NodeConnection.java
+++ b/daemon/src/main/java/clayhook/nodes/NodeConnection.java
@@ -7,11 +7,14 @@
 import clayhook.protocol.Encoder;
 import clayhook.protocol.NodeDecoder;
 import clayhook.protocol.NodeMessage;
+import clayhook.statements.SessionSettings;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** One connection to a node; it carries one attempt at a time. */
@@ -20,12 +23,13 @@
     private static final int QUIET_MS = 2;
 
     /** What may come next. Nothing may come on a connection that is idle. */
-    private enum Next { WELCOME, DESCRIPTION, ROW, COMPLETION, READINESS, NOTHING }
+    private enum Next { WELCOME, TUNING, RESULTS, DESCRIPTION, ROW, COMPLETION, READINESS, NOTHING }
 
     final NodeDecoder decoder;
     private final Pool pool;
     final InetSocketAddress address;
-    final double openedAt;
+    /** Since when it has been opening or is given other settings. */
+    double gettingReadySince;
     double idleSince;
     private ChannelHandlerContext context;
     private Next next = Next.WELCOME;
@@ -33,8 +37,17 @@
     private boolean closed;
     /** Its answer is whole and it waits to be free. */
     private boolean settling;
+    /** What it ran may have left something behind in its session. */
+    private boolean retiring;
     private Attempt attempt;
+    /** What this connection was given, and what it is being given. */
+    private Map<String, String> settings = Map.of();
+    private Map<String, String> wanted = Map.of();
     // what the answer in hand has told so far
+    private int bytes;
+    private int taken;
+    private boolean inRows;
+    private boolean whole;
     private List<byte[]> parts = List.of();
     private String probed;
     private String refusal;
@@ -46,7 +59,7 @@
         this.pool = pool;
         decoder = new NodeDecoder(allowance);
         this.address = address;
-        this.openedAt = openedAt;
+        gettingReadySince = openedAt;
     }
 
     @Override
@@ -56,7 +69,20 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        ctx.writeAndFlush(Encoder.startup());
+        ctx.writeAndFlush(pool.startup());
+    }
+
+    Map<String, String> settings() {
+        return settings;
+    }
+
+    /** Changes the settings; the connection must be idle, and tells the pool when it is done. */
+    void tune(Map<String, String> to, double now) {
+        gettingReadySince = now;
+        wanted = to;
+        refusal = null;
+        next = Next.TUNING;
+        context.writeAndFlush(Encoder.query(SessionSettings.change(settings, to).getBytes(StandardCharsets.UTF_8)));
     }
 
     /** Writes the request of an attempt; the connection must be idle. */
@@ -64,7 +90,11 @@
         attempt = started;
         started.connection = this;
         started.stage = Stage.PARTLY_WRITTEN;
-        next = Next.DESCRIPTION;
+        boolean free = started.outgoing != null && started.outgoing.free();
+        decoder.free(free);
+        next = free ? Next.RESULTS : Next.DESCRIPTION;
+        bytes = taken = 0;
+        inRows = whole = false;
         parts = new ArrayList<>();
         probed = null;
         refusal = null;
@@ -88,6 +118,8 @@
             spoilt("what it was not asked");
         } else if (next == Next.WELCOME) {
             welcome(message);
+        } else if (next == Next.TUNING) {
+            tuning(message);
         } else {
             collect(message);
         }
@@ -105,7 +137,64 @@
         }
     }
 
+    /** An error undoes all that was asked with it. */
+    private void tuning(Object message) {
+        if (message instanceof NodeMessage.ErrorResponse error) {
+            refusal = error.code();
+            parts = List.of(error.message());
+        } else if (message instanceof NodeMessage.ReadyForQuery) {
+            next = Next.NOTHING;
+            Map<String, String> asked = wanted;
+            settings = refusal == null ? asked : settings;
+            pool.tuned(this, refusal == null ? null : new Ending.Concluded(parts), asked);
+        } else if (!(message instanceof NodeMessage.Part part && part.type() == 'C'
+                || message instanceof NodeMessage.Notice || message instanceof NodeMessage.ParameterStatus)) {
+            spoilt("an answer out of order");
+        }
+    }
+
+    /** The parts of an answer to a statement of any kind. */
+    private void gather(Object message) {
+        attempt.stage = Stage.ANSWERING;
+        if (message instanceof NodeMessage.ParameterStatus status) {
+            status(status.name(), status.value());
+        } else if (message instanceof NodeMessage.Part part && (part.type() == 'D' ? inRows : part.type() == 'C' || !inRows)) {
+            inRows = part.type() == 'T' || part.type() == 'D';
+            whole |= !inRows;
+            add(part.message());
+        } else if (message instanceof NodeMessage.Notice notice) {
+            add(notice.message());
+        } else if (message instanceof NodeMessage.ErrorResponse error) {
+            next = Next.READINESS;
+            refusal = error.code();
+            add(error.message());
+            pool.refused(error);
+        } else if (message instanceof NodeMessage.ReadyForQuery && whole && !inRows) {
+            ready();
+        } else if (!(message instanceof NodeMessage.Notification)) {
+            spoilt("an answer out of order");
+        }
+    }
+
+    /** A statement whose answer is longer than what is passed on has run all the same. */
+    private void add(byte[] part) {
+        boolean fits = bytes + part.length <= pool.longestAnswer();
+        if (fits && pool.takeMemory(part.length)) {
+            bytes += part.length;
+            taken += part.length;
+            parts.add(part);
+        } else if (attempt != null) {
+            String why = fits ? "no memory is left for its answer" : "its answer is longer than " + pool.longestAnswer() + " bytes";
+            end(new Ending.Concluded(List.of(Encoder.errorMessage(fits ? "53200" : "54000", "the statement has run, but " + why))));
+            close();
+        }
+    }
+
     private void collect(Object message) {
+        if (next == Next.RESULTS) {
+            gather(message);
+            return;
+        }
         attempt.stage = Stage.ANSWERING;
         if (message instanceof NodeMessage.ParameterStatus status) {
             status(status.name(), status.value());
@@ -174,7 +263,10 @@
         }
         next = Next.NOTHING;
         settling = true;
-        end(refusal != null ? new Ending.Refused(refusal) : new Ending.Answered());
+        boolean free = attempt.outgoing != null && attempt.outgoing.free();
+        retiring = free && attempt.outgoing.opaque();
+        decoder.free(false);
+        end(Ending.of(refusal, free));
     }
 
     /** What was read together with an answer has been looked at; what is left of it belongs to no one. */
@@ -185,7 +277,9 @@
         } else if (!closed && settling) {
             settling = false;
             ctx.executor().schedule(() -> {
-                if (!closed) {
+                if (!closed && retiring) {
+                    close();
+                } else if (!closed) {
                     pool.freed(this);
                 }
             }, QUIET_MS, TimeUnit.MILLISECONDS);
@@ -197,6 +291,8 @@
         Attempt ended = attempt;
         attempt = null;
         decoder.release();
+        pool.giveMemory(taken);
+        taken = 0;
         if (ended != null) {
             pool.ended(ended, ending, this);
         }
@@ -204,8 +300,8 @@
 
     /** What was told with the answer in hand, if that was whole. */
     Reply reply(Ending ending, double took) {
-        boolean whole = ending instanceof Ending.Answered || ending instanceof Ending.Refused;
-        return whole ? new Reply(ending.outcome(), took, role, position, report.role(), report.position(), report.load())
+        boolean told = ending instanceof Ending.Answered || ending instanceof Ending.Refused;
+        return told ? new Reply(ending.outcome(), took, role, position, report.role(), report.position(), report.load())
                 : Reply.untold(ending.outcome(), took);
     }
 
@@ -213,6 +309,11 @@
         return parts;
     }
 
+    /** The code of the error in the answer in hand, or null. */
+    String refusal() {
+        return refusal;
+    }
+
     /** Ends the attempt in hand without waiting for its answer; a late one is never read. */
     void abandon(Ending ending) {
         end(ending);
--- a/daemon/src/main/java/clayhook/nodes/Nodes.java
+++ b/daemon/src/main/java/clayhook/nodes/Nodes.java
@@ -2,15 +2,17 @@
 
 import clayhook.Dispatch;
 import clayhook.Node;
-import clayhook.Outcome;
 import clayhook.Reply;
 import clayhook.log.Log;
+import clayhook.config.Operator;
 import clayhook.protocol.Allowance;
+import clayhook.protocol.Encoder;
 import clayhook.protocol.NodeMessage;
-import clayhook.protocol.Statement;
+import clayhook.protocol.Outgoing;
 import clayhook.transport.Clock;
 import clayhook.transport.Descriptors;
 import clayhook.transport.Transport;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandler;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -28,8 +30,11 @@
 
     /** Hears how attempts ended. */
     public interface Listener {
-        /** {@code answer} holds the messages for the client after an answer. */
-        void ended(Dispatch dispatch, Reply reply, List<byte[]> answer);
+        /**
+         * {@code answer} holds the messages for the client after an answer, and the node's error where it sent one to
+         * a statement of any kind; {@code error} is that error's code. Either may be null.
+         */
+        void ended(Dispatch dispatch, Reply reply, List<byte[]> answer, String error);
 
         void probed(Node node, Reply reply);
 
@@ -44,6 +49,7 @@
     private static final int MEMORY_PART = 8;
 
     final Allowance allowance;
+    private final Operator operator;
     private final Listener listener;
     private final Clock clock;
     private final Descriptors descriptors;
@@ -56,7 +62,8 @@
     private final Map<Dispatch, Attempt> attempts = new HashMap<>();
 
     public Nodes(Transport transport, Clock clock, Descriptors descriptors, long memory, double connectTimeout,
-            double idle, Listener listener) {
+            double idle, Operator operator, Listener listener) {
+        this.operator = operator;
         allowance = new Allowance(memory / MEMORY_PART);
         this.listener = listener;
         this.clock = clock;
@@ -79,8 +86,8 @@
         return pools.values().stream().anyMatch(pool -> pool.node.group() == group);
     }
 
-    public void send(Dispatch dispatch, Statement statement) {
-        var attempt = new Attempt(dispatch.node, dispatch, statement, clock.now());
+    public void send(Dispatch dispatch, Outgoing outgoing) {
+        var attempt = new Attempt(dispatch.node, dispatch, outgoing, clock.now());
         attempts.put(dispatch, attempt);
         pools.get(dispatch.node.id()).add(attempt);
     }
@@ -122,7 +129,7 @@
             ended(attempt, new Ending.CalledOff(attempt.stage), null);
             return null;
         }
-        return attempt.statement.withWait(attempt.dispatch.limit - clock.now());
+        return attempt.outgoing.withWait(attempt.dispatch.limit - clock.now());
     }
 
     /** Gives the longest idle connection of any node back, if there is one. */
@@ -169,6 +176,15 @@
         descriptors.giveOfNode();
     }
 
+    ByteBuf startup() {
+        return Encoder.startup(operator.user(), operator.database());
+    }
+
+    /** Bytes of an answer to a statement of any kind. */
+    int longestAnswer() {
+        return operator.statements().longestAnswer();
+    }
+
     double now() {
         return clock.now();
     }
@@ -180,7 +196,10 @@
             listener.probed(attempt.node, reply);
         } else {
             attempts.remove(attempt.dispatch);
-            listener.ended(attempt.dispatch, reply, reply.outcome() == Outcome.ANSWERED ? by.answer() : null);
+            boolean refused = ending instanceof Ending.Refused && by != null && attempt.outgoing.free();
+            List<byte[]> answer = ending instanceof Ending.Concluded concluded ? concluded.messages()
+                    : refused || ending instanceof Ending.Answered ? by.answer() : null;
+            listener.ended(attempt.dispatch, reply, answer, refused ? by.refusal() : null);
         }
     }
 
--- a/daemon/src/main/java/clayhook/nodes/Pool.java
+++ b/daemon/src/main/java/clayhook/nodes/Pool.java
@@ -2,11 +2,13 @@
 
 import clayhook.Node;
 import clayhook.protocol.NodeMessage;
+import io.netty.buffer.ByteBuf;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /** The connections to one node, and the attempts that wait for one. */
@@ -50,11 +52,19 @@
     }
 
     private void serve() {
-        while (!waiting.isEmpty() && !idle.isEmpty()) {
-            Attempt next = waiting.poll();
-            byte[] query = nodes.query(next);
-            if (query != null) {
-                idle.poll().start(next, query);
+        for (Attempt next : List.copyOf(waiting)) {
+            NodeConnection fitting = idle.stream().filter(next::fits).findFirst().orElse(null);
+            if (fitting != null) {
+                waiting.remove(next);
+                byte[] query = nodes.query(next);
+                if (query != null) {
+                    idle.remove(fitting);
+                    fitting.start(next, query);
+                }
+            } else if (!idle.isEmpty() && opening.size() < waiting.size()) {
+                NodeConnection other = idle.pollLast();
+                opening.add(other);
+                other.tune(next.outgoing.settings(), nodes.now());
             }
         }
         while (opening.size() < waiting.size()) {
@@ -86,13 +96,25 @@
         serve();
     }
 
+    /** A connection was given other settings, or its node refused them: then so is a statement that asks for them. */
+    void tuned(NodeConnection connection, Ending.Concluded refusal, Map<String, String> asked) {
+        opening.remove(connection);
+        Attempt refused = refusal == null ? null : waiting.stream()
+                .filter(attempt -> attempt.outgoing != null && attempt.outgoing.settings().equals(asked)).findFirst().orElse(null);
+        if (refused != null) {
+            waiting.remove(refused);
+            ended(refused, refusal, null);
+        }
+        freed(connection);
+    }
+
     /** A connection ended; one that never came up takes the attempt that has waited longest with it. */
     void closed(NodeConnection connection, boolean up, String refusal) {
         open--;
         idle.remove(connection);
         nodes.closed();
-        if (opening.remove(connection) && !up && waiting.size() > opening.size()) {
-            ended(waiting.poll(), refusal != null && refusal.equals("53300") ? new Ending.Refused(refusal)
+        if (opening.remove(connection) && waiting.size() > opening.size()) {
+            ended(waiting.poll(), !up && refusal != null && refusal.equals("53300") ? new Ending.Refused(refusal)
                     : new Ending.Broken(Stage.NOT_CONNECTED), null);
         }
     }
@@ -113,7 +135,7 @@
 
     /** Ends connections that have been opening and the probe that has been out since before then; and idle ones. */
     void sweep(double begunBefore, double idleBefore) {
-        List.copyOf(opening).stream().filter(c -> c.openedAt < begunBefore).forEach(NodeConnection::close);
+        List.copyOf(opening).stream().filter(c -> c.gettingReadySince < begunBefore).forEach(NodeConnection::close);
         if (probe != null && probe.startedAt < begunBefore) {
             abandon(probe, new Ending.Silent(probe.stage));
         }
@@ -130,6 +152,22 @@
         return old.size();
     }
 
+    ByteBuf startup() {
+        return nodes.startup();
+    }
+
+    int longestAnswer() {
+        return nodes.longestAnswer();
+    }
+
+    boolean takeMemory(int bytes) {
+        return nodes.allowance.take(bytes);
+    }
+
+    void giveMemory(int bytes) {
+        nodes.allowance.give(bytes);
+    }
+
     double now() {
         return nodes.now();
     }
--- a/daemon/src/main/java/clayhook/protocol/Allowance.java
+++ b/daemon/src/main/java/clayhook/protocol/Allowance.java
@@ -10,13 +10,13 @@
         left = bytes;
     }
 
-    boolean take(int length) {
+    public boolean take(int length) {
         boolean enough = left >= (long) length * COPIES;
         left -= enough ? (long) length * COPIES : 0;
         return enough;
     }
 
-    void give(int length) {
+    public void give(int length) {
         left += (long) length * COPIES;
     }
 }
--- a/daemon/src/main/java/clayhook/protocol/ClientDecoder.java
+++ b/daemon/src/main/java/clayhook/protocol/ClientDecoder.java
@@ -1,6 +1,8 @@
 package clayhook.protocol;
 
 import io.netty.buffer.ByteBuf;
+import java.util.LinkedHashMap;
+import java.util.Map;
 
 /** Decodes what a client sends. */
 public final class ClientDecoder extends FrameDecoder {
@@ -13,10 +15,17 @@
     private static final int LONGEST_STARTUP = 10_000;
     /** Shorter messages go without an allowance: all clients together may send as many as a session reads ahead. */
     private static final int SHORT = 1024;
+    private final boolean sql;
     private boolean started;
 
-    public ClientDecoder(Allowance allowance) {
+    /** {@code sql}: statements of any kind are taken, and what a client tells at its start counts. */
+    public ClientDecoder(Allowance allowance, boolean sql) {
         super(allowance, SHORT);
+        this.sql = sql;
+    }
+
+    public ClientDecoder(Allowance allowance) {
+        this(allowance, false);
     }
 
     @Override
@@ -42,7 +51,7 @@
     @Override
     Object message(char type, ByteBuf body) {
         if (!started) {
-            return first(body.readInt());
+            return first(body);
         }
         return switch (type) {
             case 'Q' -> query(body);
@@ -55,7 +64,8 @@
         };
     }
 
-    private Object first(int version) {
+    private Object first(ByteBuf body) {
+        int version = body.readInt();
         if (version == SSL || version == GSS) {
             return new ClientMessage.EncryptionRequest();
         } else if (version == CANCEL) {
@@ -64,10 +74,18 @@
             return new ClientMessage.Malformed("0A000", "protocol version " + (version >>> 16) + " is not supported");
         }
         started = true;
-        return new ClientMessage.Startup(version & 0xffff);
+        return new ClientMessage.Startup(version & 0xffff, sql ? parameters(body) : Map.of());
+    }
+
+    private static Map<String, String> parameters(ByteBuf body) {
+        var parameters = new LinkedHashMap<String, String>();
+        for (String name = text(body); !name.isEmpty(); name = text(body)) {
+            parameters.put(name, text(body));
+        }
+        return parameters;
     }
 
-    private static Object query(ByteBuf body) {
+    private Object query(ByteBuf body) {
         int length = body.bytesBefore((byte) 0);
         if (length < 0) {
             throw new IllegalArgumentException("a query without its end");
@@ -76,6 +94,8 @@
         body.readBytes(text);
         if (blank(text)) {
             return new ClientMessage.EmptyQuery();
+        } else if (sql) {
+            return new ClientMessage.Sql(text);
         }
         try {
             return new ClientMessage.Query(Statement.parse(text));
--- a/daemon/src/main/java/clayhook/protocol/ClientMessage.java
+++ b/daemon/src/main/java/clayhook/protocol/ClientMessage.java
@@ -1,9 +1,11 @@
 package clayhook.protocol;
 
+import java.util.Map;
+
 /** What a client may send. */
 public sealed interface ClientMessage {
-    /** Asks for the session; {@code minor} is the version of the protocol after 3. */
-    record Startup(int minor) implements ClientMessage {
+    /** Asks for the session; {@code minor} is the version of the protocol after 3, the parameters only where they count. */
+    record Startup(int minor, Map<String, String> parameters) implements ClientMessage {
     }
 
     /** Asks for an encrypted connection, which there is none of. */
@@ -19,6 +21,10 @@
     record Query(Statement statement) implements ClientMessage {
     }
 
+    /** A query of any kind, where all are taken. */
+    record Sql(byte[] text) implements ClientMessage {
+    }
+
     /** A query that cannot be read; the session goes on. */
     record UnreadableQuery(String why) implements ClientMessage {
     }
--- a/daemon/src/main/java/clayhook/protocol/Encoder.java
+++ b/daemon/src/main/java/clayhook/protocol/Encoder.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.util.List;
+import java.util.Map;
 
 /** Encodes what goes to clients and nodes. */
 public final class Encoder {
@@ -14,7 +15,7 @@
     }
 
     /** The session stands; {@code minor} is the version of the protocol that the client asked for. */
-    public static ByteBuf welcome(int minor) {
+    public static ByteBuf welcome(int minor, Map<String, String> more) {
         ByteBuf out = Unpooled.buffer(128);
         if (minor > 0) {
             out.writeByte('v').writeInt(12).writeInt(3 << 16).writeInt(0);
@@ -23,10 +24,21 @@
         parameter(out, "server_version", "15.0");
         parameter(out, "client_encoding", "UTF8");
         parameter(out, "standard_conforming_strings", "on");
+        more.forEach((name, value) -> parameter(out, name, value));
         out.writeByte('K').writeInt(12).writeInt(0).writeInt(0);
         return out.writeBytes(READY);
     }
 
+    /** The command was carried out; {@code name} is a setting that is told anew, or null. */
+    public static ByteBuf completed(String tag, String name, String value) {
+        ByteBuf out = Unpooled.buffer(64);
+        if (name != null) {
+            parameter(out, name, value);
+        }
+        byte[] text = tag.getBytes(UTF_8);
+        return out.writeByte('C').writeInt(4 + text.length + 1).writeBytes(text).writeByte(0).writeBytes(READY);
+    }
+
     private static void parameter(ByteBuf out, String name, String value) {
         byte[] first = name.getBytes(UTF_8);
         byte[] second = value.getBytes(UTF_8);
@@ -79,9 +91,17 @@
         return out.writerIndex(out.writerIndex() - READY.length);
     }
 
-    public static ByteBuf startup() {
+    /** An error as one message of an answer. */
+    public static byte[] errorMessage(String code, String text) {
+        ByteBuf message = extendedError(code, text);
+        byte[] bytes = new byte[message.readableBytes()];
+        message.readBytes(bytes);
+        return bytes;
+    }
+
+    public static ByteBuf startup(String user, String database) {
         ByteBuf out = Unpooled.buffer(48).writeInt(0).writeInt(3 << 16);
-        for (String word : new String[] {"user", "clayhook", "database", "core"}) {
+        for (String word : new String[] {"user", user, "database", database}) {
             out.writeBytes(word.getBytes(UTF_8)).writeByte(0);
         }
         out.writeByte(0);
--- a/daemon/src/main/java/clayhook/protocol/NodeDecoder.java
+++ b/daemon/src/main/java/clayhook/protocol/NodeDecoder.java
@@ -10,11 +10,21 @@
     private static final int SHORT = 4096;
     /** What describes a column after its name: table, number, type, size, modifier and format. */
     private static final int COLUMN = 18;
+    /** The length of a column without a value. */
+    private static final int NULL = -1;
+
+    /** Answers may have any columns. */
+    private boolean free;
 
     public NodeDecoder(Allowance allowance) {
         super(allowance, SHORT);
     }
 
+    /** Whether what comes next is the answer to a statement of any kind. */
+    public void free(boolean answers) {
+        free = answers;
+    }
+
     @Override
     boolean typed() {
         return true;
@@ -32,7 +42,7 @@
 
     @Override
     Object message(char type, ByteBuf body) {
-        byte[] whole = "TDC".indexOf(type) < 0 ? null : whole(body);
+        byte[] whole = "TDCEN".indexOf(type) < 0 && !(free && type == 'I') ? null : whole(body);
         Object message = switch (type) {
             case 'R' -> body.readInt() == 0 ? new NodeMessage.AuthenticationOk() : malformed("asks for a password");
             case 'S' -> new NodeMessage.ParameterStatus(text(body), text(body));
@@ -40,10 +50,15 @@
                 part(type, body);
                 yield new NodeMessage.Part(type, whole);
             }
-            case 'E' -> error(body);
+            case 'I' -> free ? new NodeMessage.Part(type, whole) : malformed("an answer to an empty query");
+            case 'E' -> error(body, whole);
             case 'N' -> {
-                error(body);
-                yield new NodeMessage.Notice();
+                error(body, whole);
+                yield new NodeMessage.Notice(whole);
+            }
+            case 'A' -> {
+                body.skipBytes(body.readableBytes());
+                yield free ? new NodeMessage.Notification() : malformed("a notification");
             }
             case 'Z' -> {
                 check(body.readByte() == 'I');
@@ -59,20 +74,23 @@
         return message;
     }
 
-    /** Checks a part of an answer: one column, and lengths that fit. */
-    private static void part(char type, ByteBuf body) {
+    /** Checks a part of an answer: one column unless any may come, and lengths that fit. */
+    private void part(char type, ByteBuf body) {
         if (type == 'C') {
             text(body);
             return;
         }
-        check(body.readShort() == 1);
-        if (type == 'T') {
-            text(body);
-            body.skipBytes(COLUMN);
-        } else {
-            int length = body.readInt();
-            check(length >= 0);
-            body.skipBytes(length);
+        int columns = body.readUnsignedShort();
+        check(free || columns == 1);
+        for (int i = 0; i < columns; i++) {
+            if (type == 'T') {
+                text(body);
+                body.skipBytes(COLUMN);
+            } else {
+                int length = body.readInt();
+                check(length >= 0 || free && length == NULL);
+                body.skipBytes(Math.max(0, length));
+            }
         }
     }
 
@@ -88,7 +106,7 @@
         return message;
     }
 
-    private static NodeMessage error(ByteBuf body) {
+    private static NodeMessage error(ByteBuf body, byte[] whole) {
         String code = "";
         String text = "";
         for (byte field = body.readByte(); field != 0; field = body.readByte()) {
@@ -96,6 +114,6 @@
             code = field == 'C' ? value : code;
             text = field == 'M' ? value : text;
         }
-        return new NodeMessage.ErrorResponse(code, text);
+        return new NodeMessage.ErrorResponse(code, text, whole);
     }
 }
--- a/daemon/src/main/java/clayhook/protocol/NodeMessage.java
+++ b/daemon/src/main/java/clayhook/protocol/NodeMessage.java
@@ -10,7 +10,7 @@
     record ParameterStatus(String name, String value) implements NodeMessage {
     }
 
-    /** RowDescription, DataRow or CommandComplete, whole as it came. */
+    /** RowDescription, DataRow, CommandComplete or EmptyQueryResponse, whole as it came. */
     record Part(char type, byte[] message) implements NodeMessage {
         /** Where the value of a DataRow stands: after the type, its length, the count and its own length. */
         private static final int VALUE = 1 + 4 + 2 + 4;
@@ -21,13 +21,19 @@
         }
     }
 
-    record ErrorResponse(String code, String text) implements NodeMessage {
+    /** {@code message} is whole as it came. */
+    record ErrorResponse(String code, String text, byte[] message) implements NodeMessage {
     }
 
     record ReadyForQuery() implements NodeMessage {
     }
 
-    record Notice() implements NodeMessage {
+    /** Whole as it came. */
+    record Notice(byte[] message) implements NodeMessage {
+    }
+
+    /** Of a channel that nobody here listens to. */
+    record Notification() implements NodeMessage {
     }
 
     /** The key for cancelling, which is not used. */
--- /dev/null
+++ b/daemon/src/main/java/clayhook/protocol/SqlStatement.java
@@ -0,0 +1,16 @@
+package clayhook.protocol;
+
+import java.util.Map;
+
+/** A statement of any kind, that goes on as the client wrote it. */
+public record SqlStatement(byte[] text, Map<String, String> settings, boolean opaque) implements Outgoing {
+    @Override
+    public byte[] withWait(double seconds) {
+        return text;
+    }
+
+    @Override
+    public boolean free() {
+        return true;
+    }
+}
--- a/daemon/src/main/java/clayhook/rehearsal/StandInClient.java
+++ b/daemon/src/main/java/clayhook/rehearsal/StandInClient.java
@@ -84,7 +84,7 @@
 
     /** Startup and a first statement in one piece. */
     public static ByteBuf hello(ByteBuf first) {
-        return Unpooled.wrappedBuffer(Encoder.startup(), first);
+        return Unpooled.wrappedBuffer(Encoder.startup("client", "core"), first);
     }
 
     /** The value, the code of the error, or ready for what had neither; closed once the router ended. */
--- a/daemon/src/main/java/clayhook/rehearsal/StandInNode.java
+++ b/daemon/src/main/java/clayhook/rehearsal/StandInNode.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.function.Function;
 
 /** A node that does to each statement what it is told to. */
@@ -66,7 +67,7 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             if (message instanceof ClientMessage.Startup) {
-                ctx.writeAndFlush(Encoder.welcome(0));
+                ctx.writeAndFlush(Encoder.welcome(0, Map.of()));
             } else if (message instanceof ClientMessage.Query query) {
                 done(ctx, deeds.apply(query.statement()));
             } else if (message instanceof ClientMessage.UnreadableQuery && !role.equals(MUTE)) {
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -14,6 +14,7 @@
 import clayhook.Reply;
 import clayhook.Settings;
 import clayhook.config.Configuration;
+import clayhook.config.Operator;
 import clayhook.discovery.Discovery;
 import clayhook.discovery.NodeList;
 import clayhook.front.ClientCommand;
@@ -23,6 +24,7 @@
 import clayhook.log.Log;
 import clayhook.nodes.Nodes;
 import clayhook.protocol.Statement;
+import clayhook.sql.SqlCommands;
 import clayhook.transport.Clock;
 import clayhook.transport.Descriptors;
 import clayhook.transport.Transport;
@@ -47,6 +49,9 @@
     /** A turn this much later than it was asked for is logged: the process stood still. */
     private static final double PAUSE = 0.1;
 
+    /** What a node answers to a write that it may not run. */
+    private static final String READ_ONLY = "25006";
+
     /** Where a corrected clock falls short of the time asked for. */
     private static final double LEAST_WAKE = 0.001;
 
@@ -54,6 +59,9 @@
     private final EventLoop loop;
     private final Clock clock = new Clock();
     private final Settings settings;
+    private final Operator operator;
+    /** Null where only the two fixed forms of statement are taken. */
+    private SqlCommands sql;
     private final Map<String, CommandGroup> groups = new HashMap<>();
     private final Decide decide;
     private final Hand hand;
@@ -78,8 +86,9 @@
     private double late;
     private double summaryAt = clock.now() + SUMMARY;
 
-    public Router(Transport transport, Configuration configuration) throws InterruptedException {
+    public Router(Transport transport, Configuration configuration, Operator operator) throws InterruptedException {
         started = configuration;
+        this.operator = operator;
         loop = transport.loop();
         settings = configuration.settings();
         settings.groups().forEach(g -> groups.put(g.name(), g));
@@ -87,10 +96,13 @@
         decide = new Decide(settings, configuration.seed());
         hand = new Hand(decide, fault -> Log.fault("a turn failed", fault));
         nodes = new Nodes(transport, clock, descriptors, configuration.memory(), configuration.connectTimeout(),
-                settings.connectionIdle(), this);
+                settings.connectionIdle(), operator, this);
+        sql = operator.statements() == null ? null
+                : new SqlCommands(operator.statements(), settings.groups(), configuration.seed());
         discovery = new Discovery(transport, configuration.discovery(), configuration.known().version(), this);
         decide.listed(listings(configuration.known()), true, clock.now());
-        front = new Front(transport, configuration.listen(), descriptors, configuration.memory(), clock::now, this);
+        front = new Front(transport, configuration.listen(), descriptors, configuration.memory(),
+                sql == null ? null : () -> sql.session(), clock::now, this);
         turning = true;
         loop.execute(this::turn);
     }
@@ -111,15 +123,41 @@
         String fault = fault(group, statement);
         if (fault != null) {
             Log.warn("client", fault);
-            loop.execute(() -> session.rejected(fault));
+            loop.execute(() -> session.rejected("42601", fault));
             return;
         }
         open.add(statement.id);
-        tell(rest, now -> {
-            var command = new ClientCommand(group, statement, session, now);
-            waiting.put(session, command);
-            hand.taken(command, now);
-        });
+        tell(rest, now -> take(new ClientCommand(group, statement, session, now), now));
+    }
+
+    private void take(ClientCommand command, double now) {
+        waiting.put(command.session, command);
+        hand.taken(command, now);
+    }
+
+    @Override
+    public void asked(Session session, byte[] text) {
+        SqlCommands.Order order = sql.order(text, session.settings().client(), session.settings().timeout(),
+                session.settings().values());
+        if (order instanceof SqlCommands.Order.Taken taken && nodes.listed(taken.nodes())) {
+            Log.count(taken.classed().verdict() + " " + taken.classed().rule());
+            tell(rest, now -> take(command(taken, session, now, taken.seconds()), now));
+            return;
+        }
+        refuse(session, order);
+    }
+
+    private static ClientCommand command(SqlCommands.Order.Taken taken, Session session, double now, double wait) {
+        return new ClientCommand(taken.group(), taken.nodes(), taken.statement(), taken.classed(), session,
+                Math.max(taken.after(), session.wroteAt()), now, wait);
+    }
+
+    private void refuse(Session session, SqlCommands.Order order) {
+        var refused = order instanceof SqlCommands.Order.Refused given ? given
+                : new SqlCommands.Order.Refused("42601", "unknown group of nodes");
+        Log.count("refused");
+        Log.warn("statement", "refused: " + refused.why());
+        loop.execute(() -> session.rejected(refused.code(), refused.why()));
     }
 
     /** Why the statement is none that can be taken, or null. */
@@ -136,7 +174,7 @@
         tell(rest, now -> {
             ClientCommand command = waiting.remove(session);
             if (command != null) {
-                open.remove(command.statement.id);
+                open.remove(command.id);
                 Log.count("left");
                 hand.left(command);
             }
@@ -144,18 +182,50 @@
     }
 
     @Override
-    public void ended(Dispatch dispatch, Reply reply, List<byte[]> answer) {
+    public void ended(Dispatch dispatch, Reply reply, List<byte[]> answer, String error) {
         Log.count(reply.outcome().toString());
         tell(rest, now -> {
             var command = (ClientCommand) dispatch.command;
             boolean answers = reply.outcome() == Outcome.ANSWERED && !command.over;
+            if (command.classed != null && READ_ONLY.equals(error) && command.group.level() != ReadLevel.WRITE
+                    && !command.over) {
+                beginAsWrite(command, dispatch, reply, now);
+                return;
+            }
+            command.error = answers ? null : answer;
             if (answers) {
                 this.answers.put(command, answer);
             }
+            if (command.classed != null && answers) {
+                answered(command, reply, now);
+            }
             hand.ended(dispatch, reply, answers, now);
         });
     }
 
+    /** A node will not run what was taken for a read: that command is over without an answer, and a write begins. */
+    private void beginAsWrite(ClientCommand command, Dispatch dispatch, Reply reply, double now) {
+        Session session = command.session;
+        SqlCommands.Order order = sql.orderAsWrite(command.classed, command.outgoing.withWait(0), session.settings().client(),
+                session.settings().timeout(), session.settings().values());
+        waiting.remove(session);
+        // To the node's health this was an answer: it was not behind, and does not turn reads away.
+        hand.ended(dispatch, new Reply(Outcome.ANSWERED, reply.took(), reply.role(), reply.position(), reply.reportedRole(),
+                reply.reportedPosition(), reply.load()), true, now);
+        if (order instanceof SqlCommands.Order.Taken taken) {
+            take(command(taken, session, now, command.expires - now), now);
+        } else {
+            refuse(session, order);
+        }
+    }
+
+    private void answered(ClientCommand command, Reply reply, double now) {
+        sql.took(command.classed, reply.took());
+        if (command.group.level() == ReadLevel.WRITE) {
+            command.session.wrote(reply.position() > 0 ? reply.position() : now);
+        }
+    }
+
     @Override
     public void probed(Node node, Reply reply) {
         Log.count("probe " + reply.outcome());
@@ -203,6 +273,9 @@
     }
 
     private void turn(double now) {
+        if (sql != null) {
+            sql.turn();
+        }
         late = Math.max(late, now - wakeAt);
         if (now > wakeAt + PAUSE) {
             Log.warn("pause", "stood still for " + Math.round((now - wakeAt) * 1000) + " ms");
@@ -234,6 +307,9 @@
                     + ", in hand " + hand.size() + ", descriptors at most "
                     + descriptors.peak() + ", turns late at most " + Math.round(late * 1000) + " ms, " + Log.counts());
             Log.info("nodes: believed " + decide.beliefs(now) + ", under way " + nodes.underWay());
+            if (sql != null) {
+                Log.info("statements: " + sql.summary());
+            }
             late = 0;
         }
     }
@@ -262,7 +338,7 @@
         var order = (ClientCommand) command;
         choice.recall().forEach(nodes::recall);
         if (choice.verdict() == Verdict.SEND) {
-            nodes.send(choice.dispatch(), order.statement);
+            nodes.send(choice.dispatch(), order.outgoing);
             return;
         }
         Log.count(choice.verdict() + " " + order.group.name());
@@ -270,19 +346,28 @@
         if (!waiting.remove(order.session, order)) {
             return;
         }
-        open.remove(order.statement.id);
+        open.remove(order.id);
         if (answer != null) {
             order.session.answered(answer);
         } else if (choice.verdict() == Verdict.THROTTLE) {
             order.session.throttled(settings.adviceHeeded() ? choice.advice() : 0);
+        } else if (choice.verdict() == Verdict.FAIL && order.error != null) {
+            order.session.answered(order.error);
         } else if (choice.verdict() == Verdict.FAIL) {
             order.session.failed();
         }
     }
 
-    /** Follows discovery; what else differs from the start is only told. */
-    void reload(Configuration fresh) {
+    /** Follows discovery and the operator's rules; what else differs from the start is only told. */
+    void reload(Configuration fresh, Operator said) {
         String kept = started.unlike(fresh);
+        boolean same = (said.statements() == null) == (sql == null) && said.user().equals(operator.user())
+                && said.database().equals(operator.database()) && (sql == null
+                || said.statements().longestAnswer() == operator.statements().longestAnswer());
+        kept += same ? "" : (kept.isEmpty() ? "" : ", ") + "statements.enabled, statements.answer_bytes or nodes";
+        if (sql != null && said.statements() != null) {
+            sql = new SqlCommands(said.statements(), settings.groups(), started.seed());
+        }
         Log.info("reload: discovery at " + fresh.discovery()
                 + (kept.isEmpty() ? "" : "; a restart is needed for " + kept));
         discovery.move(fresh.discovery());
--- a/daemon/src/main/java/clayhook/serve/Server.java
+++ b/daemon/src/main/java/clayhook/serve/Server.java
@@ -2,6 +2,7 @@
 
 import clayhook.CommandGroup;
 import clayhook.config.Configuration;
+import clayhook.config.Operator;
 import clayhook.log.Log;
 import clayhook.transport.Transport;
 import java.net.InetSocketAddress;
@@ -28,9 +29,14 @@
     private final double givesUpAt;
     private boolean closed;
 
+    /** Without a file of the operator's. */
     public Server(Transport transport, Configuration configuration) throws InterruptedException {
+        this(transport, configuration, Operator.OFF);
+    }
+
+    public Server(Transport transport, Configuration configuration, Operator operator) throws InterruptedException {
         this.transport = transport;
-        router = new Router(transport, configuration);
+        router = new Router(transport, configuration, operator);
         List<CommandGroup> groups = configuration.settings().groups();
         double longest = groups.stream().mapToDouble(CommandGroup::clientTimeout).max().orElse(LONGEST_COUNTED);
         givesUpAt = Math.min(longest, LONGEST_COUNTED) + KILLED_AFTER - AT_LAST;
@@ -42,9 +48,9 @@
     }
 
     /** Takes over what can be changed while it serves. */
-    public synchronized void reload(Configuration fresh) {
+    public synchronized void reload(Configuration fresh, Operator operator) {
         if (!closed) {
-            transport.loop().execute(() -> router.reload(fresh));
+            transport.loop().execute(() -> router.reload(fresh, operator));
         }
     }
 
--- a/daemon/src/test/java/clayhook/front/FrontTest.java
+++ b/daemon/src/test/java/clayhook/front/FrontTest.java
@@ -24,6 +24,11 @@
     private volatile double now = 1000;
     private Front front;
 
+    @Override
+    public void asked(Session session, byte[] text) {
+        throw new IllegalStateException("only the two forms are taken");
+    }
+
     @Override
     public void taken(Session session, Statement statement) {
         taken.add(session);
@@ -39,7 +44,7 @@
     }
 
     private void start(int descriptors) throws InterruptedException {
-        front = new Front(transport, transport.spare(0), new Descriptors(descriptors), 1 << 24, () -> now, this);
+        front = new Front(transport, transport.spare(0), new Descriptors(descriptors), 1 << 24, null, () -> now, this);
     }
 
     private StandInClient client(ByteBuf first) throws InterruptedException {
--- a/daemon/src/test/java/clayhook/nodes/NodesTest.java
+++ b/daemon/src/test/java/clayhook/nodes/NodesTest.java
@@ -9,6 +9,7 @@
 import clayhook.Outcome;
 import clayhook.Reply;
 import clayhook.Role;
+import clayhook.config.Operator;
 import clayhook.protocol.Statement;
 import clayhook.rehearsal.StandInNode.Deed;
 import clayhook.rehearsal.StandInNode;
@@ -40,7 +41,7 @@
     private String answer;
 
     @Override
-    public void ended(Dispatch dispatch, Reply reply, List<byte[]> answer) {
+    public void ended(Dispatch dispatch, Reply reply, List<byte[]> answer, String error) {
         this.reply = reply;
         this.answer = answer == null ? "" : new String(answer.get(1), StandardCharsets.ISO_8859_1);
         outcomes.add(reply.outcome());
@@ -67,7 +68,7 @@
     }
 
     private Nodes nodes(double connectTimeout, double idle) {
-        return new Nodes(transport, clock, new Descriptors(1024), 1 << 24, connectTimeout, idle, this);
+        return new Nodes(transport, clock, new Descriptors(1024), 1 << 24, connectTimeout, idle, Operator.OFF, this);
     }
 
     private Node node(Nodes nodes, String role, Deed first, Deed then) throws Exception {
--- a/daemon/src/test/java/clayhook/protocol/DecodersTest.java
+++ b/daemon/src/test/java/clayhook/protocol/DecodersTest.java
@@ -12,6 +12,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -43,7 +44,7 @@
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 7, 1000})
     void clientMessagesMayBeSplitAnywhereAndFollowEachOther(int size) {
-        ByteBuf bytes = Unpooled.wrappedBuffer(Unpooled.buffer().writeInt(8).writeInt(80877103), Encoder.startup(),
+        ByteBuf bytes = Unpooled.wrappedBuffer(Unpooled.buffer().writeInt(8).writeInt(80877103), Encoder.startup("client", "core"),
                 Encoder.query(READ.getBytes(UTF_8)), Encoder.query(new byte[0]), message('S', 4), message('H', 4),
                 message('P', 4), message('X', 4));
         assertEquals(List.of("EncryptionRequest", "Startup", "Query", "EmptyQuery", "Sync", "Ignored", "Extended",
@@ -53,7 +54,7 @@
     @ParameterizedTest
     @CsvSource({"Q, 3", "Q, -1", "Q, 2147483647", "Q, 200000", "j, 4", "Q, 4"})
     void nothingAfterAMalformedClientMessageIsRead(char type, int length) {
-        ByteBuf bytes = Unpooled.wrappedBuffer(Encoder.startup(), message(type, length), message('S', 4));
+        ByteBuf bytes = Unpooled.wrappedBuffer(Encoder.startup("client", "core"), message(type, length), message('S', 4));
         List<String> kinds = kinds(new ClientDecoder(new Allowance(1 << 20)), bytes, 1000);
         assertEquals("Malformed", kinds.get(1));
         assertTrue(kinds.size() == 2 || type == 'j' || length == 4, kinds.toString());
@@ -69,7 +70,7 @@
     @ParameterizedTest
     @ValueSource(ints = {1, 5, 1000})
     void nodeMessagesMayBeSplitAnywhere(int size) {
-        ByteBuf bytes = Unpooled.wrappedBuffer(Encoder.welcome(0), Encoder.error(false, "53300", "full", null),
+        ByteBuf bytes = Unpooled.wrappedBuffer(Encoder.welcome(0, Map.of()), Encoder.error(false, "53300", "full", null),
                 message('C', 5).writeByte(0), Encoder.ready());
         assertEquals(List.of("AuthenticationOk", "ParameterStatus", "ParameterStatus", "ParameterStatus", "CancelKey",
                 "ReadyForQuery", "ErrorResponse", "ReadyForQuery", "Part", "ReadyForQuery"),
@@ -124,7 +125,7 @@
     @Test
     void longStatementsOfAllClientsShareOneAllowance() {
         var allowance = new Allowance(200_000);
-        ByteBuf most = Unpooled.wrappedBuffer(Encoder.startup(), message('Q', 50_000), Unpooled.buffer(10).writeZero(9));
+        ByteBuf most = Unpooled.wrappedBuffer(Encoder.startup("client", "core"), message('Q', 50_000), Unpooled.buffer(10).writeZero(9));
         var first = new EmbeddedChannel(new ClientDecoder(allowance));
         first.writeInbound(most.retainedDuplicate());
         assertEquals(List.of("Startup", "Malformed"), kinds(new ClientDecoder(allowance), most.retainedDuplicate(), 99));
--- /dev/null
+++ b/daemon/src/test/java/clayhook/sql/SqlClient.java
@@ -0,0 +1,82 @@
+package clayhook.sql;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+
+/** A client that sends one statement after the other and reads each answer up to its readiness. */
+final class SqlClient implements AutoCloseable {
+    /** Far beyond any answer: a test that waits so long has failed. */
+    private static final int PATIENCE_MS = 60_000;
+    private final Socket socket = new Socket();
+    private final DataInputStream in;
+    private final OutputStream out;
+
+    SqlClient(InetSocketAddress address, String... parameters) throws IOException {
+        socket.connect(address);
+        socket.setSoTimeout(PATIENCE_MS);
+        in = new DataInputStream(socket.getInputStream());
+        out = socket.getOutputStream();
+        byte[] text = (String.join("\0", parameters) + "\0\0").getBytes(UTF_8);
+        out.write(ByteBuffer.allocate(8 + text.length).putInt(8 + text.length).putInt(3 << 16).put(text).array());
+    }
+
+    void send(String statement) throws IOException {
+        byte[] text = (statement + '\0').getBytes(UTF_8);
+        out.write(ByteBuffer.allocate(5 + text.length).put((byte) 'Q').putInt(4 + text.length).put(text).array());
+    }
+
+    /** The types of the messages of one answer, tags and codes with them: {@code "TDC(SELECT 1)"}, {@code "E(42601)"}. */
+    String answer() throws IOException {
+        var told = new StringBuilder();
+        while (true) {
+            char type = (char) in.readByte();
+            byte[] body = in.readNBytes(in.readInt() - 4);
+            if (type == 'Z') {
+                return told.toString();
+            } else if (type == 'E' || type == 'N') {
+                told.append(type).append('(').append(field(body)).append(')');
+            } else if (type == 'C') {
+                told.append("C(").append(new String(body, 0, body.length - 1, UTF_8)).append(')');
+            } else if (type != 'S' && type != 'R' && type != 'K' && type != 'v') {
+                told.append(type);
+            }
+        }
+    }
+
+    private static String field(byte[] body) {
+        for (String field : new String(body, UTF_8).split("\0")) {
+            if (field.startsWith("C")) {
+                return field.substring(1);
+            }
+        }
+        return "";
+    }
+
+    String ask(String statement) throws IOException {
+        send(statement);
+        return answer();
+    }
+
+    /** Says goodbye; true if nothing more came than was asked for. */
+    boolean ended() throws IOException {
+        out.write(new byte[] {'X', 0, 0, 0, 4});
+        try {
+            in.readByte();
+            return false;
+        } catch (EOFException e) {
+            return true;
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- a/statements/src/main/java/clayhook/statements/Classifier.java
+++ b/statements/src/main/java/clayhook/statements/Classifier.java
@@ -122,6 +122,14 @@
         }
     }
 
+    /** A node refused as a write what was classed as a read: its shape is one from now on. */
+    public void wrote(Classed classed) {
+        if (classed.shape() != null) {
+            classed.shape().facts = classed.shape().facts.butWrites("a node would not run it as a read");
+            shapes.put(classed.shape());
+        }
+    }
+
     // ---- the operator's rules ----
 
     private Classed ruled(Shape shape, Client client) {
--- a/statements/src/main/java/clayhook/statements/Facts.java
+++ b/statements/src/main/java/clayhook/statements/Facts.java
@@ -28,6 +28,11 @@
         return new Facts(verdict, why, kind, List.of(), List.of(), Map.of(), false, 1, opaque);
     }
 
+    /** The same of what turned out to write, in a way that is not known. */
+    Facts butWrites(String reason) {
+        return new Facts(Verdict.WRITE, reason, kind, relations, functions, keys, inserts, work, true);
+    }
+
     /** Bytes that it takes, roughly: for the bound of the cache. */
     int weight() {
         int names = relations.stream().mapToInt(String::length).sum() + functions.stream().mapToInt(String::length).sum();
--- /dev/null
+++ b/statements/src/main/java/clayhook/statements/SessionSettings.java
@@ -0,0 +1,245 @@
+package clayhook.statements;
+
+import clayhook.statements.Tokens.Kind;
+import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * The settings of one client's session, as drivers make them when they connect. The router answers for them; each
+ * connection that carries the session's statements is given them first. Only settings that change how values look or
+ * are logged can be made so: one that changes what a statement does would have to hold for its class as well.
+ */
+public final class SessionSettings {
+    /** Given to nodes: their documentation calls them the client's preferences, and none changes what a statement does. */
+    private static final Set<String> REPLAYED = Set.of("application_name", "bytea_output", "client_min_messages", "datestyle",
+            "extra_float_digits", "intervalstyle", "timezone");
+    private static final String TIMEOUT = "statement_timeout";
+    /** Far above any value of those; it bounds what a session keeps. */
+    private static final int LONGEST = 256;
+
+    /** What to tell the client. */
+    public sealed interface Reply {
+        /** It is done; {@code tag} is the command's, {@code name} the setting that is told anew, or null. */
+        record Done(String tag, String name, String value) implements Reply {
+        }
+
+        /** It cannot be done through the router. */
+        record Refused(String why) implements Reply {
+        }
+    }
+
+    private final Lexer lexer;
+    private final boolean conforming;
+    private final Tokens tokens = new Tokens();
+    /** Values as text of SQL; bounded by the names above. */
+    private Map<String, String> values = Map.of();
+    private double timeout;
+    private Client client = Client.UNKNOWN;
+
+    public SessionSettings(boolean conforming) {
+        this.conforming = conforming;
+        lexer = new Lexer(conforming);
+    }
+
+    /** What a node's connection must have been given: names and values as text of SQL. Never changed afterwards. */
+    public Map<String, String> values() {
+        return values;
+    }
+
+    /** Who the client said that it is. */
+    public Client client() {
+        return client;
+    }
+
+    /** Takes what a client tells when its session starts; why that cannot be, or null. */
+    public String introduced(Map<String, String> parameters) {
+        client = new Client(parameters.getOrDefault("user", ""),
+                parameters.getOrDefault("database", parameters.getOrDefault("user", "")), "");
+        for (var parameter : parameters.entrySet()) {
+            String name = Names.fold(parameter.getKey());
+            String value = parameter.getValue();
+            boolean passed = name.equals("user") || name.equals("database") || name.startsWith("_pq_.") || value.isEmpty()
+                    || name.equals("replication") && Set.of("false", "off", "no", "0").contains(value);
+            if (!passed && started(name, value) instanceof Reply.Refused refused) {
+                return refused.why();
+            }
+        }
+        return null;
+    }
+
+    /** Seconds that the client gives each statement; 0 where it set none. */
+    public double timeout() {
+        return timeout;
+    }
+
+    /** A setting from the message that starts the session; the value is plain text. */
+    private Reply started(String name, String value) {
+        boolean plain = value.indexOf('\\') < 0;
+        return plain ? set(Names.fold(name), "'" + value.replace("'", "''") + "'", value)
+                : new Reply.Refused("setting " + name + " has a value that cannot be passed on");
+    }
+
+    /** Null if the statement is no SET or RESET, which are all that is answered here. */
+    public Reply asked(byte[] statement) {
+        if (!mayBe(statement)) {
+            return null;
+        }
+        lexer.lex(statement, tokens);
+        while (tokens.size > 0 && tokens.kinds[tokens.size - 1] == Kind.SEMI) {
+            tokens.size--;
+        }
+        if (tokens.fault != null || tokens.size < 2 || !tokens.is(0, "set") && !tokens.is(0, "reset")) {
+            return null;
+        }
+        for (int i = 0; i < tokens.size; i++) {
+            if (tokens.kinds[i] == Kind.SEMI) {
+                return null;
+            }
+        }
+        return tokens.is(0, "reset") ? reset() : set();
+    }
+
+    /** Guards the usual statement against being cut twice: none of those begins so, but for comments. */
+    private static boolean mayBe(byte[] statement) {
+        int i = 0;
+        while (i < statement.length && statement[i] <= ' ' && statement[i] > 0) {
+            i++;
+        }
+        int c = i < statement.length ? statement[i] | 0x20 : 0;
+        int second = i + 1 < statement.length ? statement[i + 1] | 0x20 : 0;
+        return (c == 's' || c == 'r') && second == 'e' && i + 2 < statement.length
+                && ((statement[i + 2] | 0x20) == 't' || (statement[i + 2] | 0x20) == 's') || c == '-' || c == '/' || c == ';';
+    }
+
+    private Reply reset() {
+        boolean all = tokens.is(1, "all");
+        String name = all ? "" : name(1);
+        if (tokens.size != 2 || !all && !REPLAYED.contains(name) && !name.equals(TIMEOUT)) {
+            return refused(all ? "" : name);
+        }
+        timeout = all || name.equals(TIMEOUT) ? 0 : timeout;
+        var left = new TreeMap<>(values);
+        left.remove(name);
+        values = all ? Map.of() : Collections.unmodifiableMap(left);
+        return new Reply.Done("RESET", null, null);
+    }
+
+    private Reply set() {
+        int at = tokens.is(1, "session") && tokens.size > 2 ? 2 : 1;
+        if (tokens.is(1, "local") || tokens.is(at, "characteristics") || tokens.is(at, "transaction")) {
+            return refused(text(1, tokens.size));
+        }
+        boolean zone = tokens.is(at, "time") && at + 1 < tokens.size && tokens.is(at + 1, "zone");
+        boolean names = tokens.is(at, "names");
+        String name = zone ? "timezone" : names ? "client_encoding" : name(at);
+        int value = zone ? at + 2 : names ? at + 1 : at + 2;
+        boolean sign = zone || names || at + 1 < tokens.size && (tokens.kinds[at + 1] == Kind.EQ || tokens.is(at + 1, "to"));
+        if (!sign || value >= tokens.size || !constants(value)) {
+            return refused(name);
+        }
+        if (tokens.size == value + 1 && tokens.is(value, "default")) {
+            var left = new TreeMap<>(values);
+            boolean known = REPLAYED.contains(name) || name.equals(TIMEOUT);
+            left.remove(name);
+            values = Collections.unmodifiableMap(left);
+            timeout = name.equals(TIMEOUT) ? 0 : timeout;
+            return known ? new Reply.Done("SET", null, null) : refused(name);
+        }
+        String sql = text(value, tokens.size);
+        String plain = tokens.size > value + 1 ? sql : tokens.kinds[value] == Kind.LITERAL
+                ? Literals.text(tokens.text, tokens.from[value], tokens.to[value]) : sql;
+        return set(name, zone && tokens.kinds[value] == Kind.WORD ? "'" + sql + "'" : sql, plain == null ? sql : plain);
+    }
+
+    /** Words, literals and signs, one after the other or with commas between: nothing that could do anything. */
+    private boolean constants(int from) {
+        for (int i = from; i < tokens.size; i++) {
+            Kind kind = tokens.kinds[i];
+            boolean sign = kind == Kind.OP && tokens.to[i] - tokens.from[i] == 1
+                    && (tokens.text[tokens.from[i]] == '-' || tokens.text[tokens.from[i]] == '+');
+            if (kind != Kind.WORD && kind != Kind.LITERAL && kind != Kind.COMMA && !sign) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private Reply set(String name, String sql, String plain) {
+        switch (name) {
+            case "client_encoding" -> {
+                String encoding = Names.fold(plain).replace("-", "").replace("_", "");
+                return encoding.equals("utf8") || encoding.equals("unicode") ? new Reply.Done("SET", null, null)
+                        : new Reply.Refused("client_encoding can only be UTF8 through the router");
+            }
+            case "standard_conforming_strings" -> {
+                boolean on = Set.of("on", "true", "yes", "1").contains(Names.fold(plain));
+                return on == conforming ? new Reply.Done("SET", null, null) : refused(name);
+            }
+            case TIMEOUT -> {
+                double seconds = seconds(plain);
+                timeout = seconds < 0 ? timeout : seconds;
+                return seconds < 0 ? new Reply.Refused("statement_timeout has no valid time") : new Reply.Done("SET", null, null);
+            }
+            default -> {
+                if (!REPLAYED.contains(name) || sql.length() > LONGEST) {
+                    return refused(name);
+                }
+                var more = new TreeMap<>(values);
+                more.put(name, sql);
+                values = Collections.unmodifiableMap(more);
+                client = name.equals("application_name") ? new Client(client.user(), client.database(), plain) : client;
+                return new Reply.Done("SET", name, plain);
+            }
+        }
+    }
+
+    private static Reply refused(String name) {
+        return new Reply.Refused("setting " + name + " cannot be made through the router");
+    }
+
+    /** A whole number of milliseconds, or of the unit behind it; below 0 if it is neither. */
+    private static double seconds(String text) {
+        String digits = text.strip();
+        double unit = 0.001;
+        for (var known : Map.of("ms", 0.001, "s", 1.0, "min", 60.0, "h", 3600.0).entrySet()) {
+            String before = digits.endsWith(known.getKey())
+                    ? digits.substring(0, digits.length() - known.getKey().length()).strip() : "";
+            if (!before.isEmpty() && before.chars().allMatch(c -> c >= '0' && c <= '9')) {
+                digits = before;
+                unit = known.getValue();
+                break;
+            }
+        }
+        boolean number = !digits.isEmpty() && digits.length() < 12 && digits.chars().allMatch(c -> c >= '0' && c <= '9');
+        return number ? Long.parseLong(digits) * unit : -1;
+    }
+
+    private String name(int i) {
+        String text = text(i, i + 1);
+        return tokens.kinds[i] == Kind.QUOTED ? Names.fold(Names.unquote(text)) : Names.fold(text);
+    }
+
+    private String text(int from, int to) {
+        var out = new StringBuilder();
+        for (int i = from; i < to; i++) {
+            out.append(out.isEmpty() ? "" : " ").append(new String(tokens.text, tokens.from[i], tokens.to[i] - tokens.from[i],
+                    StandardCharsets.UTF_8));
+        }
+        return out.toString();
+    }
+
+    /** The statements that turn the settings of a connection into others; empty if they are the same. */
+    public static String change(Map<String, String> from, Map<String, String> to) {
+        var out = new StringBuilder();
+        from.keySet().stream().filter(name -> !to.containsKey(name)).forEach(name -> out.append("RESET ").append(name).append(';'));
+        to.forEach((name, value) -> {
+            if (!value.equals(from.get(name))) {
+                out.append("SET ").append(name).append(" TO ").append(value).append(';');
+            }
+        });
+        return out.toString();
+    }
+}
--- a/statements/src/main/java/clayhook/statements/Shape.java
+++ b/statements/src/main/java/clayhook/statements/Shape.java
@@ -9,7 +9,8 @@
 
     final byte[] text;
     final String fingerprint;
-    final Facts facts;
+    /** Changes once at the most: where a node shows that the shape writes. */
+    Facts facts;
     /** Null until a second answer: most shapes of a flood are seen once. */
     Measure measure;
     /** Seconds of the first answer; 0 before it. */
