--- a/cli/src/main/java/clayhook/cli/ClassifyCommand.java
+++ b/cli/src/main/java/clayhook/cli/ClassifyCommand.java
@@ -64,7 +64,7 @@
                 }
                 byte[] text = statement.toByteArray();
                 statement.reset();
-                if (b >= 0 || !new String(text, StandardCharsets.UTF_8).isBlank()) {
+                if (!new String(text, StandardCharsets.UTF_8).isBlank()) {
                     classifier.turn();
                     Classed classed = classifier.classify(text, client);
                     out.println(json ? json(classed) : line(classed, classifier.shape(text)));
