--- a/daemon/src/main/java/clayhook/front/Session.java
+++ b/daemon/src/main/java/clayhook/front/Session.java
@@ -178,7 +178,7 @@
 
     /** Its own among all sessions of this router. */
     public String name() {
-        return context.channel().id().asShortText();
+        return context.channel().id().asLongText();
     }
 
     /** The log position in seconds that its reads must cover to see its own writes; 0 for none. */
--- a/daemon/src/main/java/clayhook/nodes/NodeConnection.java
+++ b/daemon/src/main/java/clayhook/nodes/NodeConnection.java
@@ -21,6 +21,8 @@
 final class NodeConnection extends ChannelInboundHandlerAdapter {
     /** A few times what passes between two writes of one peer: what follows an answer by then is not the next one's. */
     private static final int QUIET_MS = 2;
+    /** Before a description of rows, and after their end. */
+    private static final int NO_ROWS = -1;
 
     /** What may come next. Nothing may come on a connection that is idle. */
     private enum Next { WELCOME, TUNING, RESULTS, DESCRIPTION, ROW, COMPLETION, READINESS, NOTHING }
@@ -46,7 +48,8 @@
     // what the answer in hand has told so far
     private int bytes;
     private int taken;
-    private boolean inRows;
+    /** Of the rows that may come now. */
+    private int columns;
     private boolean whole;
     private List<byte[]> parts = List.of();
     private String probed;
@@ -94,7 +97,8 @@
         decoder.free(free);
         next = free ? Next.RESULTS : Next.DESCRIPTION;
         bytes = taken = 0;
-        inRows = whole = false;
+        columns = NO_ROWS;
+        whole = false;
         parts = new ArrayList<>();
         probed = null;
         refusal = null;
@@ -161,9 +165,10 @@
         attempt.stage = Stage.ANSWERING;
         if (message instanceof NodeMessage.ParameterStatus status) {
             status(status.name(), status.value());
-        } else if (message instanceof NodeMessage.Part part && (part.type() == 'D' ? inRows : part.type() == 'C' || !inRows)) {
-            inRows = part.type() == 'T' || part.type() == 'D';
-            whole |= !inRows;
+        } else if (message instanceof NodeMessage.Part part && (part.type() == 'D' ? part.columns() == columns
+                : part.type() == 'C' || columns == NO_ROWS)) {
+            columns = part.type() == 'T' || part.type() == 'D' ? part.columns() : NO_ROWS;
+            whole |= columns == NO_ROWS;
             add(part.message());
         } else if (message instanceof NodeMessage.Notice notice) {
             add(notice.message());
@@ -172,7 +177,7 @@
             refusal = error.code();
             add(error.message());
             pool.refused(error);
-        } else if (message instanceof NodeMessage.ReadyForQuery && whole && !inRows) {
+        } else if (message instanceof NodeMessage.ReadyForQuery && whole && columns == NO_ROWS) {
             ready();
         } else if (!(message instanceof NodeMessage.Notification)) {
             spoilt("an answer out of order");
@@ -269,7 +274,7 @@
         boolean free = attempt.outgoing != null && attempt.outgoing.free();
         retiring = free && attempt.outgoing.opaque();
         decoder.free(false);
-        end(Ending.of(refusal, free));
+        end(Ending.of(refusal, free, retiring));
     }
 
     /** What was read together with an answer has been looked at; what is left of it belongs to no one. */
--- a/daemon/src/main/java/clayhook/nodes/Pool.java
+++ b/daemon/src/main/java/clayhook/nodes/Pool.java
@@ -114,7 +114,7 @@
         idle.remove(connection);
         nodes.closed();
         if (opening.remove(connection) && waiting.size() > opening.size()) {
-            ended(waiting.poll(), !up && refusal != null && refusal.equals("53300") ? new Ending.Refused(refusal)
+            ended(waiting.poll(), !up && refusal != null && refusal.equals(Ending.FULL) ? new Ending.Refused(refusal)
                     : new Ending.Broken(Stage.NOT_CONNECTED), null);
         }
     }
--- a/daemon/src/main/java/clayhook/protocol/NodeMessage.java
+++ b/daemon/src/main/java/clayhook/protocol/NodeMessage.java
@@ -12,9 +12,17 @@
 
     /** RowDescription, DataRow, CommandComplete or EmptyQueryResponse, whole as it came. */
     record Part(char type, byte[] message) implements NodeMessage {
+        /** Where the number of columns stands in a RowDescription or DataRow. */
+        private static final int COLUMNS = 1 + 4;
+
         /** Where the value of a DataRow stands: after the type, its length, the count and its own length. */
         private static final int VALUE = 1 + 4 + 2 + 4;
 
+        /** How many columns a RowDescription or DataRow has. */
+        public int columns() {
+            return (message[COLUMNS] & 0xff) << 8 | message[COLUMNS + 1] & 0xff;
+        }
+
         /** The column of a DataRow as text. */
         public String column() {
             return new String(message, VALUE, message.length - VALUE, StandardCharsets.UTF_8);
--- a/daemon/src/test/java/clayhook/sql/SqlRoutingTest.java
+++ b/daemon/src/test/java/clayhook/sql/SqlRoutingTest.java
@@ -160,6 +160,17 @@
         }
     }
 
+    /** A procedure may have ended transactions before its error. */
+    @Test
+    void aProcedureThatEndsInARefusalMayHaveRun() throws Exception {
+        var sent = new AtomicInteger();
+        start(text -> sent.incrementAndGet() == 1 ? Deed.error("53300") : Deed.tag("OK"), always(Deed.tag("R")));
+        try (SqlClient client = client()) {
+            assertEquals("E(40003)", client.ask("call p()"));
+            assertEquals(1, sent.get());
+        }
+    }
+
     @Test
     void aKeyedWriteIsRepeatedAndOthersAreNot() throws Exception {
         var seen = ConcurrentHashMap.<String>newKeySet();
@@ -253,7 +264,9 @@
     static List<ByteBuf> spoilt() {
         return List.of(part('D', Unpooled.buffer().writeShort(0)), Unpooled.EMPTY_BUFFER, part('T', Unpooled.buffer().writeShort(3)),
                 part('D', Unpooled.buffer().writeShort(1).writeInt(-2)), part('G', Unpooled.buffer().writeZero(3)),
-                part('T', Unpooled.buffer().writeShort(0)), Unpooled.buffer().writeByte('Z').writeInt(5).writeByte('T'));
+                part('T', Unpooled.buffer().writeShort(0)), Unpooled.buffer().writeByte('Z').writeInt(5).writeByte('T'),
+                Unpooled.wrappedBuffer(Deed.rows().answer().slice(0, 47), part('D', Unpooled.buffer().writeShort(1).writeInt(-1)),
+                        part('C', SqlNode.text("SELECT 1"))));
     }
 
     @ParameterizedTest
