Begin the laboratory: fleets in virtual time with the real module, load, audit, lab run

Need: nobody can try a change of fleet or load without a platform; the planner needs a model of nodes. Change: module lab: machines with cores and queues, logs, elections, cold starts and failures in virtual time, the real Decide and Hand for each router, open-loop load, an audit of the five rules, experiments in TOML whose variants are paired on seeds; clayhook lab run gives a table or JSON.

--- /dev/null
+++ b/cli/src/main/java/clayhook/cli/LabCommand.java
@@ -0,0 +1,146 @@
+package clayhook.cli;
+
+import clayhook.CommandGroup;
+import clayhook.config.BadConfig;
+import clayhook.lab.Comparison;
+import clayhook.lab.Comparison.Interval;
+import clayhook.lab.Comparison.Played;
+import clayhook.lab.Experiment;
+import clayhook.lab.model.Tally;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.StringWriter;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+@Command(name = "lab", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+        description = "A laboratory: fleets, load and failures in virtual time.", subcommands = LabCommand.Run.class)
+final class LabCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        spec.commandLine().usage(System.err);
+        return Main.WRONG;
+    }
+
+    @Command(name = "run", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
+            description = "Plays an experiment and compares its variants; ends with 1 if a rule was broken.")
+    static final class Run implements Callable<Integer> {
+        @Option(names = "--json", description = "one object a run")
+        private boolean json;
+        @Option(names = "--seed", description = "play with this seed alone")
+        private Integer seed;
+        @Parameters(paramLabel = "FILE", description = "the experiment; examples/ has some")
+        private Path file;
+
+        @Override
+        public Integer call() throws IOException {
+            Experiment experiment;
+            try {
+                experiment = Experiment.read(file);
+            } catch (BadConfig e) {
+                return Main.wrong(e);
+            }
+            if (seed != null) {
+                experiment = new Experiment(experiment.variants(), experiment.failures(), experiment.seconds(), List.of(seed));
+            }
+            boolean terminal = System.console() != null;
+            List<Played> played = Comparison.play(experiment, (name, number) -> {
+                if (terminal) {
+                    System.err.println("playing " + name + " with seed " + number);
+                }
+            });
+            for (Played one : played) {
+                for (int i = 0; json && i < one.runs().size(); i++) {
+                    System.out.println(json(one.variant().name(), experiment.seeds().get(i), one.runs().get(i)));
+                }
+            }
+            if (!json) {
+                table(played, System.out);
+            }
+            return played.stream().flatMap(one -> one.runs().stream()).allMatch(run -> run.broken().isEmpty()) ? Main.DONE
+                    : Main.FAILED;
+        }
+
+        private static void table(List<Played> played, PrintStream out) {
+            out.printf("%-24s %-18s %8s %8s %9s %8s %8s%n", "variant", "command group", "in time", "p50 ms", "p99 ms", "thrott.",
+                    "failed");
+            for (Played one : played) {
+                for (CommandGroup group : one.runs().get(0).groups().keySet()) {
+                    out.printf(Locale.ROOT, "%-24s %-18s %8.4f %8.1f %9.1f %8.4f %8.4f%n", one.variant().name(), group.name(),
+                            mean(one, group, of -> (double) of.inTime / of.asked),
+                            mean(one, group, of -> of.times.getValueAtPercentile(50) / 1e3),
+                            mean(one, group, of -> of.times.getValueAtPercentile(99) / 1e3),
+                            mean(one, group, of -> (double) of.throttled / of.asked),
+                            mean(one, group, of -> (double) of.failed / of.asked));
+                }
+            }
+            out.println();
+            for (Played one : played) {
+                Interval gain = Comparison.gain(played.get(0), one);
+                out.printf(Locale.ROOT, "%-24s service %.4f%s, busiest node %.2f, rules %s%n", one.variant().name(), one.service(),
+                        one == played.get(0) ? "" : String.format(Locale.ROOT, ", %+.4f to the first (95%%: +-%.4f)", gain.mean(),
+                                gain.reach()),
+                        one.runs().stream().flatMap(run -> run.busy().values().stream()).mapToDouble(d -> d).max().orElse(0),
+                        one.runs().stream().filter(run -> run.firstBroken() != null).map(Tally::firstBroken).findFirst()
+                                .orElse("kept"));
+            }
+        }
+
+        private interface Figure {
+            double of(Tally.Of counts);
+        }
+
+        private static double mean(Played one, CommandGroup group, Figure figure) {
+            return one.runs().stream().map(run -> run.groups().get(group)).filter(of -> of != null && of.asked > 0)
+                    .mapToDouble(figure::of).average().orElse(0);
+        }
+
+        private static String json(String variant, int seed, Tally run) throws IOException {
+            var text = new StringWriter();
+            try (JsonGenerator out = new JsonFactory().createGenerator(text)) {
+                out.writeStartObject();
+                out.writeStringField("variant", variant);
+                out.writeNumberField("seed", seed);
+                out.writeNumberField("service", run.service());
+                out.writeNumberField("events", run.events());
+                out.writeObjectFieldStart("groups");
+                for (var entry : run.groups().entrySet()) {
+                    Tally.Of of = entry.getValue();
+                    out.writeObjectFieldStart(entry.getKey().name());
+                    out.writeNumberField("asked", of.asked);
+                    out.writeNumberField("in_time", of.inTime);
+                    out.writeNumberField("throttled", of.throttled);
+                    out.writeNumberField("failed", of.failed);
+                    out.writeNumberField("p50_ms", of.times.getValueAtPercentile(50) / 1e3);
+                    out.writeNumberField("p99_ms", of.times.getValueAtPercentile(99) / 1e3);
+                    out.writeEndObject();
+                }
+                out.writeEndObject();
+                out.writeObjectFieldStart("busy");
+                for (var entry : run.busy().entrySet()) {
+                    out.writeNumberField(entry.getKey(), entry.getValue());
+                }
+                out.writeEndObject();
+                out.writeObjectFieldStart("broken");
+                for (var entry : run.broken().entrySet()) {
+                    out.writeNumberField(entry.getKey().name().toLowerCase(Locale.ROOT), entry.getValue());
+                }
+                out.writeEndObject();
+                out.writeEndObject();
+            }
+            return text.toString();
+        }
+    }
+}
--- a/daemon/src/main/java/clayhook/config/Toml.java
+++ b/daemon/src/main/java/clayhook/config/Toml.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import org.tomlj.TomlArray;
@@ -13,7 +15,7 @@
 import org.tomlj.TomlTable;
 
 /** One table of a TOML file, read key by key; what is wrong is told with file, line and key. */
-final class Toml {
+public final class Toml {
     private final String file;
     private final String path;
     private final TomlTable table;
@@ -21,6 +23,7 @@
     private final TomlPosition place;
     private final Set<String> read = new HashSet<>();
     private final List<Toml> inner = new ArrayList<>();
+    private final Map<String, Toml> named = new HashMap<>();
 
     private Toml(String file, String path, TomlTable table, TomlPosition place) {
         this.file = file;
@@ -29,7 +32,7 @@
         this.place = place;
     }
 
-    static Toml read(Path file) throws BadConfig {
+    public static Toml read(Path file) throws BadConfig {
         TomlParseResult result;
         try {
             result = org.tomlj.Toml.parse(file);
@@ -43,7 +46,7 @@
         return new Toml(file.toString(), "", result, null);
     }
 
-    BadConfig fault(String key, String why) {
+    public BadConfig fault(String key, String why) {
         TomlPosition at = table.contains(List.of(key)) ? table.inputPositionOf(List.of(key)) : place;
         return new BadConfig(file + (at == null ? "" : ":" + at.line()) + ": " + path + key + ": " + why);
     }
@@ -57,11 +60,11 @@
         return value == null ? absent : type.cast(value);
     }
 
-    boolean flag(String key, boolean absent) throws BadConfig {
+    public boolean flag(String key, boolean absent) throws BadConfig {
         return value(key, Boolean.class, "true or false", absent);
     }
 
-    String text(String key, String absent) throws BadConfig {
+    public String text(String key, String absent) throws BadConfig {
         String text = value(key, String.class, "text", absent);
         if (text != null && text.isBlank()) {
             throw fault(key, "is empty");
@@ -69,7 +72,7 @@
         return text;
     }
 
-    String needed(String key) throws BadConfig {
+    public String needed(String key) throws BadConfig {
         String text = text(key, null);
         if (text == null) {
             throw fault(key, "is missing");
@@ -77,7 +80,7 @@
         return text;
     }
 
-    double number(String key, double absent, double least, double most) throws BadConfig {
+    public double number(String key, double absent, double least, double most) throws BadConfig {
         Number number = value(key, Number.class, "number", absent);
         if (!(number.doubleValue() >= least && number.doubleValue() <= most)) {
             throw fault(key, number + " is not from " + plain(least) + " to " + plain(most));
@@ -85,7 +88,7 @@
         return number.doubleValue();
     }
 
-    int whole(String key, int absent, int least, int most) throws BadConfig {
+    public int whole(String key, int absent, int least, int most) throws BadConfig {
         double number = number(key, absent, least, most);
         if (number != Math.rint(number)) {
             throw fault(key, "is no whole number");
@@ -98,7 +101,7 @@
     }
 
     /** One of a few words. */
-    String word(String key, String absent, Set<String> words) throws BadConfig {
+    public String word(String key, String absent, Set<String> words) throws BadConfig {
         String word = text(key, absent);
         if (word != null && !words.contains(word)) {
             throw fault(key, "'" + word + "' is none of " + String.join(", ", new TreeSet<>(words)));
@@ -106,7 +109,7 @@
         return word;
     }
 
-    Set<String> texts(String key) throws BadConfig {
+    public Set<String> texts(String key) throws BadConfig {
         var texts = new HashSet<String>();
         for (Object text : list(key)) {
             if (!(text instanceof String string) || string.isBlank()) {
@@ -117,7 +120,7 @@
         return Set.copyOf(texts);
     }
 
-    List<Integer> wholes(String key) throws BadConfig {
+    public List<Integer> wholes(String key) throws BadConfig {
         var numbers = new ArrayList<Integer>();
         for (Object number : list(key)) {
             if (!(number instanceof Long whole) || whole < 0 || whole > Integer.MAX_VALUE) {
@@ -134,15 +137,19 @@
     }
 
     /** The table of that name, empty if there is none. */
-    Toml table(String key) throws BadConfig {
+    public Toml table(String key) throws BadConfig {
         TomlTable found = value(key, TomlTable.class, "table", org.tomlj.Toml.parse(""));
-        var toml = new Toml(file, path + key + ".", found, table.contains(List.of(key)) ? table.inputPositionOf(List.of(key)) : place);
-        inner.add(toml);
-        return toml;
+        Toml known = named.get(key);
+        if (known == null) {
+            known = new Toml(file, path + key + ".", found, table.contains(List.of(key)) ? table.inputPositionOf(List.of(key)) : place);
+            named.put(key, known);
+            inner.add(known);
+        }
+        return known;
     }
 
     /** The tables of a list. */
-    List<Toml> tables(String key) throws BadConfig {
+    public List<Toml> tables(String key) throws BadConfig {
         TomlArray array = value(key, TomlArray.class, "list of tables", null);
         var tables = new ArrayList<Toml>();
         for (int i = 0; array != null && i < array.size(); i++) {
@@ -156,7 +163,7 @@
     }
 
     /** Throws if there are keys that nothing has read. */
-    void nothingElse() throws BadConfig {
+    public void nothingElse() throws BadConfig {
         for (String key : table.keySet()) {
             if (!read.contains(key)) {
                 throw fault(key, "is no key that is known");
--- /dev/null
+++ b/lab/src/main/java/clayhook/lab/Comparison.java
@@ -0,0 +1,68 @@
+package clayhook.lab;
+
+import clayhook.lab.model.Fleet;
+import clayhook.lab.model.Tally;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import org.apache.commons.statistics.distribution.TDistribution;
+
+/** Plays every variant of an experiment with every seed. The same experiment gives the same figures. */
+public final class Comparison {
+    private static final double CONFIDENCE = 0.95;
+
+    /** What one variant came to. */
+    public record Played(Experiment.Variant variant, List<Tally> runs) {
+        /** Mean share of the benefit. */
+        public double service() {
+            return runs.stream().mapToDouble(Tally::service).average().orElse(0);
+        }
+    }
+
+    /**
+     * A mean and how far the true one may lie from it at 95% confidence; infinite where there is one figure only.
+     */
+    public record Interval(double mean, double reach) {
+        /** Of figures that are drawn alike, or of differences between pairs. */
+        public static Interval of(double... figures) {
+            double mean = 0;
+            for (double figure : figures) {
+                mean += figure / figures.length;
+            }
+            double squares = 0;
+            for (double figure : figures) {
+                squares += (figure - mean) * (figure - mean);
+            }
+            int n = figures.length;
+            double quantile = n < 2 ? Double.POSITIVE_INFINITY
+                    : TDistribution.of(n - 1).inverseCumulativeProbability((1 + CONFIDENCE) / 2);
+            return new Interval(mean, n < 2 ? quantile : quantile * Math.sqrt(squares / (n - 1) / n));
+        }
+    }
+
+    private Comparison() {
+    }
+
+    /** {@code progress} hears of each run that begins. */
+    public static List<Played> play(Experiment experiment, BiConsumer<String, Integer> progress) {
+        var played = new ArrayList<Played>();
+        for (Experiment.Variant variant : experiment.variants()) {
+            var runs = new ArrayList<Tally>();
+            for (int seed : experiment.seeds()) {
+                progress.accept(variant.name(), seed);
+                runs.add(new Fleet(variant.fleet(), experiment.failures(), seed).run(experiment.seconds()));
+            }
+            played.add(new Played(variant, runs));
+        }
+        return played;
+    }
+
+    /** How much more service the other gives, by pairs of runs with one seed. */
+    public static Interval gain(Played base, Played other) {
+        double[] gains = new double[base.runs().size()];
+        for (int i = 0; i < gains.length; i++) {
+            gains[i] = other.runs().get(i).service() - base.runs().get(i).service();
+        }
+        return Interval.of(gains);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/clayhook/lab/Experiment.java
@@ -0,0 +1,129 @@
+package clayhook.lab;
+
+import clayhook.CommandGroup;
+import clayhook.CommandGroup.Effect;
+import clayhook.CommandGroup.ReadLevel;
+import clayhook.CommandGroup.Scope;
+import clayhook.config.BadConfig;
+import clayhook.config.Toml;
+import clayhook.lab.model.Failure;
+import clayhook.lab.model.FleetSpec;
+import clayhook.lab.model.Machine;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+/**
+ * What to play: fleets, the load on them, what goes wrong, and with which seeds. Read from a file of TOML;
+ * {@code examples/slow-log.toml} shows the form.
+ *
+ * @param variants the first is what the others are compared with; each is played with the same seeds
+ * @param seconds of load
+ */
+public record Experiment(List<Variant> variants, List<Failure> failures, double seconds, List<Integer> seeds) {
+    private static final double HOUR = 3600;
+    private static final double MANY = 1e6;
+
+    /** One fleet to play. */
+    public record Variant(String name, FleetSpec fleet) {
+    }
+
+    /** Throws BadConfig naming file, line and key. */
+    public static Experiment read(Path file) throws BadConfig {
+        Toml toml = Toml.read(file);
+        FleetSpec base = fleet(toml);
+        var variants = new ArrayList<Variant>();
+        for (Toml variant : toml.tables("variant")) {
+            variants.add(new Variant(variant.needed("name"), varied(base, variant)));
+        }
+        if (variants.isEmpty()) {
+            variants.add(new Variant("as it is", base));
+        }
+        Toml load = toml.table("load");
+        double seconds = load.number("seconds", 60, 1, HOUR);
+        var failures = new ArrayList<Failure>();
+        for (Toml failure : toml.tables("failure")) {
+            failures.add(failure(failure, base, seconds));
+        }
+        List<Integer> seeds = toml.wholes("seeds");
+        toml.nothingElse();
+        return new Experiment(variants, failures, seconds, seeds.isEmpty() ? List.of(1) : seeds);
+    }
+
+    private static FleetSpec fleet(Toml toml) throws BadConfig {
+        Toml fleet = toml.table("fleet");
+        Toml machine = toml.table("machine");
+        Toml load = toml.table("load");
+        var commands = new ArrayList<FleetSpec.Kind>();
+        for (Toml command : toml.tables("command")) {
+            commands.add(command(command));
+        }
+        if (commands.isEmpty()) {
+            throw toml.fault("command", "is missing: what is asked of the fleet");
+        }
+        var phases = new ArrayList<FleetSpec.Phase>();
+        for (Toml phase : toml.tables("phase")) {
+            phases.add(new FleetSpec.Phase(phase.number("from", 0, 0, HOUR), phase.number("factor", 1, 0, MANY)));
+        }
+        var zones = new TreeSet<>(fleet.texts("zones"));
+        return new FleetSpec(fleet.whole("groups", 1, 1, 10_000), fleet.whole("replicas", 2, 0, 100),
+                fleet.whole("routers", 2, 1, 10_000), zones.isEmpty() ? List.of("a") : List.copyOf(zones),
+                new Machine(machine.whole("cores", 2, 1, 1024), machine.whole("queue", 100, 0, 1_000_000),
+                        machine.number("shipping", 0.02, 0, HOUR), machine.number("apply", 0.0005, 0, HOUR),
+                        machine.number("connecting", 0.005, 0, HOUR), machine.number("cold_share", 0.3, 0.001, 1),
+                        machine.number("warm_after", 10, 0, HOUR)),
+                fleet.number("way", 0.0005, 0, 10), fleet.number("election", 3, 0, HOUR), fleet.number("list_delay", 0.5, 0, HOUR),
+                fleet.flag("reports", true), fleet.flag("replicas_check", false), commands,
+                load.number("rate", 100, 0, MANY), phases, load.whole("sessions", 0, 0, 1_000_000));
+    }
+
+    private static FleetSpec.Kind command(Toml command) throws BadConfig {
+        ReadLevel level = one(command, "level", ReadLevel.class, "any");
+        boolean writes = level == ReadLevel.WRITE;
+        Effect effect = one(command, "effect", Effect.class, writes ? "mutating" : "replayable");
+        if (!writes && effect != Effect.REPLAYABLE) {
+            throw command.fault("effect", "a read is replayable");
+        }
+        double target = command.number("target", 0.25, 0.001, HOUR);
+        return new FleetSpec.Kind(new CommandGroup(command.needed("name"), effect, level, target,
+                command.number("timeout", 4 * target, target, HOUR), command.number("benefit", 1, 0, MANY),
+                command.number("late_share", 0, 0, 1), one(command, "scope", Scope.class, "group"),
+                command.number("window", 5, 0, HOUR), command.number("bound", 0.2, 0, HOUR)),
+                command.number("share", 1, 0, MANY), command.number("work", 0.005, 0.000001, HOUR),
+                command.number("spread", 0.5, 0, 5));
+    }
+
+    private static <T extends Enum<T>> T one(Toml toml, String key, Class<T> of, String absent) throws BadConfig {
+        Set<String> words = Arrays.stream(of.getEnumConstants()).map(one -> one.name().toLowerCase(Locale.ROOT))
+                .collect(Collectors.toSet());
+        return Enum.valueOf(of, toml.word(key, absent, words).toUpperCase(Locale.ROOT));
+    }
+
+    private static FleetSpec varied(FleetSpec base, Toml variant) throws BadConfig {
+        Machine was = base.machine();
+        var machine = new Machine(variant.whole("cores", was.cores(), 1, 1024), variant.whole("queue", was.queue(), 0, 1_000_000),
+                was.shipping(), variant.number("apply", was.apply(), 0, HOUR), was.connecting(), was.coldShare(), was.warmAfter());
+        return new FleetSpec(variant.whole("groups", base.groups(), 1, 10_000), variant.whole("replicas", base.replicas(), 0, 100),
+                variant.whole("routers", base.routers(), 1, 10_000), base.zones(), machine, base.way(), base.election(),
+                base.listDelay(), base.reports(), base.replicasCheck(), base.commands(),
+                variant.number("rate", base.rate(), 0, MANY), base.phases(), base.sessions());
+    }
+
+    private static Failure failure(Toml failure, FleetSpec fleet, double seconds) throws BadConfig {
+        failure.needed("kind");
+        Failure.Kind kind = one(failure, "kind", Failure.Kind.class, null);
+        String target = failure.needed("target");
+        boolean zone = kind == Failure.Kind.ZONE_LOSS;
+        if (zone ? !fleet.zones().contains(target) : !target.matches("[1-9][0-9]{0,4}(p|r[1-9][0-9]{0,2})")
+                || Integer.parseInt(target.replaceAll("[pr].*", "")) > fleet.groups()) {
+            throw failure.fault("target", "there is no " + (zone ? "zone" : "node") + " '" + target + "'");
+        }
+        double amount = kind == Failure.Kind.NEIGHBOUR ? failure.number("amount", 0.5, 0, 1) : failure.number("amount", 10, 0, MANY);
+        return new Failure(kind, target, failure.number("at", 0, 0, seconds), failure.number("lasts", 0, 0, HOUR), amount);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/clayhook/lab/model/FleetSpec.java
@@ -0,0 +1,45 @@
+package clayhook.lab.model;
+
+import clayhook.CommandGroup;
+import java.util.List;
+
+/**
+ * A fleet and the load on it. Times are seconds.
+ *
+ * @param groups of nodes, each with one primary and {@code replicas}
+ * @param zones over which nodes and routers are laid out by turns
+ * @param way of a message between any two, one way
+ * @param election without a primary until a successor takes over
+ * @param listDelay until routers are told of a change
+ * @param reports nodes tell their load with answers
+ * @param commands what is asked
+ * @param rate commands a second, over all routers
+ * @param phases parts of the run in which the rate is a multiple
+ * @param sessions that read what they wrote; 0 for none
+ */
+public record FleetSpec(int groups, int replicas, int routers, List<String> zones, Machine machine, double way,
+        double election, double listDelay, boolean reports, boolean replicasCheck, List<Kind> commands, double rate,
+        List<Phase> phases, int sessions) {
+
+    /**
+     * A command group in the load.
+     *
+     * @param share of the commands
+     * @param work seconds of a core, on average
+     * @param spread of the work: the sigma of its logarithm; 0 for always the same
+     */
+    public record Kind(CommandGroup group, double share, double work, double spread) {
+    }
+
+    /** From then on, in seconds from the start, the rate is that multiple. */
+    public record Phase(double from, double factor) {
+    }
+
+    double rateAt(double since) {
+        double factor = 1;
+        for (Phase phase : phases) {
+            factor = since >= phase.from() ? phase.factor() : factor;
+        }
+        return rate * factor;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/clayhook/lab/model/Tally.java
@@ -0,0 +1,117 @@
+package clayhook.lab.model;
+
+import clayhook.Choice.Verdict;
+import clayhook.CommandGroup;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/** What a run came to: by command group, by second, by node. */
+public final class Tally {
+    /** Microseconds; no client waits for longer. */
+    private static final long LONGEST = 3_600_000_000L;
+
+    /** One command group's counts. */
+    public static final class Of {
+        public long asked;
+        public long answered;
+        public long inTime;
+        public long throttled;
+        public long failed;
+        public double benefit;
+        public double possible;
+        /** Microseconds from arrival to answer. */
+        public final Histogram times = new Histogram(LONGEST, 3);
+    }
+
+    private final double start;
+    private final Map<CommandGroup, Of> groups = new LinkedHashMap<>();
+    /** Benefit earned and possible by second of arrival. */
+    private final TreeMap<Integer, double[]> seconds = new TreeMap<>();
+    private final Map<String, Double> busy = new LinkedHashMap<>();
+    private Map<Audit.RuleKept, Integer> broken = Map.of();
+    private String firstBroken;
+    private long events;
+
+    Tally(double start) {
+        this.start = start;
+    }
+
+    private Of of(CommandGroup group) {
+        return groups.computeIfAbsent(group, any -> new Of());
+    }
+
+    private double[] second(double arrived) {
+        return seconds.computeIfAbsent((int) (arrived - start), any -> new double[2]);
+    }
+
+    void asked(CommandGroup group, double now) {
+        Of of = of(group);
+        of.asked++;
+        of.possible += group.benefit();
+        second(now)[1] += group.benefit();
+    }
+
+    void answered(CommandGroup group, Verdict verdict, double took, double arrived) {
+        Of of = of(group);
+        if (verdict == Verdict.THROTTLE) {
+            of.throttled++;
+        } else if (verdict == Verdict.FAIL) {
+            of.failed++;
+        } else {
+            of.answered++;
+            boolean inTime = took <= group.responseTarget();
+            of.inTime += inTime ? 1 : 0;
+            double earned = group.benefit() * (inTime ? 1 : group.lateShare());
+            of.benefit += earned;
+            second(arrived)[0] += earned;
+            of.times.recordValue(Math.min(LONGEST, Math.max(1, (long) (took * 1e6))));
+        }
+    }
+
+    void worked(String node, double part) {
+        busy.put(node, part);
+    }
+
+    void ended(Map<Audit.RuleKept, Integer> rules, String first, long made) {
+        broken = rules;
+        firstBroken = first;
+        events = made;
+    }
+
+    public Map<CommandGroup, Of> groups() {
+        return groups;
+    }
+
+    /** The share of the possible benefit that was earned. */
+    public double service() {
+        double possible = groups.values().stream().mapToDouble(of -> of.possible).sum();
+        return possible == 0 ? 1 : groups.values().stream().mapToDouble(of -> of.benefit).sum() / possible;
+    }
+
+    /** The same of each second of arrivals. */
+    public Map<Integer, Double> serviceBySecond() {
+        var shares = new TreeMap<Integer, Double>();
+        seconds.forEach((second, sums) -> shares.put(second, sums[1] == 0 ? 1 : sums[0] / sums[1]));
+        return shares;
+    }
+
+    /** The part of its cores' time that each node worked. */
+    public Map<String, Double> busy() {
+        return busy;
+    }
+
+    public Map<Audit.RuleKept, Integer> broken() {
+        return broken;
+    }
+
+    /** What broke a rule first, or null. */
+    public String firstBroken() {
+        return firstBroken;
+    }
+
+    public long events() {
+        return events;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/clayhook/lab/model/Timeline.java
@@ -0,0 +1,48 @@
+package clayhook.lab.model;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Virtual time: what is due, in order of time and then of its making. What has happened leaves. */
+public final class Timeline {
+    private record Event(double time, long number, Runnable what) {
+    }
+
+    private final PriorityQueue<Event> due =
+            new PriorityQueue<>(Comparator.comparingDouble(Event::time).thenComparingLong(Event::number));
+    private double now;
+    private long made;
+
+    /** {@code start}: a time in seconds, as a clock would tell it. */
+    public Timeline(double start) {
+        now = start;
+    }
+
+    public double now() {
+        return now;
+    }
+
+    /** Never before now. */
+    public void at(double time, Runnable what) {
+        due.add(new Event(Math.max(now, time), made++, what));
+    }
+
+    public void in(double seconds, Runnable what) {
+        at(now + seconds, what);
+    }
+
+    /** Lets all happen that is due up to then. */
+    public void run(double until) {
+        while (!due.isEmpty() && due.peek().time() <= until) {
+            Event next = due.poll();
+            now = next.time();
+            next.what().run();
+        }
+        now = until;
+    }
+
+    /** How many events have happened or wait to. */
+    public long made() {
+        return made;
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/clayhook/lab/model/FleetTest.java
@@ -0,0 +1,167 @@
+package clayhook.lab.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import clayhook.CommandGroup;
+import clayhook.CommandGroup.Effect;
+import clayhook.CommandGroup.ReadLevel;
+import clayhook.CommandGroup.Scope;
+import clayhook.Node;
+import clayhook.lab.model.Audit.RuleKept;
+import clayhook.lab.model.Failure.Kind;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class FleetTest {
+    private static final CommandGroup BOUNDED = group("bounded", Effect.REPLAYABLE, ReadLevel.BOUNDED);
+    private static final CommandGroup SESSION = group("session", Effect.REPLAYABLE, ReadLevel.SESSION);
+    private static final CommandGroup ANY = group("any", Effect.REPLAYABLE, ReadLevel.ANY);
+    private static final CommandGroup KEYED = group("keyed", Effect.KEYED, ReadLevel.WRITE);
+    private static final CommandGroup MUTATING = group("mutating", Effect.MUTATING, ReadLevel.WRITE);
+
+    private static CommandGroup group(String name, Effect effect, ReadLevel level) {
+        return new CommandGroup(name, effect, level, 0.25, 2, 1, 0, Scope.GROUP, 1, 0.2);
+    }
+
+    private static FleetSpec fleet(double rate) {
+        return new FleetSpec(2, 2, 2, List.of("a", "b", "c"), new Machine(2, 50, 0.02, 0.001, 0.005, 0.3, 5), 0.0005, 2, 0.5, true,
+                false, List.of(new FleetSpec.Kind(BOUNDED, 4, 0.004, 0.5), new FleetSpec.Kind(SESSION, 1, 0.004, 0.5),
+                new FleetSpec.Kind(ANY, 3, 0.006, 0.5), new FleetSpec.Kind(KEYED, 1, 0.003, 0.5),
+                new FleetSpec.Kind(MUTATING, 1, 0.003, 0.5)), rate, List.of(), 100);
+    }
+
+    private static String told(Tally tally) {
+        var counts = new TreeMap<String, String>();
+        tally.groups().forEach((group, of) -> counts.put(group.name(), of.asked + " " + of.inTime + " " + of.throttled + " "
+                + of.failed + " " + of.times.getValueAtPercentile(99)));
+        return counts + " " + tally.serviceBySecond() + " " + tally.busy() + " " + tally.events();
+    }
+
+    @Test
+    void theSameSeedGivesTheSameRunAndAnotherSeedAnother() {
+        var failures = List.of(new Failure(Kind.CRASH, "1p", 3, 5, 0), new Failure(Kind.NEIGHBOUR, "2r1", 2, 5, 0.5));
+        String one = told(new Fleet(fleet(300), failures, 1).run(12));
+        assertEquals(one, told(new Fleet(fleet(300), failures, 1).run(12)));
+        assertNotEquals(one, told(new Fleet(fleet(300), failures, 2).run(12)));
+    }
+
+    @Test
+    void aCalmFleetServesAllKeepsTheRulesAndWorksWhatWasAsked() {
+        Tally tally = new Fleet(fleet(300), List.of(), 1).run(30);
+        assertEquals(Map.of(), tally.broken(), tally::firstBroken);
+        assertTrue(tally.service() > 0.99, "" + tally.service());
+        // Work asked for in a second over the cores there are.
+        double asked = 300 * (4 * 0.004 + 0.004 + 3 * 0.006 + 2 * 0.003) / 10 / (6 * 2);
+        double busy = tally.busy().values().stream().mapToDouble(part -> part).average().orElseThrow();
+        assertEquals(asked, busy, 0.1 * asked);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Kind.class)
+    void whateverFailsTheRulesAreKeptAndServiceComesBack(Kind kind) {
+        String target = kind == Kind.ZONE_LOSS ? "b" : kind == Kind.SLOW_LOG || kind == Kind.STALL_LOG ? "1r1" : "1p";
+        var failure = new Failure(kind, target, 5, 6, kind == Kind.NEIGHBOUR ? 0.8 : 50);
+        Tally tally = new Fleet(fleet(300), List.of(failure), 1).run(30);
+        assertEquals(Map.of(), tally.broken(), tally::firstBroken);
+        Map<Integer, Double> seconds = tally.serviceBySecond();
+        double late = seconds.entrySet().stream().filter(s -> s.getKey() >= 20).mapToDouble(Map.Entry::getValue).average().orElse(0);
+        assertTrue(late > 0.95, kind + ": " + seconds);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"CRASH, 1p, 0", "HANG, 1p, 0", "PAUSE, 1p, 0", "NEIGHBOUR, 1r1, 0.95"})
+    void aFailureIsFelt(Kind kind, String target, double amount) {
+        var failure = new Failure(kind, target, 5, 6, amount);
+        String with = told(new Fleet(fleet(300), List.of(failure), 1).run(15));
+        String without = told(new Fleet(fleet(300), List.of(), 1).run(15));
+        assertNotEquals(without, with);
+        Tally felt = new Fleet(fleet(300), List.of(failure), 1).run(15);
+        double worst = felt.serviceBySecond().entrySet().stream().filter(s -> s.getKey() >= 5 && s.getKey() < 11)
+                .mapToDouble(Map.Entry::getValue).min().orElse(1);
+        assertTrue(kind == Kind.NEIGHBOUR || worst < 0.97, kind + ": " + felt.serviceBySecond());
+    }
+
+    @Test
+    void tooMuchIsTurnedAwayNotServedLate() {
+        Tally tally = new Fleet(fleet(6000), List.of(), 1).run(10);
+        assertEquals(Map.of(), tally.broken(), tally::firstBroken);
+        assertTrue(tally.service() < 0.9 && tally.service() > 0.3, "" + tally.service());
+        assertTrue(tally.groups().get(ANY).throttled > 1000);
+    }
+
+    // ---- the audit catches what is broken on purpose ----
+
+    private final Audit audit = new Audit(0.25, 3, 3);
+    private final Node one = new Node("1p", "a", 1);
+    private final Node other = new Node("2p", "b", 2);
+
+    private void caught(RuleKept rule) {
+        assertEquals(Map.of(rule, 1), audit.broken(), audit.first());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 1", "1, 0", "2, 1"})
+    void oneAnswerInTime(int answers, int broken) {
+        audit.sent("c", ANY, 10);
+        for (int i = 0; i < answers; i++) {
+            audit.answered("c", 9);
+        }
+        audit.end(20);
+        assertEquals(broken, audit.broken().getOrDefault(RuleKept.ONE_ANSWER, 0));
+    }
+
+    @Test
+    void aLateAnswerIsNone() {
+        audit.sent("c", ANY, 10);
+        audit.answered("c", 10.1);
+        caught(RuleKept.ONE_ANSWER);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"mutating, false, 1.5, 1", "keyed, false, 1.5, 0", "keyed, true, 1.5, 1", "keyed, false, 2.5, 1", "any, true, 9, 0"})
+    void noEffectTwice(String name, boolean elsewhere, double again, int broken) {
+        CommandGroup group = name.equals("mutating") ? MUTATING : name.equals("keyed") ? KEYED : ANY;
+        audit.sent("c", group, 10);
+        audit.ran("c", one, 1, 0, 1);
+        audit.ran("c", elsewhere ? other : one, 1, 0, again);
+        assertEquals(broken, audit.broken().getOrDefault(RuleKept.NO_DOUBLE_EFFECT, 0));
+    }
+
+    @Test
+    void whatRanIsNotThrottled() {
+        audit.sent("c", MUTATING, 10);
+        audit.ran("c", one, 1, 0, 1);
+        audit.throttled("c", 2);
+        caught(RuleKept.NO_DOUBLE_EFFECT);
+    }
+
+    @Test
+    void nothingNewPastTheGrace() {
+        audit.sentToDraining(one, 1, 1.2);
+        assertEquals(Map.of(), audit.broken());
+        audit.sentToDraining(one, 1, 1.3);
+        caught(RuleKept.DRAINS);
+    }
+
+    @Test
+    void noColdNodeIsPushedOver() {
+        audit.worked(one, 2, 0.3, 1);
+        assertEquals(Map.of(), audit.broken());
+        audit.worked(one, 1, 0.3, 2);
+        caught(RuleKept.COLD_NODES);
+    }
+
+    @Test
+    void noReadIsStale() {
+        audit.sent("c", BOUNDED, 10);
+        audit.ran("c", one, 4.7, 4.8, 5);
+        caught(RuleKept.NO_STALE_READ);
+    }
+}
