Plan capacity: what breaks first, replicas for a goal, losing each site

Need: before each harvest operators guess how many nodes to add. Tests: capacity of a fleet of known cores, a slow log is named where cores are idle.

--- a/cli/src/main/java/clayhook/cli/LabCommand.java
+++ b/cli/src/main/java/clayhook/cli/LabCommand.java
@@ -53,7 +53,8 @@
                 return Main.wrong(e);
             }
             if (seed != null) {
-                experiment = new Experiment(experiment.variants(), experiment.failures(), experiment.seconds(), List.of(seed));
+                experiment = new Experiment(experiment.variants(), experiment.failures(), experiment.seconds(), List.of(seed),
+                        experiment.goal());
             }
             boolean terminal = System.console() != null;
             List<Played> played = Comparison.play(experiment, (name, number) -> {
--- a/lab/src/main/java/clayhook/lab/Experiment.java
+++ b/lab/src/main/java/clayhook/lab/Experiment.java
@@ -24,11 +24,21 @@
  *
  * @param variants the first is what the others are compared with; each is played with the same seeds
  * @param seconds of load
+ * @param goal for the planner
  */
-public record Experiment(List<Variant> variants, List<Failure> failures, double seconds, List<Integer> seeds) {
+public record Experiment(List<Variant> variants, List<Failure> failures, double seconds, List<Integer> seeds, Goal goal) {
     private static final double HOUR = 3600;
     private static final double MANY = 1e6;
 
+    /**
+     * What a fleet must do, with all rules kept.
+     *
+     * @param service share of the benefit
+     * @param inTime share of each command group that is answered within its target
+     */
+    public record Goal(double service, double inTime) {
+    }
+
     /** One fleet to play. */
     public record Variant(String name, FleetSpec fleet) {
     }
@@ -51,8 +61,10 @@
             failures.add(failure(failure, base, seconds));
         }
         List<Integer> seeds = toml.wholes("seeds");
+        Toml goal = toml.table("goal");
+        var wanted = new Goal(goal.number("service", 0.99, 0, 1), goal.number("in_time", 0, 0, 1));
         toml.nothingElse();
-        return new Experiment(variants, failures, seconds, seeds.isEmpty() ? List.of(1) : seeds);
+        return new Experiment(variants, failures, seconds, seeds.isEmpty() ? List.of(1) : seeds, wanted);
     }
 
     private static FleetSpec fleet(Toml toml) throws BadConfig {
--- a/lab/src/main/java/clayhook/lab/model/FleetSpec.java
+++ b/lab/src/main/java/clayhook/lab/model/FleetSpec.java
@@ -35,6 +35,28 @@
     public record Phase(double from, double factor) {
     }
 
+    /** The same with a load that many times as high. */
+    public FleetSpec loaded(double factor) {
+        return new FleetSpec(groups, replicas, routers, zones, machine, way, election, listDelay, reports, replicasCheck, commands,
+                rate * factor, phases, sessions);
+    }
+
+    public FleetSpec with(Machine other) {
+        return new FleetSpec(groups, replicas, routers, zones, other, way, election, listDelay, reports, replicasCheck, commands,
+                rate, phases, sessions);
+    }
+
+    public FleetSpec withReplicas(int count) {
+        return new FleetSpec(groups, count, routers, zones, machine, way, election, listDelay, reports, replicasCheck, commands,
+                rate, phases, sessions);
+    }
+
+    /** The highest rate of any phase. */
+    public double peak() {
+        return rate * Math.max(phases.stream().anyMatch(phase -> phase.from() == 0) ? 0 : 1,
+                phases.stream().mapToDouble(Phase::factor).max().orElse(1));
+    }
+
     double rateAt(double since) {
         double factor = 1;
         for (Phase phase : phases) {
--- /dev/null
+++ b/lab/src/test/java/clayhook/lab/plan/PlannerTest.java
@@ -0,0 +1,94 @@
+package clayhook.lab.plan;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import clayhook.lab.Experiment;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class PlannerTest {
+    private static final String FLEET = """
+            seeds = [1, 2]
+            [fleet]
+            zones = ["a", "b", "c"]
+            [goal]
+            service = 0.97
+            """;
+    private static final String READS = """
+            [[command]]
+            name = "read"
+            work = 0.01
+            """;
+    @TempDir
+    Path folder;
+
+    private Planner planner(String text) throws Exception {
+        return new Planner(Experiment.read(Files.writeString(folder.resolve("p.toml"), text)), step -> { });
+    }
+
+    /** Three nodes of two cores, one hundredth of a second each: 600 a second is all that there is, 400 without the primary. */
+    @Test
+    void theLoadGrowsUpToWhatTheCoresBear() throws Exception {
+        Planner.Breaks breaks = planner(FLEET + READS + "[load]\nrate = 100.0\nseconds = 15\n").breaks();
+        assertTrue(breaks.lastGood() > 3 && breaks.firstBad() < 6.3 && breaks.lastGood() < breaks.firstBad(), breaks.toString());
+        assertTrue(breaks.causes().get(0).resource().matches("cores.*|replicas"), breaks.toString());
+        assertTrue(breaks.at().busiestReplica() > 0.7);
+    }
+
+    @Test
+    void aSlowLogIsNamedWhereCoresAreIdle() throws Exception {
+        String text = FLEET + "[machine]\napply = 0.015\n[load]\nrate = 100.0\nseconds = 15\n" + """
+                [[command]]
+                name = "bounded"
+                level = "bounded"
+                work = 0.01
+                share = 8
+                [[command]]
+                name = "post"
+                level = "write"
+                work = 0.001
+                share = 2
+                """;
+        Planner.Breaks breaks = planner(text).breaks();
+        assertEquals("speed of applying the log", breaks.causes().get(0).resource(), breaks.toString());
+        assertTrue(breaks.estimate().log() > 0.8 && breaks.estimate().replicas() < 0.9, breaks.toString());
+    }
+
+    @Test
+    void replicasAreThoseThatTheWorkNeeds() throws Exception {
+        // Twelve cores' work: six nodes at the very least, of which one is the primary.
+        Planner.Need need = planner(FLEET + READS + "[load]\nrate = 1200.0\nseconds = 10\n").need();
+        assertTrue(need.least() >= 5 && need.enough() >= 6 && need.enough() <= 8, need.toString());
+        assertEquals(2, need.now());
+    }
+
+    @Test
+    void losingASiteTellsBeforeDuringAndAfter() throws Exception {
+        var losses = planner(FLEET + READS + "[load]\nrate = 450.0\nseconds = 30\n").losses();
+        assertEquals(3, losses.size());
+        for (Planner.Loss loss : losses) {
+            assertTrue(loss.before() > 0.95 && loss.during() < loss.before() && loss.worst() <= loss.during(), loss.toString());
+            assertTrue(loss.need().enough() >= 3, loss.toString());
+        }
+    }
+
+    @Test
+    void arithmeticIsThatOfTheLoad() throws Exception {
+        Experiment experiment = Experiment.read(Files.writeString(folder.resolve("e.toml"), READS + """
+                share = 3
+                [[command]]
+                name = "post"
+                level = "write"
+                work = 0.02
+                [machine]
+                apply = 0.01
+                [load]
+                rate = 100.0
+                """));
+        Estimate estimate = Estimate.of(experiment.variants().get(0).fleet());
+        assertEquals(new Estimate(75 * 0.01 / 4, 25 * 0.02 / 2, (75 * 0.01 + 25 * 0.02) / 6, 25 * 0.01), estimate);
+    }
+}
