--- a/cli/src/main/java/clayhook/cli/LabCommand.java
+++ b/cli/src/main/java/clayhook/cli/LabCommand.java
@@ -6,12 +6,14 @@
 import clayhook.lab.Comparison.Interval;
 import clayhook.lab.Comparison.Played;
 import clayhook.lab.Experiment;
+import clayhook.lab.Report;
 import clayhook.lab.model.Tally;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.StringWriter;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
@@ -39,6 +41,8 @@
     static final class Run implements Callable<Integer> {
         @Option(names = "--json", description = "one object a run")
         private boolean json;
+        @Option(names = "--report", paramLabel = "HTML", description = "also write a page with pictures to this file")
+        private Path report;
         @Option(names = "--seed", description = "play with this seed alone")
         private Integer seed;
         @Parameters(paramLabel = "FILE", description = "the experiment; examples/ has some")
@@ -70,6 +74,10 @@
             if (!json) {
                 table(played, System.out);
             }
+            if (report != null) {
+                System.setProperty("java.awt.headless", "true");
+                Files.writeString(report, Report.html(file.getFileName().toString(), experiment, played));
+            }
             return played.stream().flatMap(one -> one.runs().stream()).allMatch(run -> run.broken().isEmpty()) ? Main.DONE
                     : Main.FAILED;
         }
--- /dev/null
+++ b/lab/src/main/java/clayhook/lab/Report.java
@@ -0,0 +1,119 @@
+package clayhook.lab;
+
+import clayhook.CommandGroup;
+import clayhook.lab.Comparison.Interval;
+import clayhook.lab.Comparison.Played;
+import clayhook.lab.model.Failure;
+import clayhook.lab.model.Tally;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Locale;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.CategoryChart;
+import org.knowm.xchart.CategoryChartBuilder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.internal.chartpart.Chart;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+
+/** One page that shows what an experiment came to: a table, and pictures within it. */
+public final class Report {
+    private static final int WIDTH = 900, HEIGHT = 340;
+    /** Nodes in a picture; more cannot be told apart. */
+    private static final int MOST_NODES = 24;
+    private static final double[] PERCENTILES = {50, 75, 90, 95, 99, 99.9};
+
+    private Report() {
+    }
+
+    public static String html(String title, Experiment experiment, List<Played> played) throws IOException {
+        var page = new StringBuilder("<!doctype html><html><head><meta charset=\"utf-8\"><title>").append(text(title))
+                .append("</title><style>body{font:15px sans-serif;max-width:60em;margin:2em auto}table{border-collapse:collapse}"
+                        + "td,th{padding:.2em .7em;text-align:right;border-bottom:1px solid #ccc}td:first-child,th:first-child"
+                        + "{text-align:left}img{max-width:100%}</style></head><body><h1>").append(text(title)).append("</h1>");
+        table(page, played);
+        for (Failure failure : experiment.failures()) {
+            page.append(String.format(Locale.ROOT, "<p>%s of %s after %.0f s, for %.0f s</p>",
+                    failure.kind().name().toLowerCase(Locale.ROOT).replace('_', ' '), text(failure.target()), failure.at(),
+                    failure.lasts()));
+        }
+        picture(page, "Service by second of arrival, mean over seeds", service(played));
+        for (CommandGroup group : played.get(0).runs().get(0).groups().keySet()) {
+            picture(page, "Time to answer by percentile: " + group.name(), times(played, group));
+        }
+        picture(page, "Part of its cores' time that each node worked", busy(played));
+        return page.append("</body></html>\n").toString();
+    }
+
+    private static void table(StringBuilder page, List<Played> played) {
+        page.append("<table><tr><th>variant<th>service<th>to the first, 95%<th>rules</tr>");
+        for (Played one : played) {
+            Interval gain = Comparison.gain(played.get(0), one);
+            String broken = one.runs().stream().map(Tally::firstBroken).filter(first -> first != null).findFirst().orElse("kept");
+            page.append(String.format(Locale.ROOT, "<tr><td>%s<td>%.4f<td>%s<td>%s</tr>", text(one.variant().name()), one.service(),
+                    one == played.get(0) ? "" : String.format(Locale.ROOT, "%+.4f &plusmn; %.4f", gain.mean(), gain.reach()),
+                    text(broken)));
+        }
+        page.append("</table>");
+    }
+
+    private static XYChart service(List<Played> played) {
+        XYChart chart = chart("second", "share of the benefit");
+        chart.getStyler().setYAxisMin(0.0).setYAxisMax(1.0);
+        for (Played one : played) {
+            var seconds = new TreeMap<Integer, Double>();
+            one.runs().forEach(run -> run.serviceBySecond()
+                    .forEach((second, share) -> seconds.merge(second, share / one.runs().size(), Double::sum)));
+            chart.addSeries(one.variant().name(), new ArrayList<>(seconds.keySet()), new ArrayList<>(seconds.values()))
+                    .setMarker(SeriesMarkers.NONE);
+        }
+        return chart;
+    }
+
+    private static XYChart times(List<Played> played, CommandGroup group) {
+        XYChart chart = chart("percentile", "ms");
+        for (Played one : played) {
+            double[] ms = new double[PERCENTILES.length];
+            for (int i = 0; i < ms.length; i++) {
+                double percentile = PERCENTILES[i];
+                ms[i] = mean(one, run -> run.groups().get(group) == null ? 0
+                        : run.groups().get(group).times.getValueAtPercentile(percentile) / 1e3);
+            }
+            chart.addSeries(one.variant().name(), PERCENTILES, ms).setMarker(SeriesMarkers.CIRCLE);
+        }
+        return chart;
+    }
+
+    private static double mean(Played one, ToDoubleFunction<Tally> figure) {
+        return one.runs().stream().mapToDouble(figure).average().orElse(0);
+    }
+
+    private static XYChart chart(String x, String y) {
+        return new XYChartBuilder().width(WIDTH).height(HEIGHT).xAxisTitle(x).yAxisTitle(y).build();
+    }
+
+    private static CategoryChart busy(List<Played> played) {
+        CategoryChart chart = new CategoryChartBuilder().width(WIDTH).height(HEIGHT).xAxisTitle("node").yAxisTitle("part").build();
+        // Pictures need the same nodes in each: those of the first variant.
+        List<String> nodes = played.get(0).runs().get(0).busy().keySet().stream().limit(MOST_NODES).toList();
+        for (Played one : played) {
+            chart.addSeries(one.variant().name(), nodes,
+                    nodes.stream().map(node -> mean(one, run -> run.busy().getOrDefault(node, 0.0))).toList());
+        }
+        return chart;
+    }
+
+    private static void picture(StringBuilder page, String title, Chart<?, ?> chart) throws IOException {
+        byte[] png = BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG);
+        page.append("<h2>").append(text(title)).append("</h2><img alt=\"").append(text(title)).append("\" src=\"data:image/png;base64,")
+                .append(Base64.getEncoder().encodeToString(png)).append("\">");
+    }
+
+    private static String text(String text) {
+        return text.replace("&", "&amp;").replace("<", "&lt;").replace("\"", "&quot;");
+    }
+}
--- a/lab/src/main/java/clayhook/lab/model/Fleet.java
+++ b/lab/src/main/java/clayhook/lab/model/Fleet.java
@@ -258,8 +258,8 @@
                 return () -> node.share(0);
             }
             case SLOW_LOG -> {
-                node.log.slow(failure.amount());
-                return () -> node.log.slow(1);
+                node.log.slow(timeline.now(), failure.amount());
+                return () -> node.log.slow(timeline.now(), 1);
             }
             case STALL_LOG -> {
                 node.log.stall(timeline.now(), timeline.now() + failure.lasts());
--- a/lab/src/main/java/clayhook/lab/model/ReplicaLog.java
+++ b/lab/src/main/java/clayhook/lab/model/ReplicaLog.java
@@ -1,6 +1,7 @@
 package clayhook.lab.model;
 
 import java.util.ArrayDeque;
+import java.util.List;
 
 /** How far a replica has come with its primary's log: commits arrive after a while and are applied one by one. */
 final class ReplicaLog {
@@ -28,9 +29,17 @@
         pending.add(new Commit(at, freeAt));
     }
 
-    /** Commits that come from now on take so many times as long to apply. */
-    void slow(double times) {
+    /** From now on a commit takes so many times as long to apply, those that wait too. */
+    void slow(double now, double times) {
+        position(now);
         slowness = times;
+        freeAt = Math.max(now, stalledUntil);
+        List<Commit> waiting = List.copyOf(pending);
+        pending.clear();
+        for (Commit commit : waiting) {
+            freeAt = Math.max(freeAt, commit.position() + shipping) + apply * slowness;
+            pending.add(new Commit(commit.position(), freeAt));
+        }
     }
 
     /** Nothing is applied until then. */
--- a/lab/src/test/java/clayhook/lab/ExperimentTest.java
+++ b/lab/src/test/java/clayhook/lab/ExperimentTest.java
@@ -50,6 +50,9 @@
         assertEquals(0, Comparison.gain(played.get(0), played.get(1)).mean());
         var more = Comparison.gain(played.get(0), played.get(2));
         assertTrue(more.mean() > more.reach() && more.reach() > 0, more.toString());
+        System.setProperty("java.awt.headless", "true");
+        String page = Report.html("a <title>", experiment, played);
+        assertTrue(page.contains("a &lt;title>") && page.contains("<td>more<td>") && page.split("data:image/png;base64,iVBOR").length == 4);
     }
 
     @Test
--- a/lab/src/test/java/clayhook/lab/model/LawsTest.java
+++ b/lab/src/test/java/clayhook/lab/model/LawsTest.java
@@ -99,7 +99,9 @@
             if (random.nextDouble() < 0.3) {
                 log.committed(now);
             }
-            log.slow(now > 20 && now < 30 ? 20 : 1);
+            if (Math.abs(now - 20) < 0.001 || Math.abs(now - 30) < 0.001) {
+                log.slow(now, now < 25 ? 20 : 1);
+            }
             if (Math.abs(now - 45) < 0.001) {
                 log.stall(now, now + 2);
             }
@@ -107,6 +109,8 @@
             assertTrue(next >= position && next <= now - 0.02 + 1e-9, now + ": " + next + " after " + position);
             position = next;
             most = now < 40 ? Math.max(most, now - next) : most;
+            // What had to wait is applied at the usual speed once that is back.
+            assertTrue(now < 33 || now > 45 || now - next < 0.1, now + ": " + (now - next) + " behind");
         }
         assertTrue(most > 5 && log.pending() < 20, "lag " + most);
     }
