Play experiments on loopback sockets with real routers; add try

Need: a newcomer had no command that shows the router at work, and the model had nothing to be held against.

--- a/cli/src/main/java/clayhook/cli/Commands.java
+++ b/cli/src/main/java/clayhook/cli/Commands.java
@@ -10,7 +10,7 @@
 /** All sub-commands and their options. */
 @Command(name = "clayhook", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
         description = "Routes reads and writes in replicated databases.",
-        subcommands = {ServeCommand.class, ClassifyCommand.class, LabCommand.class, PlanCommand.class,
+        subcommands = {ServeCommand.class, TryCommand.class, ClassifyCommand.class, LabCommand.class, PlanCommand.class,
                 AdapterCommand.class, RehearseCommand.class},
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done", "1:failed", "2:wrong use or a faulty configuration"})
--- a/cli/src/main/java/clayhook/cli/LabCommand.java
+++ b/cli/src/main/java/clayhook/cli/LabCommand.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.function.BiConsumer;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -41,6 +42,9 @@
     static final class Run implements Callable<Integer> {
         @Option(names = "--json", description = "one object a run")
         private boolean json;
+        @Option(names = "--sockets", description = "play on loopback sockets with real routers, in real time, instead of the model's;"
+                + " ends with 1 if the machine was too slow for a verdict")
+        private boolean sockets;
         @Option(names = "--report", paramLabel = "HTML", description = "also write a page with pictures to this file")
         private Path report;
         @Option(names = "--seed", description = "play with this seed alone")
@@ -49,7 +53,7 @@
         private Path file;
 
         @Override
-        public Integer call() throws IOException {
+        public Integer call() throws IOException, InterruptedException {
             Experiment experiment;
             try {
                 experiment = Experiment.read(file);
@@ -61,11 +65,16 @@
                         experiment.goal());
             }
             boolean terminal = System.console() != null;
-            List<Played> played = Comparison.play(experiment, (name, number) -> {
+            BiConsumer<String, Integer> progress = (name, number) -> {
                 if (terminal) {
                     System.err.println("playing " + name + " with seed " + number);
                 }
-            });
+            };
+            List<Played> played = sockets ? Comparison.playOnSockets(experiment, progress) : Comparison.play(experiment, progress);
+            if (played.stream().anyMatch(one -> one.runs().contains(null))) {
+                System.err.println("clayhook: no verdict: this machine played late");
+                return Main.FAILED;
+            }
             for (Played one : played) {
                 for (int i = 0; json && i < one.runs().size(); i++) {
                     System.out.println(json(one.variant().name(), experiment.seeds().get(i), one.runs().get(i)));
--- a/daemon/src/main/java/clayhook/rehearsal/StandInNode.java
+++ b/daemon/src/main/java/clayhook/rehearsal/StandInNode.java
@@ -55,6 +55,24 @@
             new ClientDecoder(new Allowance(Long.MAX_VALUE)), new Connection(role, deeds)});
     }
 
+    /** An answer of one row, and what a node tells with it; {@code applied} is its position in milliseconds. */
+    public static ByteBuf row(String value, String role, long applied, String load) {
+        byte[] bytes = value.getBytes(UTF_8);
+        ByteBuf out = Unpooled.buffer();
+        out.writeByte('T').writeInt(4 + 2 + 4 + 18).writeShort(1).writeBytes("val\0".getBytes(UTF_8)).writeZero(18);
+        out.writeByte('D').writeInt(4 + 2 + 4 + bytes.length).writeShort(1).writeInt(bytes.length).writeBytes(bytes);
+        out.writeByte('C').writeInt(4 + 9).writeBytes("SELECT 1\0".getBytes(UTF_8));
+        status(out, "role", role);
+        status(out, "applied_ms", Long.toString(applied));
+        status(out, "load", load);
+        return out.writeBytes(Encoder.ready());
+    }
+
+    private static void status(ByteBuf out, String name, String value) {
+        byte[] text = (name + '\0' + value + '\0').getBytes(UTF_8);
+        out.writeByte('S').writeInt(4 + text.length).writeBytes(text);
+    }
+
     private static final class Connection extends ChannelInboundHandlerAdapter {
         private final String role;
         private final Function<Statement, Deed> deeds;
@@ -89,22 +107,7 @@
         }
 
         private ByteBuf row(String value) {
-            byte[] bytes = value.getBytes(UTF_8);
-            ByteBuf out = Unpooled.buffer();
-            out.writeByte('T').writeInt(4 + 2 + 4 + 18).writeShort(1).writeBytes("val\0".getBytes(UTF_8))
-                    .writeZero(18);
-            out.writeByte('D').writeInt(4 + 2 + 4 + bytes.length).writeShort(1).writeInt(bytes.length)
-                    .writeBytes(bytes);
-            out.writeByte('C').writeInt(4 + 9).writeBytes("SELECT 1\0".getBytes(UTF_8));
-            status(out, "role", role);
-            status(out, "applied_ms", Long.toString(System.currentTimeMillis()));
-            status(out, "load", "inflight=1,x0=" + System.currentTimeMillis() / 1000.0);
-            return out.writeBytes(Encoder.ready());
-        }
-
-        private static void status(ByteBuf out, String name, String value) {
-            byte[] text = (name + '\0' + value + '\0').getBytes(UTF_8);
-            out.writeByte('S').writeInt(4 + text.length).writeBytes(text);
+            return StandInNode.row(value, role, System.currentTimeMillis(), "inflight=1,x0=" + System.currentTimeMillis() / 1000.0);
         }
 
         @Override
--- a/lab/src/main/java/clayhook/lab/Comparison.java
+++ b/lab/src/main/java/clayhook/lab/Comparison.java
@@ -1,6 +1,7 @@
 package clayhook.lab;
 
 import clayhook.lab.model.Fleet;
+import clayhook.lab.model.Loopback;
 import clayhook.lab.model.Tally;
 import java.util.ArrayList;
 import java.util.List;
@@ -57,6 +58,21 @@
         return played;
     }
 
+    /** The same on loopback sockets, one run after the other; a run without a verdict has null for it. */
+    public static List<Played> playOnSockets(Experiment experiment, BiConsumer<String, Integer> progress)
+            throws InterruptedException {
+        var played = new ArrayList<Played>();
+        for (Experiment.Variant variant : experiment.variants()) {
+            var runs = new ArrayList<Tally>();
+            for (int seed : experiment.seeds()) {
+                progress.accept(variant.name(), seed);
+                runs.add(new Loopback(variant.fleet(), seed).run(experiment.failures(), experiment.seconds()));
+            }
+            played.add(new Played(variant, runs));
+        }
+        return played;
+    }
+
     /** How much more service the other gives, by pairs of runs with one seed. */
     public static Interval gain(Played base, Played other) {
         double[] gains = new double[base.runs().size()];
--- a/lab/src/main/java/clayhook/lab/model/Cores.java
+++ b/lab/src/main/java/clayhook/lab/model/Cores.java
@@ -6,7 +6,7 @@
 
 /** The cores of a machine and the queue before them, served in order. Work is conserved whatever the speed does. */
 final class Cores {
-    private final Timeline timeline;
+    private final Time timeline;
     private final int cores;
     private final int limit;
     /** Bounded by the limit of the queue. */
@@ -16,7 +16,7 @@
     /** Seconds of a core that were worked, and when that was reckoned. */
     private double worked;
 
-    Cores(Timeline timeline, int cores, int limit) {
+    Cores(Time timeline, int cores, int limit) {
         this.timeline = timeline;
         this.cores = cores;
         this.limit = limit;
@@ -65,7 +65,7 @@
     }
 
     private void reckon(Job job) {
-        double done = Math.min(job.work, (timeline.now() - job.reckonedAt) * speed);
+        double done = Math.min(job.work, Math.max(0, timeline.now() - job.reckonedAt) * speed);
         worked += done;
         job.work -= done;
         job.reckonedAt = timeline.now();
--- /dev/null
+++ b/lab/src/main/java/clayhook/lab/model/Loopback.java
@@ -0,0 +1,396 @@
+package clayhook.lab.model;
+
+import clayhook.Choice.Verdict;
+import clayhook.CommandGroup;
+import clayhook.CommandGroup.ReadLevel;
+import clayhook.Listing;
+import clayhook.Role;
+import clayhook.Settings;
+import clayhook.config.Configuration;
+import clayhook.discovery.NodeList;
+import clayhook.protocol.Allowance;
+import clayhook.protocol.ClientDecoder;
+import clayhook.protocol.ClientMessage;
+import clayhook.protocol.Encoder;
+import clayhook.protocol.NodeDecoder;
+import clayhook.protocol.NodeMessage;
+import clayhook.protocol.Statement;
+import clayhook.rehearsal.StandInClient;
+import clayhook.rehearsal.StandInDiscovery;
+import clayhook.rehearsal.StandInNode;
+import clayhook.serve.Server;
+import clayhook.transport.Transport;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+
+/**
+ * The same fleet, load and failures on loopback sockets and the machine's clock: real routers, and nodes that speak the
+ * platform's protocol and take the time that the model says. Nodes and clients share a loop; each router has its own.
+ * Routers ask for the list again after ten seconds at the latest, so that changes reach them by then.
+ */
+public final class Loopback {
+    /** Where a run's own loop was late by more, its figures are those of the machine, and no verdict is given. */
+    private static final double MOST_LATE = 0.01;
+    /** Far below what a process may open; a command for which no connection is left fails. */
+    private static final int MOST_CONNECTIONS = 256;
+    /** Seconds in which routers look at their nodes before the load begins. */
+    private static final double WARMING = 1;
+    private static final double CONNECT_TIMEOUT = 0.25;
+    private static final double GRACE = 0.25, OVERLOAD = 3, OVERLOAD_FOR = 3;
+
+    private final FleetSpec spec;
+    private final Transport transport = Transport.tcp();
+    private final WallTime time = new WallTime(transport.loop());
+    private final Arrivals arrivals;
+    private final Audit audit = new Audit(GRACE, OVERLOAD, OVERLOAD_FOR);
+    private final Map<String, Asked> open = new HashMap<>();
+    private final List<SocketNode> sockets = new ArrayList<>();
+    private final List<Server> servers = new ArrayList<>();
+    private final List<Clients> clients = new ArrayList<>();
+    private final double[] wrote;
+    private World world;
+    private Tally tally;
+    private double start;
+    private long nextId;
+    private int listVersion = 2;
+
+    private static final class Asked {
+        final Arrivals.Ask ask;
+        final String id;
+        final double arrived;
+        final double wroteAt;
+
+        Asked(Arrivals.Ask ask, String id, double arrived, double wroteAt) {
+            this.ask = ask;
+            this.id = id;
+            this.arrived = arrived;
+            this.wroteAt = wroteAt;
+        }
+    }
+
+    public Loopback(FleetSpec spec, long seed) {
+        this.spec = spec;
+        arrivals = new Arrivals(spec, seed);
+        wrote = new double[spec.sessions()];
+    }
+
+    /** Plays so many seconds; null if the loop ran too late for a verdict. */
+    public Tally run(List<Failure> failures, double seconds) throws InterruptedException {
+        return run(failures, seconds, so -> { });
+    }
+
+    /** The same; {@code watcher} is shown the figures so far each second, on the run's own loop. */
+    public Tally run(List<Failure> failures, double seconds, Consumer<Tally> watcher) throws InterruptedException {
+        try {
+            begin();
+            var ended = new CountDownLatch(1);
+            transport.loop().execute(() -> {
+                start = time.now() + WARMING;
+                time.at(start, time::warm);
+                tally = new Tally(start);
+                world.befall(failures, start);
+                time.at(start, () -> arrive(start + seconds));
+                for (int second = 1; second <= seconds; second++) {
+                    time.at(start + second, () -> watcher.accept(tally));
+                }
+                double longest = spec.commands().stream().mapToDouble(kind -> kind.group().clientTimeout()).max().orElse(0);
+                time.at(start + seconds + longest + 1, () -> {
+                    audit.end(time.now());
+                    world.nodes().forEach(node -> tally.worked(node.node.id(),
+                            node.cores.worked() / (seconds * spec.machine().cores())));
+                    tally.ended(audit.broken(), audit.first(), nextId);
+                    ended.countDown();
+                });
+            });
+            ended.await();
+            return time.late() > MOST_LATE ? null : tally;
+        } finally {
+            servers.forEach(Server::close);
+            transport.close();
+        }
+    }
+
+    /** Seconds by which all but one in a hundred events were late at the most. */
+    public double late() {
+        return time.late();
+    }
+
+    private void begin() throws InterruptedException {
+        world = new World(spec, time, this::died, node -> listVersion++);
+        for (NodeModel node : world.nodes()) {
+            sockets.add(new SocketNode(node));
+        }
+        var discovery = new StandInDiscovery(transport, transport.spare(0), 
+                call -> call.contains("after=" + listVersion + "&") || call.endsWith("after=" + listVersion + " HTTP/1.1") ? null : list());
+        List<CommandGroup> groups = spec.commands().stream().map(FleetSpec.Kind::group).toList();
+        for (int r = 0; r < spec.routers(); r++) {
+            var settings = new Settings(spec.routers(), spec.zones().get(r % spec.zones().size()), groups, true, true,
+                    spec.replicasCheck(), true, true, true, true, true, 1, 5, spec.machine().coldShare(),
+                    spec.machine().warmAfter(), OVERLOAD, OVERLOAD_FOR, 1, 15);
+            var server = new Server(Transport.tcp(), new Configuration("lab", transport.spare(0), discovery.address(), r + 1,
+                    1 << 28, 2 * MOST_CONNECTIONS + 64, NodeList.parse(list()), settings, CONNECT_TIMEOUT));
+            servers.add(server);
+            clients.add(new Clients(server.address()));
+        }
+    }
+
+    private String list() {
+        var entries = new ArrayList<String>();
+        for (int i = 0; i < sockets.size(); i++) {
+            Listing listing = world.listings().get(i);
+            entries.add("{\"uid\":\"" + listing.node().id() + "\",\"endpoint\":\"127.0.0.1:" + sockets.get(i).port() + "\",\"az\":\""
+                    + listing.node().zone() + "\",\"pod_group\":" + listing.node().group() + ",\"state\":\"up\",\"role\":\""
+                    + (listing.primary() ? "primary" : "replica") + "\",\"boot_ms\":" + (long) (listing.startedAt() * 1000) + "}");
+        }
+        return "{\"rev\":" + listVersion + ",\"all\":true,\"targets\":[" + String.join(",", entries) + "]}";
+    }
+
+    private void died(NodeModel node) {
+        sockets.stream().filter(socket -> socket.node == node).forEach(SocketNode::reset);
+    }
+
+    // ---- clients ----
+
+    private void arrive(double until) {
+        time.in(arrivals.gap(time.now() - start), () -> {
+            if (time.now() < until) {
+                Arrivals.Ask ask = arrivals.next();
+                CommandGroup group = ask.kind().group();
+                boolean own = group.level() == ReadLevel.SESSION && ask.session() >= 0;
+                var asked = new Asked(ask, Long.toString(nextId++), time.now(), own ? wrote[ask.session()] : 0);
+                audit.sweep(time.now());
+                audit.sent(asked.id, group, asked.arrived + group.clientTimeout());
+                tally.asked(group, time.now());
+                open.put(asked.id, asked);
+                clients.get((int) (nextId % clients.size())).send(asked);
+                arrive(until);
+            }
+        });
+    }
+
+    private void answered(Asked asked, Verdict verdict, double position) {
+        double now = time.now();
+        CommandGroup group = asked.ask.kind().group();
+        audit.answered(asked.id, now);
+        if (verdict == Verdict.THROTTLE) {
+            audit.throttled(asked.id, now);
+        } else if (verdict == Verdict.DONE && group.level() == ReadLevel.WRITE && asked.ask.session() >= 0) {
+            wrote[asked.ask.session()] = Math.max(wrote[asked.ask.session()], position);
+        }
+        tally.answered(group, verdict, now - asked.arrived, asked.arrived);
+        open.remove(asked.id);
+    }
+
+    /** The connections to one router, each with one command at a time. */
+    private final class Clients {
+        private final InetSocketAddress router;
+        private final ArrayDeque<Connection> idle = new ArrayDeque<>();
+        private int connections;
+
+        Clients(InetSocketAddress router) {
+            this.router = router;
+        }
+
+        void send(Asked asked) {
+            Connection connection = idle.poll();
+            if (connection == null && connections >= MOST_CONNECTIONS) {
+                answered(asked, Verdict.FAIL, 0);
+            } else if (connection == null) {
+                connections++;
+                var opened = new Connection(this, asked);
+                transport.connect(router, CONNECT_TIMEOUT, () -> new ChannelHandler[] {
+                    new NodeDecoder(new Allowance(Long.MAX_VALUE)), opened}, opened::lost);
+            } else {
+                connection.send(asked);
+            }
+        }
+    }
+
+    private final class Connection extends ChannelInboundHandlerAdapter {
+        private final Clients of;
+        private Asked asked;
+        private Channel channel;
+        private boolean welcomed;
+        private Verdict verdict = Verdict.DONE;
+        private double position;
+
+        Connection(Clients of, Asked asked) {
+            this.of = of;
+            this.asked = asked;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            channel = ctx.channel();
+            ctx.write(Encoder.startup("lab", "core"));
+            send(asked);
+        }
+
+        void send(Asked next) {
+            asked = next;
+            verdict = Verdict.DONE;
+            position = 0;
+            CommandGroup group = next.ask.kind().group();
+            boolean writes = group.level() == ReadLevel.WRITE;
+            String fields = "id=" + next.id + ",c=" + group.name() + ",cluster=" + next.ask.group() + ",d="
+                    + Math.round(group.clientTimeout() * 1000) + (writes ? ",k=" + next.id : "")
+                    + (next.wroteAt > 0 ? ",after=" + (long) Math.ceil(next.wroteAt * 1000) : "");
+            channel.writeAndFlush(StandInClient.statement(writes, fields));
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (message instanceof NodeMessage.ErrorResponse error) {
+                verdict = error.code().equals("53300") ? Verdict.THROTTLE : Verdict.FAIL;
+            } else if (message instanceof NodeMessage.Part part && part.type() == 'D') {
+                position = Double.parseDouble(part.column());
+            } else if (message instanceof NodeMessage.ReadyForQuery && !welcomed) {
+                welcomed = true;
+            } else if (message instanceof NodeMessage.ReadyForQuery && asked != null) {
+                Asked done = asked;
+                asked = null;
+                answered(done, verdict, position);
+                of.idle.push(this);
+            }
+        }
+
+        void lost() {
+            of.connections--;
+            of.idle.remove(this);
+            if (asked != null) {
+                Asked done = asked;
+                asked = null;
+                answered(done, Verdict.FAIL, 0);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            lost();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    // ---- nodes ----
+
+    /** A node of the model behind a listener. */
+    private final class SocketNode {
+        final NodeModel node;
+        private final Channel listening;
+        private final List<Channel> connections = new ArrayList<>();
+
+        SocketNode(NodeModel node) throws InterruptedException {
+            this.node = node;
+            listening = transport.listen(transport.spare(0), () -> new ChannelHandler[] {
+                new ClientDecoder(new Allowance(Long.MAX_VALUE)), new NodeHandler(this)});
+        }
+
+        int port() {
+            return ((InetSocketAddress) listening.localAddress()).getPort();
+        }
+
+        /** Its machine died: all that is open ends. */
+        void reset() {
+            List.copyOf(connections).forEach(Channel::close);
+        }
+    }
+
+    private final class NodeHandler extends ChannelInboundHandlerAdapter {
+        private final SocketNode socket;
+        private Job job;
+
+        NodeHandler(SocketNode socket) {
+            this.socket = socket;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            if (socket.node.up()) {
+                socket.connections.add(ctx.channel());
+            } else {
+                ctx.close();
+            }
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            NodeModel node = socket.node;
+            if (!node.up() || node.silent()) {
+                return;
+            }
+            if (message instanceof ClientMessage.Startup) {
+                time.in(spec.machine().connecting(), () -> ctx.writeAndFlush(Encoder.welcome(0, Map.of())));
+            } else if (message instanceof ClientMessage.UnreadableQuery) {
+                ctx.writeAndFlush(StandInNode.row(load(node), role(node), millis(node.position()), load(node)));
+            } else if (message instanceof ClientMessage.Query query) {
+                run(ctx, query.statement());
+            }
+        }
+
+        private void run(ChannelHandlerContext ctx, Statement statement) {
+            NodeModel node = socket.node;
+            Asked asked = open.get(statement.id);
+            if (asked == null || statement.writes && node.role != Role.PRIMARY) {
+                ctx.writeAndFlush(Encoder.error(false, asked == null ? "53300" : "25006", "not here", null));
+                return;
+            }
+            CommandGroup group = asked.ask.kind().group();
+            double needed = switch (group.level()) {
+                case BOUNDED -> time.now() - group.bound();
+                case SESSION -> asked.wroteAt;
+                default -> 0;
+            };
+            if (node.warmth() < 1) {
+                audit.worked(node.node, asked.ask.work(), spec.machine().cores() * node.warmth(), time.now());
+            }
+            job = new Job(asked.ask.work(), time.now(), done -> {
+                double position = statement.writes ? world.group(node.node.group()).commit() : node.position();
+                audit.ran(asked.id, node.node, position, needed, time.now());
+                ctx.writeAndFlush(StandInNode.row(Double.toString(position), role(node), millis(position), load(node)));
+            });
+            if (!node.cores.offer(job)) {
+                ctx.writeAndFlush(Encoder.error(false, "53300", "full", null));
+            }
+        }
+
+        private String role(NodeModel node) {
+            return node.role == Role.PRIMARY ? "primary" : "replica";
+        }
+
+        /** Rounded down: nobody is told of more than there is. */
+        private long millis(double position) {
+            return (long) Math.floor(position * 1000);
+        }
+
+        private String load(NodeModel node) {
+            return "inflight=" + node.cores.inside() + ",x0=" + node.position() + ",x1=" + (node.role == Role.PRIMARY ? 1 : 0);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            socket.connections.remove(ctx.channel());
+            if (job != null) {
+                socket.node.cores.cancel(job);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- a/lab/src/main/java/clayhook/lab/model/NodeModel.java
+++ b/lab/src/main/java/clayhook/lab/model/NodeModel.java
@@ -12,7 +12,7 @@
     final Cores cores;
     final ReplicaLog log;
     private final Machine machine;
-    private final Timeline timeline;
+    private final Time timeline;
     private boolean up = true;
     private boolean hung;
     boolean draining;
@@ -24,7 +24,7 @@
     /** It was turned off and on so often: what was sent to an earlier life is lost. */
     int life;
 
-    NodeModel(Timeline timeline, Node node, Machine machine, Role role) {
+    NodeModel(Time timeline, Node node, Machine machine, Role role) {
         this.timeline = timeline;
         this.node = node;
         this.machine = machine;
--- a/lab/src/main/java/clayhook/lab/model/Timeline.java
+++ b/lab/src/main/java/clayhook/lab/model/Timeline.java
@@ -4,7 +4,7 @@
 import java.util.PriorityQueue;
 
 /** Virtual time: what is due, in order of time and then of its making. What has happened leaves. */
-public final class Timeline {
+public final class Timeline implements Time {
     private record Event(double time, long number, Runnable what) {
     }
 
@@ -18,19 +18,16 @@
         now = start;
     }
 
+    @Override
     public double now() {
         return now;
     }
 
-    /** Never before now. */
+    @Override
     public void at(double time, Runnable what) {
         due.add(new Event(Math.max(now, time), made++, what));
     }
 
-    public void in(double seconds, Runnable what) {
-        at(now + seconds, what);
-    }
-
     /** Lets all happen that is due up to then. */
     public void run(double until) {
         while (!due.isEmpty() && due.peek().time() <= until) {
--- /dev/null
+++ b/lab/src/main/java/clayhook/lab/model/World.java
@@ -0,0 +1,128 @@
+package clayhook.lab.model;
+
+import clayhook.Listing;
+import clayhook.Node;
+import clayhook.Role;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** The nodes of a fleet and what befalls them; the same whether time is virtual or the machine's. */
+final class World {
+    private final Time timeline;
+    private final Map<Node, NodeModel> nodes = new HashMap<>();
+    private final List<NodeModel> inOrder = new ArrayList<>();
+    private final List<GroupModel> groups = new ArrayList<>();
+    private final Consumer<NodeModel> died;
+    private final Consumer<NodeModel> listChanged;
+
+    /** {@code died} hears of nodes that crashed, {@code listChanged} of those of which the list has to tell something new. */
+    World(FleetSpec spec, Time timeline, Consumer<NodeModel> died, Consumer<NodeModel> listChanged) {
+        this.timeline = timeline;
+        this.died = died;
+        this.listChanged = listChanged;
+        for (int g = 1; g <= spec.groups(); g++) {
+            var group = new GroupModel(timeline, g, spec.election());
+            groups.add(group);
+            for (int i = 0; i <= spec.replicas(); i++) {
+                var node = new Node(i == 0 ? g + "p" : g + "r" + i, spec.zones().get((g + i) % spec.zones().size()), g);
+                var model = new NodeModel(timeline, node, spec.machine(), i == 0 ? Role.PRIMARY : Role.REPLICA);
+                group.nodes.add(model);
+                nodes.put(node, model);
+                inOrder.add(model);
+            }
+        }
+    }
+
+    List<NodeModel> nodes() {
+        return inOrder;
+    }
+
+    NodeModel node(Node node) {
+        return nodes.get(node);
+    }
+
+    GroupModel group(int id) {
+        return groups.get(id - 1);
+    }
+
+    List<Listing> listings() {
+        return inOrder.stream().map(this::listing).toList();
+    }
+
+    Listing listing(NodeModel node) {
+        return new Listing(node.node, !node.up() ? Listing.State.GONE : node.draining ? Listing.State.DRAINING
+                : Listing.State.READY, node.role == Role.PRIMARY, node.startedAt());
+    }
+
+    private List<NodeModel> targets(String target) {
+        if (target.endsWith("p")) {
+            NodeModel primary = group(Integer.parseInt(target.substring(0, target.length() - 1))).primary();
+            return primary == null ? List.of() : List.of(primary);
+        }
+        return inOrder.stream().filter(node -> node.node.id().equals(target) || node.node.zone().equals(target)).toList();
+    }
+
+    /** Lets them happen, counted from that time. */
+    void befall(List<Failure> failures, double start) {
+        failures.forEach(failure -> timeline.at(start + failure.at(), () -> befall(failure)));
+    }
+
+    private void befall(Failure failure) {
+        for (NodeModel node : targets(failure.target())) {
+            Runnable back = befall(node, failure);
+            if (failure.lasts() > 0) {
+                timeline.in(failure.lasts(), back);
+            }
+        }
+    }
+
+    /** What ends it again. */
+    private Runnable befall(NodeModel node, Failure failure) {
+        GroupModel group = group(node.node.group());
+        switch (failure.kind()) {
+            case CRASH, ZONE_LOSS -> {
+                node.crash();
+                died.accept(node);
+                group.maybeElect();
+                listChanged.accept(node);
+                return () -> {
+                    node.restart();
+                    group.maybeElect();
+                    listChanged.accept(node);
+                };
+            }
+            case HANG -> {
+                node.hang(true);
+                group.depose(node);
+                return () -> node.hang(false);
+            }
+            case PAUSE -> {
+                node.pause(true);
+                return () -> node.pause(false);
+            }
+            case NEIGHBOUR -> {
+                node.share(failure.amount());
+                return () -> node.share(0);
+            }
+            case SLOW_LOG -> {
+                node.log.slow(timeline.now(), failure.amount());
+                return () -> node.log.slow(timeline.now(), 1);
+            }
+            case STALL_LOG -> {
+                node.log.stall(timeline.now(), timeline.now() + failure.lasts());
+                return () -> { };
+            }
+            default -> {
+                node.draining = true;
+                listChanged.accept(node);
+                return () -> {
+                    node.draining = false;
+                    listChanged.accept(node);
+                };
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/clayhook/lab/model/LoopbackTest.java
@@ -0,0 +1,42 @@
+package clayhook.lab.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import clayhook.CommandGroup;
+import clayhook.CommandGroup.Effect;
+import clayhook.CommandGroup.ReadLevel;
+import clayhook.CommandGroup.Scope;
+import clayhook.lab.model.Failure.Kind;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The same fleet on sockets: what must hold however fast the machine is. */
+class LoopbackTest {
+    private static CommandGroup group(String name, Effect effect, ReadLevel level) {
+        // Targets far beyond what a busy machine takes; the verdict must not hang on its speed.
+        return new CommandGroup(name, effect, level, 5, 10, 1, 1, Scope.GROUP, 20, 5);
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Kind.class, names = {"NEIGHBOUR", "CRASH"})
+    void everyCommandIsAnsweredOnceTheRulesAreKeptAndAllThatWasAskedIsCounted(Kind kind) throws Exception {
+        var spec = new FleetSpec(1, 2, 2, List.of("a", "b"), new Machine(2, 50, 0.02, 0.001, 0.002, 0.5, 1), 0.0005, 0.5, 0.1, true,
+                false, List.of(new FleetSpec.Kind(group("read", Effect.REPLAYABLE, ReadLevel.ANY), 4, 0.002, 0.5),
+                new FleetSpec.Kind(group("write", Effect.KEYED, ReadLevel.WRITE), 1, 0.002, 0.5)), 100, List.of(), 10);
+        var loopback = new Loopback(spec, 1);
+        Tally tally = loopback.run(List.of(new Failure(kind, "1r1", 0.5, 1, 0.5)), 3);
+        if (tally == null) {
+            assertTrue(loopback.late() > 0.01); // it says so instead of a verdict
+            return;
+        }
+        assertEquals(Map.of(), tally.broken(), tally::firstBroken);
+        for (Tally.Of of : tally.groups().values()) {
+            assertEquals(of.asked, of.answered + of.throttled + of.failed);
+            assertTrue(of.answered > 0.8 * of.asked, of.answered + " of " + of.asked);
+        }
+        assertTrue(tally.busy().get("1p") > 0 && tally.busy().get("1r2") > 0, tally.busy().toString());
+    }
+}
