--- a/lab/src/main/java/clayhook/lab/model/Loopback.java
+++ b/lab/src/main/java/clayhook/lab/model/Loopback.java
@@ -149,8 +149,8 @@
         for (int i = 0; i < sockets.size(); i++) {
             Listing listing = world.listings().get(i);
             entries.add("{\"uid\":\"" + listing.node().id() + "\",\"endpoint\":\"127.0.0.1:" + sockets.get(i).port() + "\",\"az\":\""
-                    + listing.node().zone() + "\",\"pod_group\":" + listing.node().group() + ",\"state\":\"up\",\"role\":\""
-                    + (listing.primary() ? "primary" : "replica") + "\",\"boot_ms\":" + (long) (listing.startedAt() * 1000) + "}");
+                    + listing.node().zone() + "\",\"pod_group\":" + listing.node().group() + ",\"state\":\""
+                    + (listing.state() == Listing.State.DRAINING ? "draining" : "up") + "\",\"role\":\"" + (listing.primary() ? "primary" : "replica") + "\",\"boot_ms\":" + (long) (listing.startedAt() * 1000) + "}");
         }
         return "{\"rev\":" + listVersion + ",\"all\":true,\"targets\":[" + String.join(",", entries) + "]}";
     }
