--- a/cli/src/main/java/clayhook/cli/ServeCommand.java
+++ b/cli/src/main/java/clayhook/cli/ServeCommand.java
@@ -65,7 +65,9 @@
     /** A router that cannot rehearse, for want of a folder to write to, is only slow at first. */
     private static void rehearse(Configuration configuration) throws InterruptedException {
         try {
-            Rehearsal.run(configuration.settings(), Transport.rehearsal(), configuration.awaited());
+            if (!Rehearsal.run(configuration.settings(), Transport.rehearsal(), configuration.awaited())) {
+                Log.warn("rehearsal", "no rehearsal: its sockets carry nothing here");
+            }
         } catch (IOException e) {
             Log.warn("rehearsal", "no rehearsal: " + e);
         }
--- a/daemon/src/main/java/clayhook/rehearsal/Rehearsal.java
+++ b/daemon/src/main/java/clayhook/rehearsal/Rehearsal.java
@@ -33,8 +33,13 @@
     private Rehearsal() {
     }
 
-    /** Closes the transport in the end. */
-    public static void run(Settings settings, Transport transport, boolean awaited) throws InterruptedException {
+    /** Closes the transport in the end; false where that carries nothing, so that nothing was rehearsed. */
+    public static boolean run(Settings settings, Transport transport, boolean awaited) throws InterruptedException {
+        return run(settings, transport, transport, awaited);
+    }
+
+    static boolean run(Settings settings, Transport transport, Transport outside, boolean awaited)
+            throws InterruptedException {
         double until = System.nanoTime() / 1e9 + (awaited ? LONGEST_AWAITED_S : LONGEST_S);
         var primary = new StandInNode(transport, transport.spare(1), "primary", any -> StandInNode.Deed.answer("p"));
         var replica = new StandInNode(transport, transport.spare(2), "replica",
@@ -47,23 +52,22 @@
         var server = new Server(transport, new Configuration("rehearsal", transport.spare(5),
                 discovery.address(), 1, 1 << 24, 1000, new NodeList(0, true, List.of()), settings, 1));
         var clients = new ArrayList<StandInClient>();
-        for (int i = 0; i < COMMANDS && System.nanoTime() / 1e9 < until; i++) {
+        boolean carried = true;
+        for (int i = 0; carried && i < COMMANDS && System.nanoTime() / 1e9 < until; i++) {
             for (int j = 0; j < CLIENTS; j++) {
                 CommandGroup group = settings.groups().get(j % settings.groups().size());
                 ByteBuf statement = StandInClient.statement(group.level() == ReadLevel.WRITE,
                         "id=" + j + ",c=" + group.name() + ",d=400,k=2,cluster=1");
                 if (i % STAY == 0) {
-                    clients.add(new StandInClient(transport, server.address()));
+                    clients.add(new StandInClient(outside, server.address()));
                     clients.get(j).send(StandInClient.hello(statement));
                 } else {
                     clients.get(j).send(statement);
                 }
             }
             for (StandInClient client : clients) {
-                if (i % STAY == 0) {
-                    client.next(); // ready for the statement
-                }
-                client.next();
+                // Guards against a start that waits for sockets which the platform has not got.
+                carried = carried && (i % STAY != 0 || heard(client, until)) && heard(client, until);
             }
             if (i % STAY == STAY - 1) {
                 clients.forEach(StandInClient::close);
@@ -72,6 +76,12 @@
         }
         server.close();
         Log.counts();
+        return carried || System.nanoTime() / 1e9 >= until;
+    }
+
+    private static boolean heard(StandInClient client, double until) throws InterruptedException {
+        String word = client.next(Math.max(0, until - System.nanoTime() / 1e9));
+        return word != null && !word.equals(StandInClient.NO_CONNECTION);
     }
 
     private static Function<Statement, StandInNode.Deed> deeds() {
--- a/daemon/src/main/java/clayhook/rehearsal/StandInClient.java
+++ b/daemon/src/main/java/clayhook/rehearsal/StandInClient.java
@@ -24,13 +24,15 @@
 public final class StandInClient {
     /** More than any answer here takes. */
     private static final int PATIENCE_S = 20;
+    /** The one word of a client that never reached the router. */
+    public static final String NO_CONNECTION = "no connection";
     private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
     private final List<ByteBuf> first = new ArrayList<>();
     private final Channel channel;
 
     public StandInClient(Transport transport, InetSocketAddress router) {
         channel = transport.connect(router, PATIENCE_S, () -> new ChannelHandler[] {new NodeDecoder(new Allowance(Long.MAX_VALUE)), new Answers()},
-                () -> heard.add("no connection"));
+                () -> heard.add(NO_CONNECTION));
     }
 
     private final class Answers extends ChannelInboundHandlerAdapter {
@@ -89,7 +91,12 @@
 
     /** The value, the code of the error, or ready for what had neither; closed once the router ended. */
     public String next() throws InterruptedException {
-        return heard.poll(PATIENCE_S, TimeUnit.SECONDS);
+        return next(PATIENCE_S);
+    }
+
+    /** The same, or null where nothing came within so many seconds. */
+    public String next(double seconds) throws InterruptedException {
+        return heard.poll((long) (seconds * 1e9), TimeUnit.NANOSECONDS);
     }
 
     public void close() {
