Keep long reads to one replica only where they are rare; rehearse without sockets

Ruled out: windows (free at the others) and own stands (turns late at most 112 ms). A group of commands is kept to one replica now only while its share of all commands is less than one member's. A connection's cost ('connecting', 0.03 to 0.29 s in the logs where a handshake takes some ms) was mostly the spread of slow answers; it now counts beside half the usual answer.

--- a/cli/src/main/java/clayhook/cli/RehearseCommand.java
+++ b/cli/src/main/java/clayhook/cli/RehearseCommand.java
@@ -38,6 +38,7 @@
             Settings settings = Configuration.of(Json.parse(REHEARSED), Map.of()).settings();
             Rehearsal.run(settings, Transport.rehearsal(), false);
             Rehearsal.run(settings, Transport.tcp(), false);
+            Rehearsal.run(settings, Transport.withinProcess(), false);
             return Main.DONE;
         } catch (Exception e) {
             System.err.println("clayhook: " + e);
--- a/cli/src/main/java/clayhook/cli/ServeCommand.java
+++ b/cli/src/main/java/clayhook/cli/ServeCommand.java
@@ -66,7 +66,8 @@
     private static void rehearse(Configuration configuration) throws InterruptedException {
         try {
             if (!Rehearsal.run(configuration.settings(), Transport.rehearsal(), configuration.awaited())) {
-                Log.warn("rehearsal", "no rehearsal: its sockets carry nothing here");
+                Log.info("rehearsing within the process: its sockets carry nothing here");
+                Rehearsal.run(configuration.settings(), Transport.withinProcess(), configuration.awaited());
             }
         } catch (IOException e) {
             Log.warn("rehearsal", "no rehearsal: " + e);
--- a/core/src/main/java/clayhook/Decide.java
+++ b/core/src/main/java/clayhook/Decide.java
@@ -130,6 +130,8 @@
     private final Map<Integer, Team> teams = new LinkedHashMap<>();
     /** The usual time of an answer, a row a command group. */
     private final Map<CommandGroup, Double> usual = new LinkedHashMap<>();
+    /** Commands so far, a row a command group. */
+    private final Map<CommandGroup, Long> taken = new LinkedHashMap<>();
     /** The last write of each session, where this router must remember; the oldest go when they are many. */
     private final Map<String, Wrote> wrote = new LinkedHashMap<>();
     private final double tightestGate, leastWindow, extrasCap;
@@ -170,6 +172,7 @@
         boolean sent = !cmd.out().isEmpty();
         boolean first = now == cmd.arrived && cmd.dispatches.isEmpty();
         looksLeft = first ? Math.min(LOOKS_CAP, looksLeft + LOOKS_SHARE) : looksLeft;
+        taken.merge(cmd.group, first ? 1L : 0, Long::sum);
         // Guards against work for answers that earn nothing: what can earn nothing is given up at once.
         if (hopeless(cmd, now, sent) || first && shed(cmd, now)) {
             return giveUp(cmd);
@@ -362,7 +365,7 @@
 
     private Row pickReader(Command cmd, Team team, double now) {
         Row primary = primary(cmd.nodeGroup);
-        if (cmd.group.level() == ReadLevel.ANY && usual.get(cmd.group) > tightestGate) {
+        if (cmd.group.level() == ReadLevel.ANY && usual.get(cmd.group) > tightestGate && rare(cmd.group, team)) {
             Row keeper = keeperOfLongReads(team, primary, cmd, now);
             if (keeper != null) {
                 return !awaitsLook(keeper, now) && usableFor(cmd, keeper, now) ? keeper : null;
@@ -385,7 +388,7 @@
                 looking |= lookedAt(row, now);
                 boolean better = unseen == null || near(row) && !near(unseen);
                 unseen = better && !row.closed() && now >= row.probedAt + LOOK_AGAIN ? row : unseen;
-            } else if (calm(row, cmd, now) && takesTurn(row, now)) {
+            } else if (calm(row, cmd, now) && takesTurn(row, cmd.group, now)) {
                 team.turn = at;
                 looking = false;
                 lookNowAndThen(unseen, now);
@@ -407,6 +410,18 @@
         return spare && hasRoom(primary, 0.5, now) && usableFor(cmd, primary, now) ? primary : null;
     }
 
+    /**
+     * One replica bears them all, for every router. Guards against taking the line at crowded nodes for the length of
+     * a read: such reads would all go to one node, whose line then confirms it.
+     */
+    private boolean rare(CommandGroup group, Team team) {
+        return taken.get(group) * team.rows.size()
+                <= FEW + taken.values().stream().mapToLong(Long::longValue).sum();
+    }
+
+    /** Commands after which their shares tell something. */
+    private static final int FEW = 50;
+
     /** Guards against long reads that stop the log on all replicas in turn: they keep to one everywhere. */
     private Row keeperOfLongReads(Team team, Row primary, Command cmd, double now) {
         boolean waits = now + 2 * usual.get(cmd.group) < cmd.arrived + cmd.group.responseTarget();
@@ -495,13 +510,15 @@
     private static final double PATIENCE = 0.2, SILENCE = 3;
 
     /** A part of its turns for a node that is cold, crowded, or would have to be connected to. */
-    private boolean takesTurn(Row row, double now) {
+    private boolean takesTurn(Row row, CommandGroup group, double now) {
         // Guards against a node crowded by other routers or slow for another cause, if it reports that.
         double usualLoad = team(row.node.group()).rows.stream().filter(r -> !r.claimsPrimary())
                 .mapToDouble(r -> r.load).average().orElse(0);
         double part = Math.min(warmth(row, now), (usualLoad + 1) / (row.load + 1));
         // Guards against opening connections all over while that is slow and takes more than the work itself.
-        part = connects(row, now) ? Math.min(part, Math.pow(CONNECT_USUAL / connecting, 2)) : part;
+        // What answers take longer by chance grows with what they take at all.
+        double borne = Math.max(CONNECT_USUAL, usual.get(group) / 2);
+        part = connects(row, now) ? Math.min(part, Math.pow(borne / connecting, 2)) : part;
         return part >= 1 || random.nextDouble() < part;
     }
 
--- a/core/src/test/java/clayhook/DecideTest.java
+++ b/core/src/test/java/clayhook/DecideTest.java
@@ -186,6 +186,26 @@
         }
     }
 
+    /** At a hundred routers all such reads went to one replica of each group, whose line kept them there. */
+    @Test
+    void whatIsManyReadsKeepsToNoReplicaHoweverLongItsAnswersTake() {
+        var nodes = new HashSet<Node>();
+        for (int i = 0; i < 200; i++) {
+            fleet.now += 1;
+            fleet.tellAll(fleet.now);
+            Choice choice = fleet.ask(fleet.command(fleet.any, 0));
+            if (choice.verdict() == Verdict.SEND) {
+                choice.dispatch().command.dispatches.add(choice.dispatch());
+                fleet.now += 0.35;
+                fleet.answer(choice.dispatch(), Outcome.ANSWERED, Role.REPLICA, fleet.now);
+                if (i >= 100) {
+                    nodes.add(choice.dispatch().node);
+                }
+            }
+        }
+        assertEquals(Set.of(fleet.replica, fleet.other), nodes);
+    }
+
     @Test
     void withNoSurvivorACheckingReplicaFurthestAheadIsTriedFirst() {
         Fleet checking = new Fleet(true, true);
--- a/daemon/src/main/java/clayhook/front/Session.java
+++ b/daemon/src/main/java/clayhook/front/Session.java
@@ -316,7 +316,11 @@
         decoder.release();
         ChannelHandlerContext ctx = context;
         ctx.channel().config().setAutoRead(false);
-        ctx.writeAndFlush(last).addListener(done -> ((DuplexChannel) ctx.channel()).shutdownOutput());
+        ctx.writeAndFlush(last).addListener(done -> {
+            if (ctx.channel() instanceof DuplexChannel socket) {
+                socket.shutdownOutput();
+            }
+        });
         ctx.executor().schedule(() -> ctx.close(), LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/daemon/src/main/java/clayhook/transport/Transport.java
+++ b/daemon/src/main/java/clayhook/transport/Transport.java
@@ -8,7 +8,12 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.local.LocalAddress;
+import io.netty.channel.local.LocalChannel;
+import io.netty.channel.local.LocalIoHandler;
+import io.netty.channel.local.LocalServerChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
@@ -22,35 +27,50 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
-/** One event loop and the connections on it: TCP, or for a rehearsal sockets that nothing outside can reach. */
+/** One event loop and the connections on it: TCP, or for a rehearsal what nothing outside can reach. */
 public final class Transport {
     /** Connections that the machine may accept before the process does. */
     private static final int BACKLOG = 1024;
     /** Of one connection in one turn, so that none holds up the others. */
     private static final int READS = 2;
-    /** Where the sockets of a rehearsal lie; null for TCP. */
+    /** Over what connections go: the network, sockets in a folder, or queues within the process. */
+    private enum Kind { TCP, FOLDER, PROCESS }
+
+    /** Tells the addresses within this process apart that several transports listen at. */
+    private static final AtomicInteger TRANSPORTS = new AtomicInteger();
+
+    private final Kind kind;
+    /** Where the sockets of a rehearsal lie; null without. */
     private final Path folder;
-    private final MultiThreadIoEventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final int number = TRANSPORTS.incrementAndGet();
+    private final MultiThreadIoEventLoopGroup group;
 
-    private Transport(Path folder) {
+    private Transport(Kind kind, Path folder, IoHandlerFactory handlers) {
+        this.kind = kind;
         this.folder = folder;
+        group = new MultiThreadIoEventLoopGroup(1, handlers);
     }
 
     public static Transport tcp() {
-        return new Transport(null);
+        return new Transport(Kind.TCP, null, NioIoHandler.newFactory());
     }
 
     /** Ports are but names here; the same code runs as for TCP. */
     public static Transport rehearsal() throws IOException {
-        return new Transport(Files.createTempDirectory("clayhook"));
+        return new Transport(Kind.FOLDER, Files.createTempDirectory("clayhook"), NioIoHandler.newFactory());
+    }
+
+    /** For a platform that lets no process connect to itself: all but the sockets runs as for TCP. */
+    public static Transport withinProcess() {
+        return new Transport(Kind.PROCESS, null, LocalIoHandler.newFactory());
     }
 
     /** An address to listen at: a free port, or in a rehearsal that name. */
     public InetSocketAddress spare(int name) {
-        return new InetSocketAddress("127.0.0.1", folder == null ? 0 : name);
+        return new InetSocketAddress("127.0.0.1", kind == Kind.TCP ? 0 : name);
     }
 
     public EventLoop loop() {
@@ -60,13 +80,12 @@
     /** Listens at an address; {@code handlers} makes the handlers of each connection. */
     public Channel listen(InetSocketAddress address, Supplier<ChannelHandler[]> handlers) throws InterruptedException {
         var bootstrap = new ServerBootstrap().group(group).childHandler(initializer(handlers))
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(READS));
-        if (folder == null) {
-            bootstrap.channel(NioServerSocketChannel.class).option(ChannelOption.SO_REUSEADDR, true)
-                    .childOption(ChannelOption.TCP_NODELAY, true);
-        } else {
-            bootstrap.channel(NioServerDomainSocketChannel.class);
+        switch (kind) {
+            case TCP -> bootstrap.channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true);
+            case FOLDER -> bootstrap.channel(NioServerDomainSocketChannel.class);
+            case PROCESS -> bootstrap.channel(LocalServerChannel.class);
         }
         return bootstrap.bind(at(address)).sync().channel();
     }
@@ -76,10 +95,10 @@
             Runnable failed) {
         var bootstrap = new Bootstrap().group(group).handler(initializer(handlers))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(seconds * 1000));
-        if (folder == null) {
-            bootstrap.channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
-        } else {
-            bootstrap.channel(NioDomainSocketChannel.class);
+        switch (kind) {
+            case TCP -> bootstrap.channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
+            case FOLDER -> bootstrap.channel(NioDomainSocketChannel.class);
+            case PROCESS -> bootstrap.channel(LocalChannel.class);
         }
         var connecting = bootstrap.connect(at(address));
         connecting.addListener(done -> {
@@ -91,7 +110,11 @@
     }
 
     private SocketAddress at(InetSocketAddress address) {
-        return folder == null ? address : UnixDomainSocketAddress.of(folder.resolve("" + address.getPort()));
+        return switch (kind) {
+            case TCP -> address;
+            case FOLDER -> UnixDomainSocketAddress.of(folder.resolve("" + address.getPort()));
+            case PROCESS -> new LocalAddress(number + "-" + address.getPort());
+        };
     }
 
     private static ChannelInitializer<Channel> initializer(Supplier<ChannelHandler[]> handlers) {
--- a/daemon/src/test/java/clayhook/rehearsal/RehearsalTest.java
+++ b/daemon/src/test/java/clayhook/rehearsal/RehearsalTest.java
@@ -26,6 +26,11 @@
         assertTrue(Rehearsal.run(settings(), Transport.rehearsal(), true));
     }
 
+    @Test
+    void rehearsesWithoutSockets() throws Exception {
+        assertTrue(Rehearsal.run(settings(), Transport.withinProcess(), true));
+    }
+
     /** A platform may have no sockets but those to the outside; waiting for each answer took minutes, before serving. */
     @Test
     void endsAtOnceWhereItsSocketsCarryNothing() throws Exception {
