Hold want of own descriptors against no node

Where no connection could be opened for want of our own descriptors, Pool.serve ended the attempt as a refused connection: Decide.judge counted a strike and a rest against a healthy node, and probed did the same. With more nodes than descriptors, as on the operators' fleets, it is a normal case. The attempt now ends as never sent, which is tried elsewhere, and a probe never sent tells nothing. Both tests fail without the change.

--- a/core/src/main/java/clayhook/Decide.java
+++ b/core/src/main/java/clayhook/Decide.java
@@ -783,7 +783,9 @@
             row.strikes = Math.min(row.strikes, 1);
         } else if (row != null) {
             row.probing = false;
-            rest(row, 1, now);
+            if (reply.outcome() != Outcome.NOT_SENT) {
+                rest(row, 1, now);
+            }
         }
     }
 }
--- a/core/src/test/java/clayhook/DecideTest.java
+++ b/core/src/test/java/clayhook/DecideTest.java
@@ -206,6 +206,17 @@
         assertEquals(Set.of(fleet.replica, fleet.other), nodes);
     }
 
+    @Test
+    void probesAndDispatchesThatWereNeverSentTellNothingOfANode() {
+        for (int i = 0; i < 3; i++) {
+            for (Node node : List.of(fleet.primary, fleet.replica, fleet.other)) {
+                fleet.decide.probed(node, Reply.untold(Outcome.NOT_SENT, 0), fleet.now);
+            }
+            fleet.answer(fleet.send(fleet.any), Outcome.NOT_SENT, Role.UNKNOWN, 0);
+        }
+        assertEquals(Set.of(fleet.replica, fleet.other), fleet.nodesOf(fleet.any, 4));
+    }
+
     @Test
     void withNoSurvivorACheckingReplicaFurthestAheadIsTriedFirst() {
         Fleet checking = new Fleet(true, true);
--- a/daemon/src/main/java/clayhook/nodes/Pool.java
+++ b/daemon/src/main/java/clayhook/nodes/Pool.java
@@ -69,7 +69,8 @@
         }
         while (opening.size() < waiting.size()) {
             if (!nodes.mayOpen()) {
-                ended(waiting.poll(), new Ending.Broken(Stage.NOT_CONNECTED), null);
+                // Guards against holding the want of our own descriptors against a node: nothing was asked of it.
+                ended(waiting.poll(), new Ending.CalledOff(Stage.NOT_CONNECTED), null);
                 continue;
             }
             var connection = new NodeConnection(this, address, nodes.allowance, nodes.now());
--- a/daemon/src/test/java/clayhook/nodes/NodesTest.java
+++ b/daemon/src/test/java/clayhook/nodes/NodesTest.java
@@ -21,6 +21,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -68,7 +69,11 @@
     }
 
     private Nodes nodes(double connectTimeout, double idle) {
-        return new Nodes(transport, clock, new Descriptors(1024), 1 << 24, connectTimeout, idle, Operator.OFF, this);
+        return nodes(connectTimeout, idle, 1024);
+    }
+
+    private Nodes nodes(double connectTimeout, double idle, int descriptors) {
+        return new Nodes(transport, clock, new Descriptors(descriptors), 1 << 24, connectTimeout, idle, Operator.OFF, this);
     }
 
     private Node node(Nodes nodes, String role, Deed first, Deed then) throws Exception {
@@ -119,6 +124,17 @@
         assertEquals(written, statements.get());
     }
 
+    @Test
+    void wantOfOwnDescriptorsIsNoFailureOfTheNode() throws Exception {
+        Nodes nodes = nodes(1, 9, 1);
+        Node node = node(nodes, "replica", Deed.silence(), Deed.silence());
+        send(nodes, node);
+        send(nodes, node);
+        assertEquals(Outcome.NOT_SENT, outcomes.poll(5, TimeUnit.SECONDS));
+        transport.loop().submit(() -> nodes.probe(node)).get();
+        assertEquals(Outcome.NOT_SENT, outcomes.poll(5, TimeUnit.SECONDS));
+    }
+
     @ParameterizedTest
     @CsvSource({"true, CANCELLED", "false, TIMED_OUT"})
     void anAbandonedDispatchLeavesNoAnswerToTheNext(boolean recalled, Outcome outcome) throws Exception {
