Try the replica that lags least as last told; keep no read to one before it is known rare

Lag is measured by the clock as well now, and where replicas check reads a bounded read takes its turn over those within the gate as last told, else the least behind.

--- a/core/src/main/java/clayhook/Decide.java
+++ b/core/src/main/java/clayhook/Decide.java
@@ -26,7 +26,7 @@
         Listing listing;
         double position;
         /** How far it was behind its primary when it last told a position. */
-        double lag;
+        double lag, toldAt = NEVER;
         /** The last answer or probe, and the last answer to a dispatch. */
         double heardAt = NEVER, answeredAt = NEVER;
         /** The times of the newest evidence that it is primary, and that it is not. */
@@ -385,7 +385,8 @@
             }
             if (row.strikes >= STRIKES) {
                 lookNowAndThen(row, now);
-            } else if (stale(row, now) && looksLeft > LOOKS_CAP / 2 || !covers(row, team, cmd, now)) {
+            } else if (stale(row, now) && looksLeft > LOOKS_CAP / 2
+                    || !covers(row, team, cmd, now) && !likelyCovers(row, cmd, now)) {
                 looking |= lookedAt(row, now);
                 boolean better = unseen == null || near(row) && !near(unseen);
                 unseen = better && !row.closed() && now >= row.probedAt + LOOK_AGAIN ? row : unseen;
@@ -402,7 +403,7 @@
         }
         Row ahead = team.rows.stream().filter(row -> settings.replicasCheck() && row != primary
                 && !benched(row, cmd, now) && usableFor(cmd, row, now))
-                .max(Comparator.comparingDouble(row -> row.position)).orElse(null);
+                .min(Comparator.comparingDouble(row -> behind(row, cmd))).orElse(null);
         if (ahead != null) {
             return ahead;
         }
@@ -411,18 +412,29 @@
         return spare && hasRoom(primary, 0.5, now) && usableFor(cmd, primary, now) ? primary : null;
     }
 
+    /** Where it was heard so seldom that none is known to cover: a replica that checks reads may be tried. */
+    private boolean likelyCovers(Row row, Command cmd, double now) {
+        return settings.replicasCheck() && cmd.group.level() == ReadLevel.BOUNDED && row.position > 0
+                && row.lag <= cmd.group.bound() * LAG_GATE && now < row.toldAt + LAG_LASTS;
+    }
+
+    /** Lags come and go with the load of nodes, over seconds. */
+    private static final double LAG_LASTS = 5;
+
+    /** As last told; one that has told nothing is as likely in time as not. */
+    private static double behind(Row row, Command cmd) {
+        return row.position > 0 ? row.lag : cmd.group.bound();
+    }
+
     /**
      * One replica bears them all, for every router. Guards against sending it what is no exception: work or
      * a line at crowded nodes made it long: such reads would all go to one node, whose line then confirms it.
      */
     private boolean rare(CommandGroup group, Team team) {
-        return taken.get(group) * team.rows.size()
-                <= FEW + taken.values().stream().mapToLong(Long::longValue).sum();
+        long all = taken.values().stream().mapToLong(Long::longValue).sum();
+        return taken.get(group) * team.rows.size() <= all;
     }
 
-    /** Commands after which their shares tell something. */
-    private static final int FEW = 50;
-
     /** Guards against long reads that stop the log on all replicas in turn: they keep to one everywhere. */
     private Row keeperOfLongReads(Team team, Row primary, Command cmd, double now) {
         boolean waits = now + 2 * usual.get(cmd.group) < cmd.arrived + cmd.group.responseTarget();
@@ -624,11 +636,14 @@
         team.head = row.claimsPrimary() ? Math.max(team.head, row.position) : team.head;
         // Measured when told: a replica that was not asked for a while has not fallen behind by that.
         boolean told = reply.position() > 0 || reply.reportedPosition() > 0;
-        row.lag = told ? team.head - row.position : row.lag;
+        // Guards against measuring by a primary that was itself heard long ago: its log has gone on since.
+        double newest = Math.max(team.head, reply.position() > 0 ? now : now - REPORT_AGE);
+        row.lag = told ? newest - row.position : row.lag;
+        row.toldAt = told ? now : row.toldAt;
     }
 
-    /** Reports arrive within a few seconds even when they are late. */
-    private static final double OLDEST_REPORT = 5;
+    /** Reports arrive within a few seconds even when late; most are made anew a few times a second. */
+    private static final double OLDEST_REPORT = 5, REPORT_AGE = 0.25;
 
     private void judge(Row row, Dispatch dispatch, Reply reply, double now) {
         CommandGroup group = dispatch.command.group;
--- a/daemon/src/test/java/clayhook/config/ConfigurationTest.java
+++ b/daemon/src/test/java/clayhook/config/ConfigurationTest.java
@@ -12,6 +12,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -42,6 +44,17 @@
                 read.connectTimeout(), read.settings().warmAfter(), read.settings().replicasCheck()));
     }
 
+    @Test
+    void twoThousandNodesAndAsManyRoutersAreTaken() throws BadConfig {
+        String nodes = IntStream.range(0, 2000).mapToObj(i -> "{\"uid\":\"s" + i
+                + "\",\"endpoint\":\"127.1." + i / 200 + "." + (1 + i % 200) + ":6543\",\"az\":\"a\",\"model\":\"m\",\"pod_group\":"
+                + i / 7 + ",\"state\":\"up\",\"capacity_hint\":1.0,\"boot_ms\":0}").collect(Collectors.joining(","));
+        Configuration read = read(TEXT.replace("\"targets\":[]", "\"targets\":[" + nodes + "]")
+                .replace("\"balancers\":3", "\"balancers\":2000"));
+        assertEquals(2000, read.known().entries().size());
+        assertEquals(2000, read.settings().routers());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"subscribe", "automatic"})
     void onSocketsTheListIsAskedForAlways(String discovery) throws BadConfig {
--- a/daemon/src/test/java/clayhook/discovery/DiscoveryTest.java
+++ b/daemon/src/test/java/clayhook/discovery/DiscoveryTest.java
@@ -60,6 +60,17 @@
         assertEquals(6543, entry.address().getPort());
     }
 
+    @Test
+    void aListOfTwoThousandIsTaken() {
+        var text = new StringBuilder("{\"rev\":43,\"all\":true,\"targets\":[" + ENTRY);
+        for (int i = 1; i < 2000; i++) {
+            text.append(',').append(ENTRY.replace("\"s\"", "\"s" + i + "\""));
+        }
+        text.append("]}");
+        HttpResponse response = read("HTTP/1.1 200 OK\r\nContent-Length: " + text.length() + "\r\n\r\n" + text, 1000, false);
+        assertEquals(2000, NodeList.parse(response.body()).entries().size());
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {"draining | away | state", "127.0.0.1:6543 | 127.0.0.1 | endpoint",
         "127.0.0.1:6543 | db.example:1 | endpoint", "127.0.0.1:6543 | 127.0.0.1:70000 | endpoint", "uid | u | uid",
