Count the nodes that bear work once a turn, not for each cold candidate

withinColdBudget went through all nodes for each of up to twelve candidates of every command that was held, every 10 ms; with some hundreds of nodes, half of them cold, that is most of a router's processor time. Decisions are the same but for failures within a turn.

--- a/core/src/main/java/clayhook/Decide.java
+++ b/core/src/main/java/clayhook/Decide.java
@@ -148,6 +148,9 @@
     /** Stands for all groups: it has no members, but the pressures that theirs fade into. */
     private final Team all = new Team(0, null);
     private int out;
+    /** Nodes that bear work, and when they were counted. */
+    private long bearers;
+    private double bearersAt = NEVER;
     /** A command is held; and the one asked about waits for a look. */
     private boolean holding, looking;
 
@@ -555,7 +558,10 @@
         if (warmth >= 1) {
             return true;
         }
-        long bearers = rows.values().stream().filter(r -> r.strikes < STRIKES && !r.closed()).count();
+        // Guards against going through all nodes for each candidate: where routers are many, so are they.
+        bearers = now == bearersAt ? bearers
+                : rows.values().stream().filter(r -> r.strikes < STRIKES && !r.closed()).count();
+        bearersAt = now;
         double share = Math.max(LEAST_RATE / settings.routers(), doneRate(now) / Math.max(1, bearers));
         double rate = warmth * settings.overloadFactor() * COLD_SAFETY * share;
         // What was sent before its start is past. Guards against the first commands of many routers coming at
