--- a/daemon/src/main/java/clayhook/transport/Transport.java
+++ b/daemon/src/main/java/clayhook/transport/Transport.java
@@ -82,10 +82,10 @@
         var bootstrap = new ServerBootstrap().group(group).childHandler(initializer(handlers))
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(READS));
         switch (kind) {
-            case TCP -> bootstrap.channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, BACKLOG)
+            case TCP -> bootstrap.channelFactory(NioServerSocketChannel::new).option(ChannelOption.SO_BACKLOG, BACKLOG)
                     .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true);
-            case FOLDER -> bootstrap.channel(NioServerDomainSocketChannel.class);
-            case PROCESS -> bootstrap.channel(LocalServerChannel.class);
+            case FOLDER -> bootstrap.channelFactory(NioServerDomainSocketChannel::new);
+            case PROCESS -> bootstrap.channelFactory(LocalServerChannel::new);
         }
         return bootstrap.bind(at(address)).sync().channel();
     }
@@ -96,9 +96,9 @@
         var bootstrap = new Bootstrap().group(group).handler(initializer(handlers))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(seconds * 1000));
         switch (kind) {
-            case TCP -> bootstrap.channel(NioSocketChannel.class).option(ChannelOption.TCP_NODELAY, true);
-            case FOLDER -> bootstrap.channel(NioDomainSocketChannel.class);
-            case PROCESS -> bootstrap.channel(LocalChannel.class);
+            case TCP -> bootstrap.channelFactory(NioSocketChannel::new).option(ChannelOption.TCP_NODELAY, true);
+            case FOLDER -> bootstrap.channelFactory(NioDomainSocketChannel::new);
+            case PROCESS -> bootstrap.channelFactory(LocalChannel::new);
         }
         var connecting = bootstrap.connect(at(address));
         connecting.addListener(done -> {
