--- a/daemon/src/test/java/clayhook/serve/HangupTest.java
+++ b/daemon/src/test/java/clayhook/serve/HangupTest.java
@@ -1,5 +1,8 @@
 package clayhook.serve;
 
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
 import java.util.concurrent.Semaphore;
 import org.junit.jupiter.api.Test;
 
@@ -15,4 +18,12 @@
             heard.acquire();
         }
     }
+
+    /** Each shape of concatenation would make classes at its first use, while commands wait. */
+    @Test
+    void textIsJoinedWithoutMakingClasses() throws Exception {
+        try (var code = Router.class.getResourceAsStream("Router.class")) {
+            assertFalse(new String(code.readAllBytes(), ISO_8859_1).contains("makeConcatWithConstants"));
+        }
+    }
 }
