--- a/core/src/main/java/clayhook/Decide.java
+++ b/core/src/main/java/clayhook/Decide.java
@@ -417,7 +417,7 @@
 
     /** Where it was heard so seldom that none is known to cover: a replica that checks reads may be tried. */
     private boolean likelyCovers(Row row, Command cmd, double now) {
-        return settings.replicasCheck() && cmd.group.level() == ReadLevel.BOUNDED && row.position > 0
+        return settings.replicasCheck() && cmd.group.level() == ReadLevel.BOUNDED
                 && row.lag <= cmd.group.bound() * LAG_GATE && now < row.toldAt + LAG_LASTS;
     }
 
