--- a/daemon/src/test/java/clayhook/rehearsal/RehearsalTest.java
+++ b/daemon/src/test/java/clayhook/rehearsal/RehearsalTest.java
@@ -1,46 +1,29 @@
 package clayhook.rehearsal;
 
-import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import clayhook.CommandGroup;
 import clayhook.Settings;
-import clayhook.config.Configuration;
-import clayhook.config.Json;
 import clayhook.transport.Transport;
-import java.util.Map;
-import org.junit.jupiter.api.Test;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class RehearsalTest {
-    private static Settings settings() throws Exception {
-        return Configuration.of(Json.parse("""
-                {"name": "r", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1", "settings": {
-                "balancers": 1, "zone": "a", "discovery": "subscribe", "report": {"how": "inline"},
-                "domain": {"read_level": ["any"], "max_age": [0], "when_behind": "wait", "write_marks": "carried"},
-                "limits": {"most_tries": 3}, "grades": [
-                {"name": "any", "effect": "idempotent", "aim": 250000000, "hard_limit": 500000000}]}}
-                """), Map.of()).settings();
-    }
-
-    @Test
-    void rehearsesWhereItsSocketsCarry() throws Exception {
-        assertTrue(Rehearsal.run(settings(), Transport.rehearsal(), true));
-    }
-
-    @Test
-    void rehearsesWithoutSockets() throws Exception {
-        assertTrue(Rehearsal.run(settings(), Transport.withinProcess(), true));
-    }
-
-    /** A platform may have no sockets but those to the outside; waiting for each answer took minutes, before serving. */
-    @Test
-    void endsAtOnceWhereItsSocketsCarryNothing() throws Exception {
-        Transport elsewhere = Transport.rehearsal();
-        try {
-            double from = System.nanoTime() / 1e9;
-            assertFalse(Rehearsal.run(settings(), Transport.rehearsal(), elsewhere, false));
-            assertTrue(System.nanoTime() / 1e9 - from < 10, "it waited for answers that cannot come");
-        } finally {
-            elsewhere.close();
+    /** Where sockets carry nothing, waiting for each answer took minutes before serving. */
+    @ParameterizedTest
+    @CsvSource({"false, true", "true, true", "false, false"})
+    void endsInTimeAndTellsWhetherAnythingWasCarried(boolean process, boolean carried) throws Exception {
+        Transport transport = process ? Transport.withinProcess() : Transport.rehearsal();
+        Transport outside = carried ? transport : Transport.rehearsal();
+        var any = new CommandGroup("any", CommandGroup.Effect.REPLAYABLE, CommandGroup.ReadLevel.ANY, 1, 2, 1, 0, null, 0, 0);
+        var settings = new Settings(1, "a", List.of(any), true, true, true, true, true, true, true, true, 1, 3, 1, 0, 1, 0, 1, 15);
+        double from = System.nanoTime() / 1e9;
+        assertEquals(carried, Rehearsal.run(settings, transport, outside, false));
+        assertTrue(System.nanoTime() / 1e9 - from < 10, "it waited for answers that cannot come");
+        if (!carried) {
+            outside.close();
         }
     }
 }
