Open a watch that is late anew at once: a silent one's news counts as told soon after

Ruled out: a crowded service (no 503 after 3 s of the log), lists that could not be read (no such line), stands (at most 24 ms late at these routers). Wrong lines: DiscoveryClient gave a call up 1.9 s after its wait, and Decide.listFailed put the next one off by 1 to 3 s, so that it came after the news counted as told. Change: an answer half a second late is told to the module, which asks anew at once on a second connection; the late one stays welcome. Waits are drawn per router, 7 to 10 s.

--- a/core/src/main/java/clayhook/Decide.java
+++ b/core/src/main/java/clayhook/Decide.java
@@ -143,6 +143,8 @@
     private double connecting = CONNECT_USUAL;
     /** The work that this router had answered a second, and when that was reckoned. */
     private double doneRate, doneRateAt;
+    /** The list is late since it was told last. */
+    private boolean late;
     /** When it should be asked again, and since when it has been without standing still itself. */
     private double dueAt = Double.POSITIVE_INFINITY, awakeSince, watchAt;
     /** Stands for all groups: it has no members, but the pressures that theirs fade into. */
@@ -770,6 +772,7 @@
                 && team(row.node.group()).rows.remove(row));
         // The cached list comes before anything was asked; any later one shows that the watch stands.
         watchAt = watchAt > 0 ? Double.POSITIVE_INFINITY : watchAt;
+        late = false;
     }
 
     /**
@@ -818,6 +821,41 @@
         watchAt = settings.listMustBeAsked() ? now + 1 + 2 * random.nextDouble() : watchAt;
     }
 
+    /** The answer to a call that waited is late. Guards against finding a silent watch out too late. */
+    public void listLate(double now) {
+        watchAt = late ? watchAt : now; // what it misses soon counts as told; but not over and over
+        late = true;
+    }
+
+    /** Seconds that a call had best wait: watches that fall silent together are not opened anew so. */
+    public double watchFor() {
+        return WATCH_LEAST + (WATCH_MOST - WATCH_LEAST) * random.nextDouble();
+    }
+
+    /** Long beside the cost of a call; short beside what a router may miss on a silent watch. */
+    private static final double WATCH_LEAST = 7, WATCH_MOST = 10;
+
+    /** What another router saw of a node. It never makes a claim younger than it was there. */
+    public void told(Node node, Hearsay said, double now) {
+        Row row = rows.get(node);
+        if (row == null || row.listing != null && row.listing.startedAt() > said.startedAt()) {
+            return; // of another life of the node
+        }
+        row.position = Math.max(row.position, said.position());
+        row.primaryAt = Math.max(row.primaryAt, said.primaryAt());
+        row.replicaAt = Math.max(row.replicaAt, said.replicaAt());
+        row.lag = said.toldAt() > row.toldAt ? said.lag() : row.lag;
+        row.toldAt = Math.max(row.toldAt, said.toldAt());
+        row.load = said.heardAt() > row.heardAt && said.load() >= 0 ? said.load() : row.load;
+        // Guards against one router's broken way to a node: what failed elsewhere makes doubt, no sentence.
+        double heard = Math.max(row.heardAt, said.heardAt());
+        boolean failed = said.failedAt() > heard && now < said.failedAt() + TIME_GATE;
+        row.strikes = failed ? Math.max(1, row.strikes) : row.strikes;
+        row.heardAt = heard;
+        Team team = team(node.group());
+        team.head = row.claimsPrimary() ? Math.max(team.head, row.position) : team.head;
+    }
+
     /** A probe came back. */
     public void probed(Node node, Reply reply, double now) {
         Row row = rows.get(node);
--- a/core/src/test/java/clayhook/DecideTest.java
+++ b/core/src/test/java/clayhook/DecideTest.java
@@ -636,6 +636,42 @@
         assertEquals(asks, asking.decide.pause(asking.now + later).watchList());
     }
 
+    /** Seconds before now at which a peer heard it, and at which it failed there; how many of two reads go to it at once. */
+    @ParameterizedTest
+    @CsvSource({"0.1, Infinity, 2", "0.1, 0.2, 2", "3, Infinity, 0", "0.2, 0.1, 1"})
+    void whatAPeerSawCountsAsOldAsItWasThere(double heard, double failed, int goes) {
+        Fleet alone = new Fleet();
+        alone.now += 30;
+        double seen = alone.now - heard;
+        var said = new Hearsay(0, seen, 0, seen, seen, Double.NEGATIVE_INFINITY, seen, 0,
+                alone.now - failed);
+        alone.decide.told(alone.replica, said, alone.now);
+        assertEquals(goes, alone.sentTo(alone.replica, alone.bounded, 2));
+    }
+
+    /** What was seen of an earlier life of a node says nothing of this one. */
+    @Test
+    void anEarlierLifeOfANodeTellsNothing() {
+        Fleet alone = new Fleet();
+        alone.now += 30;
+        alone.list(alone.replica, State.READY, alone.now - 20);
+        alone.decide.told(alone.replica, new Hearsay(0, alone.now, 0, alone.now, alone.now, Double.NEGATIVE_INFINITY,
+                alone.now, 0, Double.NEGATIVE_INFINITY), alone.now);
+        assertEquals(Verdict.NOT_YET, alone.decide.where(alone.command(alone.bounded, 0), alone.now).verdict());
+    }
+
+    @Test
+    void aLateListIsAskedForAtOnceButNotOverAndOver() {
+        Fleet asking = new Fleet(true, false, true);
+        asking.decide.pause(asking.now);
+        asking.decide.listed(List.of(), false, asking.now);
+        assertFalse(asking.decide.pause(asking.now + 60).watchList());
+        asking.decide.listLate(asking.now + 61);
+        assertTrue(asking.decide.pause(asking.now + 61).watchList());
+        asking.decide.listLate(asking.now + 62);
+        assertFalse(asking.decide.pause(asking.now + 62).watchList());
+    }
+
     @ParameterizedTest
     @CsvSource({"READY, 0.05, false, true", "DRAINING, 0.05, false, false", "READY, 0.35, false, false",
         "READY, 0.41, false, false", "READY, 0.05, true, false"})
--- a/daemon/src/main/java/clayhook/discovery/Discovery.java
+++ b/daemon/src/main/java/clayhook/discovery/Discovery.java
@@ -11,17 +11,23 @@
 
         /** A call failed; the next one is made when {@link #watch} is called. */
         void listFailed();
+
+        /** The answer to a call is late: its watch may have fallen silent. {@link #watch} asks anew beside it. */
+        void listLate();
     }
 
     private final Transport transport;
     private final Listener listener;
+    private final double wait;
     private Source current;
     /** The one that told news last; it goes on until the current one has answered. */
     private Source former;
 
-    public Discovery(Transport transport, InetSocketAddress address, long version, Listener listener) {
+    /** {@code wait}: seconds that a call waits for news. */
+    public Discovery(Transport transport, InetSocketAddress address, long version, double wait, Listener listener) {
         this.transport = transport;
         this.listener = listener;
+        this.wait = wait;
         current = new Source(address, version);
     }
 
@@ -30,7 +36,7 @@
         private boolean answered;
 
         private Source(InetSocketAddress address, long version) {
-            client = new DiscoveryClient(transport, address, version, this);
+            client = new DiscoveryClient(transport, address, version, wait, this);
         }
 
         @Override
@@ -49,6 +55,13 @@
                 listener.listFailed();
             }
         }
+
+        @Override
+        public void listLate() {
+            if (this == current) {
+                listener.listLate();
+            }
+        }
     }
 
     /** Sees to it that a watch stands. */
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -99,7 +99,7 @@
                 settings.connectionIdle(), operator, this);
         sql = operator.statements() == null ? null
                 : new SqlCommands(operator.statements(), settings.groups(), configuration.seed());
-        discovery = new Discovery(transport, configuration.discovery(), configuration.known().version(), this);
+        discovery = new Discovery(transport, configuration.discovery(), configuration.known().version(), decide.watchFor(), this);
         decide.listed(listings(configuration.known()), true, clock.now());
         front = new Front(transport, configuration.listen(), descriptors, configuration.memory(),
                 sql == null ? null : () -> sql.session(), clock::now, this);
@@ -252,6 +252,11 @@
         tell(lists, decide::listFailed);
     }
 
+    @Override
+    public void listLate() {
+        tell(lists, decide::listLate);
+    }
+
     private List<Listing> listings(NodeList list) {
         var listings = new ArrayList<Listing>();
         for (NodeList.Entry entry : list.entries()) {
--- a/daemon/src/test/java/clayhook/discovery/WatchTest.java
+++ b/daemon/src/test/java/clayhook/discovery/WatchTest.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class WatchTest implements Discovery.Listener {
+    /** Seconds; longer than any test but that on lateness takes. */
+    private static final double WAIT = 10;
     private final Transport transport = Transport.tcp();
     /** For a service that is held up. */
     private final Transport apart = Transport.tcp();
@@ -23,7 +25,7 @@
     private Discovery client;
 
     private void start(String... answers) throws InterruptedException {
-        client = new Discovery(transport, service(calls, answers).address(), 41, this);
+        client = new Discovery(transport, service(calls, answers).address(), 41, WAIT, this);
         watch();
     }
 
@@ -63,7 +65,7 @@
             }
             return asked.size() > 2 ? null : list(40 + asked.size(), false);
         });
-        client = new Discovery(transport, old.address(), 40, this);
+        client = new Discovery(transport, old.address(), 40, WAIT, this);
         watch();
         assertEquals("changes 41", heard.take());
         for (int i = 0; i < moves; i++) {
@@ -100,6 +102,11 @@
         heard.add("failed");
     }
 
+    @Override
+    public void listLate() {
+        heard.add("late");
+    }
+
     @AfterEach
     void close() {
         transport.close();
@@ -128,6 +135,28 @@
         assertEquals("changes 43", heard.take());
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aSilentWatchIsToldOfAndItsAnswerStaysWelcome(boolean askedAnew) throws Exception {
+        var gate = new CountDownLatch(1);
+        var old = new StandInDiscovery(askedAnew ? transport : apart, transport.spare(0), call -> {
+            calls.add(call);
+            if (!askedAnew) {
+                await(gate);
+            }
+            return askedAnew && calls.size() == 1 ? null : list(42, false);
+        });
+        client = new Discovery(transport, old.address(), 41, 0.05, this);
+        watch();
+        assertEquals("late", heard.take());
+        if (askedAnew) {
+            watch();
+        }
+        gate.countDown();
+        assertEquals("changes 42", heard.take());
+        assertEquals(askedAnew ? 2 : 1, calls.stream().filter(call -> call.contains("after=41&wait_ms=50 ")).count());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "HTTPS\r\n", "[]", "{\"rev\":42}"})
     void aFailedCallIsMadeAgainOnlyWhenAskedAndFromTheOldVersion(String answer) throws Exception {
