Probe a neighbour in turn, level rosters in finer parts, tell on what a side had forgotten

By chance alone a killed member of a hundred was first probed after up to 3.6 s: every other probe now goes to the next in a ring of hashed names. Digests go in 256 parts of four bytes.

--- a/fleet/src/main/java/clayhook/fleet/members/Claim.java
+++ b/fleet/src/main/java/clayhook/fleet/members/Claim.java
@@ -6,7 +6,6 @@
 import clayhook.fleet.Peer;
 import clayhook.fleet.Reader;
 import clayhook.fleet.Writer;
-import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -29,10 +28,11 @@
     private static final long COUNTERS = 1L << 50;
 
     /** Of two lives of one name; of two that began in the same millisecond the address tells which one counts, the same everywhere. */
-    static final Comparator<Peer> LIFE = Comparator.<Peer>comparingLong(peer -> peer.member().boot())
-            .thenComparing(peer -> peer.address().host()).thenComparingInt(peer -> peer.address().port());
-    private static final Comparator<Claim> ORDER = Comparator.comparing(Claim::peer, LIFE)
-            .thenComparing(claim -> claim.standing == Standing.LEFT).thenComparingLong(Claim::counter).thenComparing(Claim::standing);
+    static final Comparator<Peer> LIFE = (a, b) -> {
+        int order = Long.compare(a.member().boot(), b.member().boot());
+        order = order != 0 ? order : a.address().host().compareTo(b.address().host());
+        return order != 0 ? order : Integer.compare(a.address().port(), b.address().port());
+    };
 
     Claim {
         accusers = standing == Standing.SUSPECTED ? least(accusers) : List.of();
@@ -47,7 +47,7 @@
     }
 
     static long accuser(String name) {
-        return Hashing.komihash5_0().hashCharsToLong(name);
+        return Known.spot(name);
     }
 
     String name() {
@@ -58,9 +58,17 @@
         return standing.lives();
     }
 
+    /** Above 0 where this one outdoes the other; 0 where at most their accusers differ. */
+    private int compare(Claim other) {
+        int order = LIFE.compare(peer, other.peer);
+        order = order != 0 ? order : Boolean.compare(standing == Standing.LEFT, other.standing == Standing.LEFT);
+        order = order != 0 ? order : Long.compare(counter, other.counter);
+        return order != 0 ? order : standing.compareTo(other.standing);
+    }
+
     /** Commutative, associative and idempotent, for claims on one name. */
     Claim join(Claim other) {
-        int order = ORDER.compare(this, other);
+        int order = compare(other);
         if (order != 0 || standing != Standing.SUSPECTED) {
             return order < 0 ? other : this;
         }
@@ -71,7 +79,7 @@
 
     /** Whether a join with that one would keep this one whole. */
     boolean outdoes(Claim other) {
-        return ORDER.compare(this, other) > 0;
+        return compare(other) > 0;
     }
 
     Claim as(Standing other, List<Long> accusers) {
--- a/fleet/src/main/java/clayhook/fleet/members/Knocker.java
+++ b/fleet/src/main/java/clayhook/fleet/members/Knocker.java
@@ -14,6 +14,8 @@
 final class Knocker {
     /** Seeds asked at a time while this router knows no member. */
     private static final int DOORS = 8;
+    /** Of those that are gone, asked at a time: most of them may be dead. */
+    private static final int GRAVES = 3;
     private static final double SLOWER = 1.5;
 
     private static final class Seed {
@@ -74,8 +76,7 @@
         for (int i = 0, from = chance.nextInt(1 + silent.size()); i < doors; i++) {
             knock(silent.get((from + i) % silent.size()), now, out);
         }
-        Known gone = register.someGone();
-        if (gone != null) {
+        for (Known gone : register.someGone(GRAVES)) {
             voice.probe(gone.peer().address(), gone, voice.nextSequence(), now, out);
         }
         nextAt = now + jittered(pause);
--- a/fleet/src/main/java/clayhook/fleet/members/Known.java
+++ b/fleet/src/main/java/clayhook/fleet/members/Known.java
@@ -2,10 +2,13 @@
 
 import clayhook.fleet.Member;
 import clayhook.fleet.Peer;
+import com.dynatrace.hash4j.hashing.Hashing;
 
 /** What this router knows of one name. */
 final class Known {
     Claim claim;
+    /** Hash of the name: where it stands in the ring, and its part of the digest. */
+    final long spot;
     /** When the life began to be known. */
     double metAt;
     /** When its standing began, as far as is known. */
@@ -25,9 +28,14 @@
 
     Known(Claim claim, double since, double now) {
         this.claim = claim;
+        spot = spot(claim.name());
         begin(since, now);
     }
 
+    static long spot(String name) {
+        return Hashing.komihash5_0().hashCharsToLong(name);
+    }
+
     /** Another life: what was measured of the last one is over. */
     void begin(double since, double now) {
         this.since = since;
--- a/fleet/src/main/java/clayhook/fleet/members/Leveller.java
+++ b/fleet/src/main/java/clayhook/fleet/members/Leveller.java
@@ -24,14 +24,25 @@
     /** Bytes of a page beside its claims. */
     private static final int FRAME = 16;
 
+    /** Seconds after the start; a fleet that starts at once is brought level by asking, not by telling each of each. */
+    private static final double SETTLED = 5;
+
     private final Register register;
+    private final double startedAt;
+    /** Once its roster was like another's, what an answer brings is news to this router's neighbours as well. */
+    private boolean settled;
     private double askAt = Double.NEGATIVE_INFINITY;
     private double pause = SOON;
     private double pages = STORE;
     private double refilledAt = Double.NEGATIVE_INFINITY;
 
-    Leveller(Register register) {
+    Leveller(Register register, double now) {
         this.register = register;
+        startedAt = now;
+    }
+
+    boolean settled() {
+        return settled;
     }
 
     /** A router told the digest of its roster; asks it for the difference when that stays. */
@@ -39,6 +50,7 @@
         if (digest == register.digest()) {
             askAt = Math.max(askAt, now + SETTLE);
             pause = SOON;
+            settled |= now - startedAt > SETTLED;
         } else if (now >= askAt) {
             out.add(with, new Word.Ask(register.digests()));
             askAt = now + pause;
--- a/fleet/src/main/java/clayhook/fleet/members/MemberSettings.java
+++ b/fleet/src/main/java/clayhook/fleet/members/MemberSettings.java
@@ -24,7 +24,10 @@
      * A killed member is gone at a hundred routers after two to three seconds. Memory follows the members there are: some
      * 500 bytes each.
      */
-    public static final MemberSettings DEFAULT = new MemberSettings(0.5, 0.15, 3, 0.1, 3, 0.4, 4, 1, 5, 3600, 60, 0.5, 0.3, 16_384);
+    public static final MemberSettings DEFAULT = new MemberSettings(0.5, 0.15, 3, 0.1, 3, 0.4, 4, 1, 3, 3600, 60, 0.5, 0.3, 16_384);
+
+    /** Periods; far more than a large fleet needs to agree on who is gone, else one still held alive here and there comes back for ever. */
+    private static final double LEAST_REMEMBERED = 60;
 
     public MemberSettings {
         double[] times = {period, retry, gossip, suspicion, knock, remember, deadAfter, clockBound, late};
@@ -33,7 +36,7 @@
                 throw new IllegalArgumentException("a period or bound of members that is not above 0: " + time);
             }
         }
-        if (retry >= period || !(alone >= 1) || !(knockMost >= knock) || helpers < 0 || fan < 1 || mostNames < 1024) {
+        if (retry >= period || remember < LEAST_REMEMBERED * period || !(alone >= 1) || !(knockMost >= knock) || helpers < 0 || fan < 1 || mostNames < 1024) {
             throw new IllegalArgumentException("settings of members that do not fit each other");
         }
     }
--- a/fleet/src/main/java/clayhook/fleet/members/Members.java
+++ b/fleet/src/main/java/clayhook/fleet/members/Members.java
@@ -89,13 +89,13 @@
         this.self = self;
         this.listener = listener;
         var chance = new SplittableRandom(seed);
-        register = new Register(settings.mostNames(), chance.split());
+        register = new Register(self.member().name(), settings.mostNames(), chance.split());
         health = new Health(settings);
         voice = new Voice(self, settings, register, rumours, chance.split());
         prober = new Prober(settings, register, voice, health, chance.split(), now, (claim, at) -> take(claim, at, true, at));
         suspicions = new Suspicions(settings, register, health, (claim, at) -> take(claim, at, true, at));
         knocker = new Knocker(settings, seeds, register, voice, chance.split());
-        leveller = new Leveller(register);
+        leveller = new Leveller(register, now);
         startedAt = now;
         sweepAt = now + SWEEP;
         rumours.tell(voice.own(), now);
@@ -251,10 +251,11 @@
         if (known == null || known.claim.equals(held)) {
             return;
         }
-        if (fresh) {
+        if (fresh || leveller.settled()) {
             rumours.tell(known.claim, now);
             stirred = true;
-        } else {
+        }
+        if (!fresh) {
             leveller.more(now);
         }
         suspicions.changed(known, held, now);
--- a/fleet/src/main/java/clayhook/fleet/members/Prober.java
+++ b/fleet/src/main/java/clayhook/fleet/members/Prober.java
@@ -13,8 +13,8 @@
 final class Prober {
     /** Of one probe: directly, then twice directly and through helpers. At a fifth lost one in five hundred finds nobody. */
     private static final int TRIES = 3;
-    /** Members of the whole fleet that look at once when one is accused, on average; three that agree shorten its time. */
-    private static final double CHECKERS = 6;
+    /** Members of the whole fleet that look at once when one is accused, on average: three that agree are then nearly sure. */
+    private static final double CHECKERS = 10;
     /** Such looks at a time; the rest of a large cut is found by the rounds. */
     private static final int CHECKS = 4;
     /** Errands for others at a time; further ones are not run. */
@@ -78,6 +78,8 @@
     /** Emptied two periods after they began. */
     private final List<Run> runs = new ArrayList<>();
     private double nextAt;
+    /** Every other probe goes to the neighbour: by chance alone one of thirty would not be probed for two seconds. */
+    private boolean odd;
 
     Prober(MemberSettings settings, Register register, Voice voice, Health health, SplittableRandom chance, double now,
             ObjDoubleConsumer<Claim> accuse) {
@@ -139,7 +141,8 @@
 
     double turn(double now, Outbox out) {
         if (now >= nextAt) {
-            Known next = register.next();
+            odd = !odd;
+            Known next = odd ? register.neighbour() : register.next();
             if (next != null) {
                 begin(next, now);
             }
--- a/fleet/src/main/java/clayhook/fleet/members/Register.java
+++ b/fleet/src/main/java/clayhook/fleet/members/Register.java
@@ -10,14 +10,19 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 
 /** Every name that this router knows, its own apart, each with the join of all claims on it. */
 final class Register {
-    /** Parts of the digest, by hash of the name; their hashes fill half a part. */
-    static final int BUCKETS = 64;
+    private static final int BUCKET_BITS = 8;
+    /** Parts of the digest, by hash of the name; half of each fills most of a packet. */
+    static final int BUCKETS = 1 << BUCKET_BITS;
 
+    /** Where this router stands in the ring. */
+    private final long spot;
     private final int most;
     private final SplittableRandom chance;
     /** Emptied of the gone and those that left, when they were remembered long enough; bound by {@code most}. */
@@ -25,7 +30,10 @@
     /** In the order in which they are probed: shuffled after each round. */
     private final List<Known> living = new ArrayList<>();
     private final List<Known> gone = new ArrayList<>();
-    private final long[] digests = new long[BUCKETS];
+    /** The living by the hash of their names: neighbours there share neither a host nor a failure more than others do. */
+    private final NavigableMap<Long, Known> ring = new TreeMap<>();
+    private final int[] digests = new int[BUCKETS];
+    private long digest;
     private Claim own;
     private long ownHash;
     private int probed;
@@ -33,7 +41,9 @@
     /** Null when it is to be made again. */
     private List<Peer> others;
 
-    Register(int most, SplittableRandom chance) {
+    /** @param name of this router itself */
+    Register(String name, int most, SplittableRandom chance) {
+        spot = Known.spot(name);
         this.most = most;
         this.chance = chance;
     }
@@ -103,6 +113,9 @@
         }
         known.place = list.size();
         list.add(known);
+        if (list == living) {
+            ring.put(known.spot, known); // of two names with one hash one has no place, and is found by the rounds
+        }
         if (list == living && probed < living.size()) {
             swap(known.place, chance.nextInt(probed, living.size()));
         }
@@ -114,6 +127,9 @@
         if (list == null) {
             return;
         }
+        if (list == living) {
+            ring.remove(known.spot, known);
+        }
         if (list == living && known.place < probed) {
             swap(known.place, --probed); // so that what fills its place is not left out of this round
         }
@@ -135,46 +151,47 @@
 
     private void count(Known known) {
         long hash = known.lives() ? hash(known.claim) : 0;
-        digests[bucket(known.claim.name())] += hash - known.hash;
+        count(known.spot, hash - known.hash);
         known.hash = hash;
     }
 
+    private void count(long spot, long more) {
+        digests[bucket(spot)] += (int) more;
+        digest += more;
+    }
+
     private static long hash(Claim claim) {
         Peer peer = claim.peer();
         return Hashing.komihash5_0().hashStream().putString(peer.member().name()).putLong(peer.member().boot())
                 .putString(peer.address().host()).putInt(peer.address().port()).putLong(claim.counter()).getAsLong();
     }
 
-    private static int bucket(String name) {
-        return (int) (Hashing.komihash5_0().hashCharsToLong(name) >>> Long.SIZE - 6);
+    private static int bucket(long spot) {
+        return (int) (spot >>> Long.SIZE - BUCKET_BITS);
     }
 
     /** What this router says of itself, which others have in their rosters; it does not count where its name has a younger life. */
     void own(Claim claim) {
         long hash = claim.lives() && !byName.containsKey(claim.name()) ? hash(claim) : 0;
-        digests[bucket(claim.name())] += hash - ownHash;
+        count(spot, hash - ownHash);
         ownHash = hash;
         own = hash == 0 ? null : claim;
     }
 
     /** Equal for equal sets of living members with equal counters. */
     long digest() {
-        long sum = 0;
-        for (long digest : digests) {
-            sum += digest;
-        }
-        return sum;
+        return digest;
     }
 
-    long[] digests() {
+    int[] digests() {
         return digests.clone();
     }
 
     /** All that is known of the names where those digests differ, in an order by chance; this router's own claim first. */
-    List<Word.Page.Aged> differing(long[] theirs, double now) {
+    List<Word.Page.Aged> differing(int[] theirs, double now) {
         var found = new ArrayList<Word.Page.Aged>();
         for (Known known : byName.values()) {
-            int bucket = bucket(known.claim.name());
+            int bucket = bucket(known.spot);
             if (theirs[bucket] != digests[bucket]) {
                 found.add(new Word.Page.Aged(known.claim, Math.max(0, now - known.since)));
             }
@@ -188,6 +205,13 @@
         return found;
     }
 
+    /** The member after this router in the ring; null when there is none. */
+    Known neighbour() {
+        Map.Entry<Long, Known> next = ring.higherEntry(spot);
+        next = next == null ? ring.firstEntry() : next;
+        return next == null ? null : next.getValue();
+    }
+
     /** The member that is probed next, each once a round; null when there is none. */
     Known next() {
         if (probed >= living.size()) {
@@ -201,12 +225,21 @@
 
     /** Up to so many members by chance, without that one, which may be null. */
     Collection<Known> some(int count, Known but) {
-        if (living.size() <= count + 1) {
-            return living.stream().filter(known -> known != but).limit(count).toList();
+        return some(living, count, but);
+    }
+
+    /** Up to so many of those that are gone, by chance. */
+    Collection<Known> someGone(int count) {
+        return some(gone, count, null);
+    }
+
+    private Collection<Known> some(List<Known> from, int count, Known but) {
+        if (from.size() <= count + (but == null ? 0 : 1)) {
+            return from.stream().filter(known -> known != but).limit(count).toList();
         }
         Set<Known> some = new LinkedHashSet<>();
         while (some.size() < count) {
-            Known known = living.get(chance.nextInt(living.size()));
+            Known known = from.get(chance.nextInt(from.size()));
             if (known != but) {
                 some.add(known);
             }
@@ -214,11 +247,6 @@
         return some;
     }
 
-    /** One of those that are gone, by chance; null when there is none. */
-    Known someGone() {
-        return gone.isEmpty() ? null : gone.get(chance.nextInt(gone.size()));
-    }
-
     int living() {
         return living.size();
     }
--- a/fleet/src/main/java/clayhook/fleet/members/Rumours.java
+++ b/fleet/src/main/java/clayhook/fleet/members/Rumours.java
@@ -1,11 +1,11 @@
 package clayhook.fleet.members;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeSet;
 
 /** Claims that are news here, those told least first. */
 final class Rumours {
@@ -18,63 +18,72 @@
 
     private static final class Rumour {
         final Claim claim;
-        final long order;
         final double until;
         int told;
 
-        Rumour(Claim claim, long order, double until) {
+        Rumour(Claim claim, double until) {
             this.claim = claim;
-            this.order = order;
             this.until = until;
         }
     }
 
-    /** Both hold the same, one a name at most; emptied of what was told often enough or is old. */
+    /** One a name; emptied of what was told often enough or is old. */
     private final Map<String, Rumour> byName = new HashMap<>();
-    private final TreeSet<Rumour> waiting =
-            new TreeSet<>(Comparator.<Rumour>comparingInt(rumour -> rumour.told).thenComparingLong(rumour -> -rumour.order));
-    private long heard;
+    /** By how often they were told, the newest first; holds those that were replaced as well, until their turn comes. */
+    private final List<Deque<Rumour>> waiting = new ArrayList<>();
 
     /** What was told of that name before is forgotten. */
     void tell(Claim claim, double now) {
-        var rumour = new Rumour(claim, heard++, now + FRESH);
-        Rumour before = byName.put(claim.name(), rumour);
-        if (before != null) {
-            waiting.remove(before);
+        var rumour = new Rumour(claim, now + FRESH);
+        byName.put(claim.name(), rumour);
+        waiting(0).addFirst(rumour);
+    }
+
+    private Deque<Rumour> waiting(int told) {
+        while (waiting.size() <= told) {
+            waiting.add(new ArrayDeque<>());
         }
-        waiting.add(rumour);
+        return waiting.get(told);
     }
 
     boolean none() {
-        return waiting.isEmpty();
+        return byName.isEmpty();
     }
 
     /** Claims that fit into that many bytes, one at least where there is any; they count as told once more. */
     List<Claim> pick(int bytes, int members, double now) {
-        double most = LEAST_TELLINGS + Math.ceil(TELLINGS * Math.log(members + 1.0) / Math.log(2));
-        var claims = new ArrayList<Claim>();
-        var again = new ArrayList<Rumour>();
+        var picked = new ArrayList<Rumour>();
         int room = bytes;
-        while (!waiting.isEmpty()) {
-            Rumour rumour = waiting.first();
-            int size = rumour.claim.room();
-            if (rumour.until >= now && !claims.isEmpty() && size > room) {
-                break;
-            }
-            waiting.pollFirst();
-            if (rumour.until < now) {
-                byName.remove(rumour.claim.name());
-                continue;
-            }
-            claims.add(rumour.claim);
-            room -= size;
+        for (int told = 0; told < waiting.size() && room > 0; told++) {
+            room = pick(waiting.get(told), room, picked, now);
+        }
+        int most = LEAST_TELLINGS + (int) Math.ceil(TELLINGS * Math.log(members + 1.0) / Math.log(2));
+        for (Rumour rumour : picked) {
             if (++rumour.told < most) {
-                again.add(rumour);
+                waiting(rumour.told).addFirst(rumour);
             } else {
                 byName.remove(rumour.claim.name());
             }
         }
-        waiting.addAll(again);
-        return claims;
+        return picked.stream().map(rumour -> rumour.claim).toList();
+    }
+
+    /** Returns the room that is left, 0 when the next one does not fit. */
+    private int pick(Deque<Rumour> from, int room, List<Rumour> picked, double now) {
+        int left = room;
+        for (Rumour rumour = from.peekFirst(); rumour != null; rumour = from.peekFirst()) {
+            if (byName.get(rumour.claim.name()) == rumour && rumour.until >= now) {
+                int size = rumour.claim.room();
+                if (size > left && !picked.isEmpty()) {
+                    return 0;
+                }
+                left -= size;
+                picked.add(rumour);
+            } else {
+                byName.remove(rumour.claim.name(), rumour);
+            }
+            from.removeFirst();
+        }
+        return left;
     }
 }
--- a/fleet/src/main/java/clayhook/fleet/members/Word.java
+++ b/fleet/src/main/java/clayhook/fleet/members/Word.java
@@ -7,6 +7,7 @@
 import clayhook.fleet.Peer;
 import clayhook.fleet.Reader;
 import clayhook.fleet.Writer;
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
@@ -122,7 +123,7 @@
     }
 
     /** These are the digests of my roster, by hash of the name; tell me where yours differs. */
-    record Ask(long[] digests) implements Word {
+    record Ask(int[] digests) implements Word {
         @Override
         public int number() {
             return 6;
@@ -130,18 +131,18 @@
 
         @Override
         public void write(Writer out) {
-            out.begin();
-            for (long digest : digests) {
-                out.whole(digest);
-            }
-            out.end();
+            var bytes = ByteBuffer.allocate(Integer.BYTES * digests.length);
+            bytes.asIntBuffer().put(digests);
+            out.bytes(bytes.array());
         }
 
         static Ask read(Reader in) {
-            long[] digests = in.wholes(Register.BUCKETS);
-            if (digests.length != Register.BUCKETS) {
-                throw new IllegalArgumentException(digests.length + " digests");
+            byte[] bytes = in.bytes();
+            int[] digests = new int[Register.BUCKETS];
+            if (bytes.length != Integer.BYTES * digests.length) {
+                throw new IllegalArgumentException(bytes.length + " bytes of digests");
             }
+            ByteBuffer.wrap(bytes).asIntBuffer().get(digests);
             return new Ask(digests);
         }
     }
