Look at once at whom a roster page calls gone

In a cut of 500 routers one in a thousand news of a death was missed, and whoever missed it went on counting the dead for minutes, until its own round came by.

--- a/fleet/src/main/java/clayhook/fleet/members/Members.java
+++ b/fleet/src/main/java/clayhook/fleet/members/Members.java
@@ -223,8 +223,13 @@
         boolean changes = known == null || claim.outdoes(known.claim) || claim.standing() == Standing.SUSPECTED;
         if (changes && known != null && known.lives() && claim.standing() == Standing.GONE
                 && known.peer().equals(claim.peer()) && (!fresh || now - known.heardAt < JUST_HEARD)) {
-            // The other side of a cut that is over: it would take half the fleet away for a moment. The accused can contradict.
+            // The other side of a cut that is over: it would take half the fleet away for a moment. The accused can contradict,
+            // and where this router only missed the news its own look finds the accused silent.
             voice.tell(known.peer().address(), claim, out);
+            if (known.claim.standing() == Standing.ALIVE) {
+                prober.look(known, now);
+                stirred = true;
+            }
         } else if (changes) {
             take(!fresh && claim.standing() == Standing.SUSPECTED ? Claim.alive(claim.peer(), claim.counter()) : claim,
                     since, fresh, now);
--- a/fleet/src/main/java/clayhook/fleet/members/Prober.java
+++ b/fleet/src/main/java/clayhook/fleet/members/Prober.java
@@ -94,9 +94,15 @@
 
     /** Another router has accused that one: now and then this one looks as well. */
     void check(Known accused, double now) {
-        long looks = probes.stream().filter(probe -> probe.target == accused).count();
-        if (looks == 0 && probes.size() < CHECKS && chance.nextDouble() * register.living() < CHECKERS) {
-            begin(accused, now);
+        if (chance.nextDouble() * register.living() < CHECKERS) {
+            look(accused, now);
+        }
+    }
+
+    /** Probes that one out of turn, where there is room for it. */
+    void look(Known target, double now) {
+        if (probes.size() < CHECKS && probes.stream().noneMatch(probe -> probe.target == target)) {
+            begin(target, now);
         }
     }
 
