--- /dev/null
+++ b/fleet/src/main/java/clayhook/fleet/kinds/Fate.java
@@ -0,0 +1,196 @@
+package clayhook.fleet.kinds;
+
+import clayhook.fleet.Kind;
+import clayhook.fleet.Reader;
+import clayhook.fleet.Writer;
+import java.util.Comparator;
+
+/**
+ * What routers know of whether a keyed or mutating command has run; the key is the command's mark or id. Knowledge beats
+ * doubt; one witness that it ran against one that it did not is a conflict, which is kept with both and never decided here.
+ *
+ * @param first its first dispatch as known, with what it was
+ * @param ran the earliest witness that it ran; null for none
+ * @param notRun the earliest witness that it has not run and will not: of the command, not of one attempt that never left, as
+ *        another router may have made another attempt; null for none
+ * @param newest time of any word on it, seconds since 1970
+ */
+public record Fate(Sent first, Witness ran, Witness notRun, double newest) {
+    /** What is known. */
+    public enum Knowledge { UNKNOWN, RAN, NOT_RUN, CONFLICT }
+
+    /** Seconds: a day, in which an operator asks about charges in doubt. */
+    private static final double DAY = 86_400;
+    /** Some 400 bytes each; at the bound the oldest go. */
+    private static final int MOST = 50_000;
+    /** Of a label, in characters, and in bytes, so that a value fits a part of a packet. */
+    private static final int LONGEST_LABEL = 128, LONGEST_LABEL_BYTES = 256;
+
+    /**
+     * A command as it was first sent. Of two words on one command the smaller counts: the earlier, then by group, name and
+     * label, any label before none.
+     *
+     * @param at seconds since 1970
+     * @param commandGroup name of the command group
+     * @param label a short text for people; null for none
+     */
+    public record Sent(double at, int nodeGroup, String commandGroup, String label) implements Comparable<Sent> {
+        private static final Comparator<Sent> ORDER = Comparator.comparingDouble(Sent::at).thenComparingInt(Sent::nodeGroup)
+                .thenComparing(Sent::commandGroup).thenComparing(Sent::label, Comparator.nullsLast(Comparator.naturalOrder()));
+
+        public Sent {
+            at = Check.time(at);
+            Check.that(nodeGroup >= 0 && nodeGroup < Check.MOST_GROUPS, "group");
+            Check.text(commandGroup, Keys.LONGEST_NAME, "command group");
+            Check.that(label == null || label.length() <= LONGEST_LABEL
+                    && Check.bytes(label) <= LONGEST_LABEL_BYTES, "label");
+        }
+
+        /** Of texts of any length, which are cut. */
+        public static Sent of(double at, int nodeGroup, String commandGroup, String label) {
+            return new Sent(at, nodeGroup, Keys.name(commandGroup), label == null ? null : Keys.cut(label, LONGEST_LABEL));
+        }
+
+        @Override
+        public int compareTo(Sent other) {
+            return ORDER.compare(this, other);
+        }
+    }
+
+    /** Who knows: a router, from which node, and when it learned it. The smaller is the earlier, then by router and node. */
+    public record Witness(Sight sight, String node) implements Comparable<Witness> {
+        private static final Comparator<Witness> ORDER = Comparator.comparing(Witness::sight).thenComparing(Witness::node);
+
+        public Witness {
+            Check.text(node, Keys.LONGEST_NAME, "node");
+        }
+
+        /** Of names of any length, which are cut. */
+        public static Witness of(double at, String router, String node) {
+            return new Witness(Sight.of(at, router), Keys.name(node));
+        }
+
+        @Override
+        public int compareTo(Witness other) {
+            return ORDER.compare(this, other);
+        }
+    }
+
+    private static final class FateKind implements Kind<Fate> {
+        private final double keep;
+
+        private FateKind(double keep) {
+            this.keep = keep;
+        }
+
+        @Override
+        public int number() {
+            return 4;
+        }
+
+        @Override
+        public String name() {
+            return "fates";
+        }
+
+        @Override
+        public Fate join(Fate a, Fate b) {
+            return new Fate(earlier(a.first, b.first), earlier(a.ran, b.ran), earlier(a.notRun, b.notRun),
+                    Math.max(a.newest, b.newest));
+        }
+
+        @Override
+        public double at(Fate value) {
+            return value.newest;
+        }
+
+        @Override
+        public double keep() {
+            return keep;
+        }
+
+        @Override
+        public int most() {
+            return MOST;
+        }
+
+        /** Knowledge holds whatever the clock of who has it; times only order witnesses. */
+        @Override
+        public boolean timed() {
+            return false;
+        }
+
+        @Override
+        public void write(Fate value, Writer out) {
+            Sent first = value.first;
+            out.number(first.at).whole(first.nodeGroup).text(first.commandGroup).text(first.label).number(value.newest);
+            write(value.ran, out);
+            write(value.notRun, out);
+        }
+
+        private static void write(Witness witness, Writer out) {
+            out.flag(witness != null);
+            if (witness != null) {
+                out.number(witness.sight.at()).text(witness.sight.by()).text(witness.node);
+            }
+        }
+
+        @Override
+        public Fate read(Reader in) {
+            var first = new Sent(in.number(), in.small(Check.MOST_GROUPS), in.text(), in.text());
+            double newest = in.number();
+            return new Fate(first, witness(in), witness(in), newest);
+        }
+
+        private static Witness witness(Reader in) {
+            return in.flag() ? new Witness(new Sight(in.number(), in.name()), in.text()) : null;
+        }
+    }
+
+    public static final Kind<Fate> KIND = kept(DAY);
+
+    public Fate {
+        newest = Math.max(Check.time(newest), Math.max(first.at, Math.max(at(ran), at(notRun))));
+    }
+
+    private static double at(Witness witness) {
+        return witness == null ? 0 : witness.sight.at();
+    }
+
+    /** Null stands for none, so that doubt is beaten by anything. */
+    private static <T extends Comparable<T>> T earlier(T a, T b) {
+        return a == null || b != null && b.compareTo(a) < 0 ? b : a;
+    }
+
+    /** The same kind where an operator has it kept for so many seconds. */
+    public static Kind<Fate> kept(double seconds) {
+        return new FateKind(seconds);
+    }
+
+    /** The key of a command of any mark. */
+    public static String key(String mark) {
+        return Keys.whole(mark);
+    }
+
+    /** It was sent, and nobody knows more. */
+    public static Fate unknown(Sent first) {
+        return new Fate(first, null, null, first.at);
+    }
+
+    /** It ran, as that one knows. */
+    public static Fate ran(Sent first, Witness witness) {
+        return new Fate(first, witness, null, first.at);
+    }
+
+    /** It has not run and will not, as that one knows. */
+    public static Fate notRun(Sent first, Witness witness) {
+        return new Fate(first, null, witness, first.at);
+    }
+
+    public Knowledge knowledge() {
+        if (ran != null) {
+            return notRun != null ? Knowledge.CONFLICT : Knowledge.RAN;
+        }
+        return notRun != null ? Knowledge.NOT_RUN : Knowledge.UNKNOWN;
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/clayhook/fleet/kinds/Sighted.java
@@ -0,0 +1,60 @@
+package clayhook.fleet.kinds;
+
+import clayhook.fleet.Address;
+import clayhook.fleet.Member;
+import clayhook.fleet.Peer;
+import clayhook.fleet.Roster;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+
+/** A roster that sees just those members; names that begin with "off" have clocks that cannot be used, 3 s ahead. */
+record Sighted(Member me, List<Peer> others) implements Roster {
+    static Sighted of(int self, Collection<Integer> seen) {
+        return new Sighted(member(self), seen.stream().filter(other -> other != self).sorted()
+                .map(other -> peer(member(other))).toList());
+    }
+
+    static Member member(int number) {
+        return new Member("r" + number, 1);
+    }
+
+    static Peer peer(Member member) {
+        return new Peer(member, new Address("h", 1));
+    }
+
+    @Override
+    public Peer self() {
+        return peer(me);
+    }
+
+    @Override
+    public List<Member> mayServe(double now) {
+        return others.stream().map(Peer::member).toList();
+    }
+
+    @Override
+    public boolean lives(Member member) {
+        return others.stream().anyMatch(peer -> peer.member().equals(member));
+    }
+
+    @Override
+    public double heardAt(Member member) {
+        return Double.NEGATIVE_INFINITY;
+    }
+
+    @Override
+    public double ahead(Member member) {
+        return Set.of("ahead", "off").contains(member.name()) ? 3 : Double.NaN;
+    }
+
+    @Override
+    public boolean timely(Member member) {
+        return !member.name().equals("off");
+    }
+
+    @Override
+    public boolean doubtful(double now) {
+        return false;
+    }
+}
