--- a/fleet/src/main/java/clayhook/fleet/kinds/ListMerge.java
+++ b/fleet/src/main/java/clayhook/fleet/kinds/ListMerge.java
@@ -13,8 +13,8 @@
 /**
  * The list of nodes out of this router's own discovery and of what peers have heard from theirs. For each node the current
  * source's newest word counts. What other sources say does not, but for drains: those that stood when discovery moved, and
- * those of which the current source has no word on the node, hold until it has a newer word or its whole list. Revisions of two sources
- * cannot be compared, and a source that was given up because it is wrong must not be able to close the fleet.
+ * those of nodes on which the current source has no word, hold until it has a newer word or its whole list. Revisions of two
+ * sources cannot be compared, and a source that was given up because it is wrong must not be able to close the fleet.
  */
 public final class ListMerge {
     /** What is said of a node; the id as {@link Listed} keys it. */
--- a/fleet/src/main/java/clayhook/fleet/kinds/MarkSnapshot.java
+++ b/fleet/src/main/java/clayhook/fleet/kinds/MarkSnapshot.java
@@ -1,10 +1,13 @@
 package clayhook.fleet.kinds;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.BitSet;
 
 /**
  * The marks of sessions at one moment, for threads that serve requests: it never changes, and looking one up takes no lock
  * and makes nothing. A next one shares the shards that have not changed.
+ *
+ * <p>Sessions stand by a hash of 64 bits. Two that ever meet in one have the further mark of both, which is safe.
  */
 public final class MarkSnapshot {
     /** Some fifty marks in each at the most that are kept: little to copy for one mark, nor is the list of shards long. */
@@ -13,87 +16,53 @@
     static final int MOST_IN_SHARD = 256;
     private static final double NONE = Double.NEGATIVE_INFINITY;
 
-    /** Open addressing: the name is in the first free place from its own on. Never over half full. */
-    private static final class Shard {
-        static final Shard EMPTY = new Shard(8);
-        final String[] names;
-        final double[] positions;
-        int size;
-
-        Shard(int room) {
-            names = new String[room];
-            positions = new double[room];
-        }
-
-        int place(String name, int hash) {
-            int mask = names.length - 1;
-            int place = hash & mask;
-            while (names[place] != null && !names[place].equals(name)) {
-                place = place + 1 & mask;
-            }
-            return place;
-        }
-
-        /** A copy of those from that position on, with room for one more. */
-        Shard copy(double from) {
-            int left = 0;
-            for (int i = 0; i < names.length; i++) {
-                left += names[i] != null && positions[i] >= from ? 1 : 0;
-            }
-            var copy = new Shard(Math.max(EMPTY.names.length, Integer.highestOneBit(2 * left + 2) * 2));
-            for (int i = 0; i < names.length; i++) {
-                if (names[i] != null && positions[i] >= from) {
-                    copy.put(names[i], positions[i], copy.place(names[i], hash(names[i])));
-                }
-            }
-            return copy;
-        }
-
-        void put(String name, double position, int place) {
-            size += names[place] == null ? 1 : 0;
-            names[place] = name;
-            positions[place] = position;
-        }
-
-        double oldest() {
-            double oldest = Double.POSITIVE_INFINITY;
-            for (int i = 0; i < names.length; i++) {
-                oldest = names[i] != null ? Math.min(oldest, positions[i]) : oldest;
-            }
-            return oldest;
-        }
-    }
-
     /** Nothing known: no mark, and no certainty of any. */
-    public static final MarkSnapshot EMPTY = new MarkSnapshot(new Shard[SHARDS], NONE, NONE);
+    public static final MarkSnapshot EMPTY = new MarkSnapshot(new long[SHARDS][], NONE, NONE);
 
-    private final Shard[] shards;
+    /**
+     * Each null, or pairs of a session's hash and its position's bits, so that a look-up touches little memory. A pair is at its
+     * hash's place or in the first free one from there; hash 0 is a free place, and never over half are taken.
+     */
+    private final long[][] shards;
     private final double floor, certainUpTo;
 
-    private MarkSnapshot(Shard[] shards, double floor, double certainUpTo) {
+    private MarkSnapshot(long[][] shards, double floor, double certainUpTo) {
         this.shards = shards;
         this.floor = floor;
         this.certainUpTo = certainUpTo;
     }
 
-    private static int hash(String name) {
-        int hash = name.hashCode() * 0x9E3779B9; // the golden ratio spreads neighbours
-        return hash ^ hash >>> 15;
+    private static long hash(String session) {
+        long hash = Hashing.komihash5_0().hashCharsToLong(session);
+        return hash == 0 ? 1 : hash;
+    }
+
+    private static int shard(long hash) {
+        return (int) (hash >>> Long.SIZE - Integer.numberOfTrailingZeros(SHARDS));
     }
 
-    private static int shard(int hash) {
-        return hash >>> 32 - Integer.numberOfTrailingZeros(SHARDS);
+    static int shard(String session) {
+        return shard(hash(session));
+    }
+
+    private static int place(long[] pairs, long hash) {
+        int mask = pairs.length - 1;
+        int place = (int) (2 * hash) & mask;
+        while (pairs[place] != 0 && pairs[place] != hash) {
+            place = place + 2 & mask;
+        }
+        return place;
     }
 
     /** The session's mark, seconds since 1970; negative infinity where there is none. */
     public double position(String session) {
-        int hash = hash(session);
-        Shard shard = shards[shard(hash)];
-        if (shard == null) {
+        long hash = hash(session);
+        long[] pairs = shards[shard(hash)];
+        if (pairs == null) {
             return NONE;
         }
-        int place = shard.place(session, hash);
-        return shard.names[place] == null ? NONE : shard.positions[place];
+        int place = place(pairs, hash);
+        return pairs[place] == 0 ? NONE : Double.longBitsToDouble(pairs[place + 1]);
     }
 
     /** Marks up to that position may be missing, seconds since 1970. */
@@ -108,9 +77,12 @@
 
     /** What the next snapshot will be; for one thread, to be used until it is done. */
     static final class Draft {
-        private final Shard[] shards;
-        /** Those that are this draft's own, and may be changed. */
+        private static final long[] NO_PAIRS = {};
+
+        private final long[][] shards;
+        /** Those that are this draft's own and may be changed, and how many marks they have. */
         private final BitSet copied = new BitSet(SHARDS);
+        private final int[] sizes = new int[SHARDS];
         /** The newest position that was dropped for want of room. */
         private double dropped = NONE;
 
@@ -118,38 +90,65 @@
             shards = from.shards.clone();
         }
 
-        private Shard own(int number, double from) {
-            Shard shard = shards[number] == null ? Shard.EMPTY : shards[number];
-            boolean room = copied.get(number) && shard != Shard.EMPTY && 2 * (shard.size + 1) <= shard.names.length;
-            if (!room || from > NONE) {
-                shards[number] = shard.copy(from);
-                copied.set(number);
-            }
-            return shards[number];
-        }
-
         /** That session's mark is at least so far. */
         void raise(String session, double position) {
-            int hash = hash(session);
+            long hash = hash(session);
             int number = shard(hash);
-            Shard shard = own(number, NONE);
-            int place = shard.place(session, hash);
-            if (shard.names[place] != null) {
-                shard.positions[place] = Math.max(shard.positions[place], position);
-                return;
+            if (!copied.get(number) || 4 * (sizes[number] + 1) > shards[number].length) {
+                copy(number, NONE);
             }
-            shard.put(session, position, place);
-            if (shard.size > MOST_IN_SHARD) {
-                double oldest = shard.oldest();
+            put(number, hash, position);
+            if (sizes[number] > MOST_IN_SHARD) {
+                double oldest = oldest(shards[number]);
                 dropped = Math.max(dropped, oldest);
-                own(number, Math.nextUp(oldest));
+                copy(number, Math.nextUp(oldest));
             }
         }
 
+        private void put(int number, long hash, double position) {
+            long[] pairs = shards[number];
+            int place = place(pairs, hash);
+            boolean known = pairs[place] != 0;
+            sizes[number] += known ? 0 : 1;
+            pairs[place] = hash;
+            pairs[place + 1] = Double.doubleToLongBits(known
+                    ? Math.max(position, Double.longBitsToDouble(pairs[place + 1])) : position);
+        }
+
+        /** Makes the shard this draft's own, with its marks from that position on and room for one more. */
+        private void copy(int number, double from) {
+            long[] old = shards[number] == null ? NO_PAIRS : shards[number];
+            int left = 0;
+            for (int i = 0; i < old.length; i += 2) {
+                left += old[i] != 0 && Double.longBitsToDouble(old[i + 1]) >= from ? 1 : 0;
+            }
+            shards[number] = new long[Math.max(16, 4 * Integer.highestOneBit(2 * left + 1))];
+            sizes[number] = 0;
+            copied.set(number);
+            for (int i = 0; i < old.length; i += 2) {
+                double position = Double.longBitsToDouble(old[i + 1]);
+                if (old[i] != 0 && position >= from) {
+                    put(number, old[i], position);
+                }
+            }
+        }
+
+        private static double oldest(long[] pairs) {
+            double oldest = Double.POSITIVE_INFINITY;
+            for (int i = 0; i < pairs.length; i += 2) {
+                oldest = pairs[i] != 0 ? Math.min(oldest, Double.longBitsToDouble(pairs[i + 1])) : oldest;
+            }
+            return oldest;
+        }
+
         /** Drops what is before that position from one shard, if it has any. */
         void forget(int number, double before) {
-            if (shards[number] != null && shards[number].oldest() < before) {
-                shards[number] = own(number, before).size == 0 ? null : shards[number];
+            if (shards[number] != null && oldest(shards[number]) < before) {
+                copy(number, before);
+                if (sizes[number] == 0) {
+                    shards[number] = null;
+                    copied.clear(number);
+                }
             }
         }
 
--- a/fleet/src/test/java/clayhook/fleet/kinds/JoinTest.java
+++ b/fleet/src/test/java/clayhook/fleet/kinds/JoinTest.java
@@ -31,7 +31,7 @@
     private static final List<Case<?>> KINDS = List.of(new Case<>(Evidence.KIND, JoinTest::evidence),
             new Case<>(Listed.KIND, JoinTest::listed), new Case<>(Fate.KIND, JoinTest::fate),
             new Case<>(Mark.KIND, r -> new Mark(r.nextInt(3), r.nextInt(2))),
-            new Case<>(Use.KIND, r -> new Use(r.nextInt(3), r.nextInt(3) * -0.0 + r.nextInt(2), r.nextInt(3))));
+            new Case<>(Use.KIND, r -> new Use(r.nextInt(3), r.nextInt(2), List.of(-0.0, 0.0, 1.0).get(r.nextInt(3)))));
 
     private static Sight sight(Random r) {
         return Sight.of(100 + r.nextInt(4), "router" + r.nextInt(3));
--- a/fleet/src/test/java/clayhook/fleet/kinds/ReadersTest.java
+++ b/fleet/src/test/java/clayhook/fleet/kinds/ReadersTest.java
@@ -24,7 +24,8 @@
         var evidence = Evidence.none(50).told(95, 1, new Sight(99, "ahead")).role(true, new Sight(98, "a"))
                 .role(false, new Sight(97, "b")).heard(new Sight(96, "off"))
                 .pace(0.5, new Sight(96, "b")).load(3, new Sight(96, "gone"))
-                .failed(2, new Sight(99, "b")).failed(1, new Sight(98, "a")).failed(1, new Sight(97, "gone"));
+                .failed(2, new Sight(99, "b")).failed(1, new Sight(98, "a")).failed(1, new Sight(97, "gone"))
+                .failed(3, new Sight(95, "before it was heard"));
         shared.put(Evidence.KIND, Evidence.key("n"), evidence, 100);
         assertEquals(new Hearsay.Word(50, 95, 96, 1, 96, NEVER, 97, NEVER, 99, 2, 0.5, 0.3, 3, 0.15), hearsay.on("n", 50, 100));
         assertNull(hearsay.on("n", 60, 100), "of an earlier life");
@@ -104,6 +105,8 @@
         IntStream.range(0, 4).forEach(i -> assertEquals(left[i], alone.share(limit, 100 + ages[i]), 1e-9, "after " + ages[i]));
         var again = new Shares(shared, new Sighted(new Member("r9", 2), Sighted.of(9, List.of(1, 2)).others()), 3);
         assertEquals(20, again.left(limit, 105), 1e-9, "use before its own restart counts");
+        var peers = new Shares(shared, new Sighted(Sighted.member(1), List.of(Sighted.peer(new Member("r9", 2)))), 2);
+        assertEquals(20, peers.share(new Shares.Limit(Use.REPEATS, 70, 10), 105), 1e-9, "and at others");
         assertEquals(90 / 9.0, new Shares(shared, Sighted.of(1, List.of(2, 3, 4)), 9).share(limit, 200), 1e-9, "just started");
     }
 
@@ -114,19 +117,20 @@
         var early = Fate.Sent.of(100, 1, "pay", "toll 1");
         var late = Fate.Sent.of(200, 1, "pay", null);
         shared.put(Fate.KIND, "k2", Fate.unknown(late), 200);
-        shared.put(Fate.KIND, "k1", Fate.ran(early, Fate.Witness.of(150, "b", "n1")), 200);
+        shared.put(Fate.KIND, "k9", Fate.ran(early, Fate.Witness.of(150, "b", "n1")), 200);
         shared.put(Fate.KIND, "k3", Fate.unknown(late), 200);
         shared.put(Fate.KIND, "k3", Fate.notRun(late, Fate.Witness.of(220, "b", "n1")), 200);
-        assertEquals(List.of("k1", "k2", "k3"), fates.rows(0, 300).stream().map(Fates.Row::key).toList());
+        assertEquals(List.of("k9", "k2", "k3"), fates.rows(0, 300).stream().map(Fates.Row::key).toList());
         assertEquals(List.of("k2", "k3"), fates.rows(200, 300).stream().map(Fates.Row::key).toList());
         assertEquals(List.of(), fates.newConflicts());
         for (int i = 0; i < 2; i++) {
-            shared.put(Fate.KIND, "k1", Fate.notRun(early, Fate.Witness.of(140 + i, "c", "n2")), 201);
+            shared.put(Fate.KIND, "k9", Fate.notRun(early, Fate.Witness.of(140 + i, "c", "n2")), 201);
         }
         var conflict = fates.newConflicts();
-        assertEquals(List.of("k1"), conflict.stream().map(Fates.Row::key).toList());
+        assertEquals(List.of("k9"), conflict.stream().map(Fates.Row::key).toList());
         Fate both = conflict.get(0).fate();
-        assertEquals(List.of("b", "c"), List.of(both.ran().sight().by(), both.notRun().sight().by()));
+        assertEquals(List.of(new Sight(150, "b"), new Sight(140, "c")), List.of(both.ran().sight(), both.notRun().sight()));
+        shared.put(Fate.KIND, "k9", Fate.ran(early, Fate.Witness.of(149, "b", "n1")), 202);
         assertEquals(List.of(), fates.newConflicts());
         assertEquals(List.of(1, 0, 1, 1), List.copyOf(fates.counts().values()));
         shared.floor = 150;
--- a/fleet/src/test/java/clayhook/fleet/kinds/SessionNeedsTest.java
+++ b/fleet/src/test/java/clayhook/fleet/kinds/SessionNeedsTest.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -71,13 +72,12 @@
 
     @Example
     void atTheBoundOfAShardTheOldestGoAndTheFloorRises() {
-        for (int i = 0; i < MarkSnapshot.MOST_IN_SHARD + 10; i++) {
-            String ofOneHash = Integer.toBinaryString(1024 + i).replace("0", "Aa").replace("1", "BB");
-            shared.put(Mark.KIND, ofOneHash, new Mark(2000 + i, 0), 2000);
-        }
+        var meeting = IntStream.iterate(0, i -> i + 1).mapToObj(i -> "s" + i).filter(name -> MarkSnapshot.shard(name) == 7)
+                .limit(MarkSnapshot.MOST_IN_SHARD + 10).toList();
+        meeting.forEach(name -> shared.put(Mark.KIND, name, new Mark(2000 + meeting.indexOf(name), 0), 2000));
         needs.publish(2000);
         assertEquals(2009, needs.snapshot().floor());
-        assertEquals(2009, needs.need("BB" + "Aa".repeat(10), 2000));
+        assertEquals(2009, needs.need(meeting.get(9), 2000));
         shared.put(Mark.KIND, "new", new Mark(2000.5, 0), 2000);
         for (int i = 0; i < MarkSnapshot.SHARDS; i++) {
             needs.publish(2000 + 2 * Mark.KEEP + 500);
