--- /dev/null
+++ b/fleet/src/main/java/clayhook/rollout/Checker.java
@@ -0,0 +1,12 @@
+package clayhook.rollout;
+
+/** Whether this router could run a set of rules. Whoever implements it keeps what it read, so that both versions stand ready. */
+public interface Checker {
+    /**
+     * Reads the whole text. Called once for each set, outside of the way of requests.
+     *
+     * @param hash by which {@link Split} names the set later
+     * @return null, or what is wrong with it, for people
+     */
+    String fault(String hash, String rules);
+}
--- /dev/null
+++ b/fleet/src/main/java/clayhook/rollout/End.java
@@ -0,0 +1,41 @@
+package clayhook.rollout;
+
+import clayhook.fleet.Reader;
+import clayhook.fleet.Writer;
+import java.util.Comparator;
+
+/**
+ * Why a rollout is over. There is no way back from it; whoever wants the set again proposes it anew.
+ *
+ * @param by name of the router that said so first
+ * @param at when, on that router's clock
+ */
+record End(What what, String reason, String by, double at) {
+    /** In the order in which they are told where several routers ended it at once; to the candidate they are all the same. */
+    enum What { HALTED, VETOED, WITHDRAWN, SUPERSEDED, EXPIRED }
+
+    private static final Comparator<End> ORDER = Comparator.comparing(End::what).thenComparingDouble(End::at)
+            .thenComparing(End::by).thenComparing(End::reason);
+    /** Characters of a reason; the rest is cut off, so that the value fits its part whatever the letters. */
+    private static final int LONGEST_REASON = 100;
+
+    static End of(What what, String reason, String by, double at) {
+        return new End(what, reason.length() <= LONGEST_REASON ? reason : reason.substring(0, LONGEST_REASON - 3) + "...", by, at);
+    }
+
+    /** Which of the two is told; null is none. */
+    static End join(End a, End b) {
+        return a == null ? b : b == null || ORDER.compare(a, b) <= 0 ? a : b;
+    }
+
+    void write(Writer out) {
+        out.begin().whole(what.ordinal()).text(reason).text(by).number(at).end();
+    }
+
+    static End read(Reader in) {
+        in.begin();
+        var end = new End(What.values()[in.small(What.values().length)], in.text(), in.name(), in.number());
+        in.end();
+        return end;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/clayhook/rollout/Lease.java
@@ -0,0 +1,56 @@
+package clayhook.rollout;
+
+import clayhook.fleet.Member;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+
+/** For how long this router may run the candidate. Counted on its own clock from when it asked, so no clocks are compared. */
+class Lease {
+    /** Asks that a grant may answer; later grants of older ones are worth nothing any more. */
+    private static final int MOST_ASKS = 16;
+
+    private final Deque<Double> asks = new ArrayDeque<>();
+    /** By member of the frozen roster, when it was asked what it granted last. Gone with the rollout. */
+    private final Map<Member, Double> granted = new HashMap<>();
+
+    void asked(double now) {
+        asks.addLast(now);
+        if (asks.size() > MOST_ASKS) {
+            asks.removeFirst();
+        }
+    }
+
+    /** Guards against an echo that was never sent, which could stand for a lease without end. */
+    void granted(Member by, double asked, double now) {
+        if (asks.contains(asked)) {
+            granted.merge(by, from(asked, now), Math::max);
+        }
+    }
+
+    /** From when a grant counts. */
+    double from(double asked, double now) {
+        return asked;
+    }
+
+    void refused(Member by) {
+        granted.remove(by);
+    }
+
+    /** For tests that tell one state from another. */
+    Map<Member, Double> granted() {
+        return granted;
+    }
+
+    /** When contact with so many is that long ago; negative infinity while there was none. */
+    double until(int majority, double length) {
+        if (granted.size() < majority) {
+            return Double.NEGATIVE_INFINITY;
+        }
+        double[] times = granted.values().stream().mapToDouble(Double::doubleValue).toArray();
+        Arrays.sort(times);
+        return times[times.length - majority] + length;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/clayhook/rollout/Plan.java
@@ -0,0 +1,78 @@
+package clayhook.rollout;
+
+import clayhook.fleet.Reader;
+import clayhook.fleet.Writer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * How a candidate gets from no session to all.
+ *
+ * @param alpha chance that a rollout without any difference is halted wrongly, all its guards and stages together
+ * @param attempt 1 for the first; whoever raises it asks for a rollout anew after one of that set has ended
+ */
+public record Plan(List<Stage> stages, double alpha, int attempt) {
+    /** Of a plan. */
+    static final int MOST_STAGES = 16;
+    /** Half of the one in a hundred that is promised: routers look at copies of the figures that differ for moments. */
+    public static final double ALPHA = 0.005;
+    /** The most that may be asked for. */
+    static final double HIGHEST_ALPHA = 0.01;
+
+    public Plan {
+        stages = List.copyOf(stages);
+    }
+
+    /** All that is wrong with it, each with its key; empty for a plan that can be taken. */
+    public List<Fault> faults() {
+        var faults = new ArrayList<Fault>();
+        if (stages.isEmpty() || stages.size() > MOST_STAGES) {
+            faults.add(new Fault("stage", "needs 1 to " + MOST_STAGES + " stages"));
+        }
+        double before = 0;
+        for (int i = 0; i < stages.size(); i++) {
+            stages.get(i).check("stage[" + i + "]", before, faults);
+            before = stages.get(i).share();
+        }
+        if (!(alpha > 0) || alpha > HIGHEST_ALPHA) {
+            faults.add(new Fault("alpha", "must be above 0 and at most " + HIGHEST_ALPHA));
+        }
+        if (attempt < 1) {
+            faults.add(new Fault("attempt", "must be 1 or more"));
+        }
+        return faults;
+    }
+
+    /** Of the alpha, what each guard of a stage may spend: the union bound over stages and guards. */
+    double alphaOfGuard(Stage stage) {
+        return alpha / stages.size() / stage.guards().size();
+    }
+
+    /** The command groups that guards name, {@link Guard#ALL} among them if one does. */
+    Set<String> groups() {
+        var groups = new TreeSet<String>();
+        stages.forEach(stage -> stage.guards().forEach(guard -> groups.add(guard.group())));
+        return groups;
+    }
+
+    Plan again(int attempt) {
+        return new Plan(stages, alpha, attempt);
+    }
+
+    void write(Writer out) {
+        out.begin().number(alpha).whole(attempt).begin();
+        stages.forEach(stage -> stage.write(out));
+        out.end().end();
+    }
+
+    static Plan read(Reader in) {
+        in.begin();
+        double alpha = in.number();
+        int attempt = in.small(Integer.MAX_VALUE);
+        var plan = new Plan(in.lists(MOST_STAGES, Stage::read), alpha, attempt);
+        in.end();
+        return plan;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/clayhook/rollout/Proposal.java
@@ -0,0 +1,57 @@
+package clayhook.rollout;
+
+import clayhook.fleet.Member;
+import clayhook.fleet.Reader;
+import clayhook.fleet.Writer;
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.Comparator;
+
+/**
+ * What a router asks the others for. It never changes; its text and terms are spread beside it, in pieces.
+ *
+ * @param by the router that proposes
+ * @param begun when, seconds since 1970 on its clock
+ * @param base hash of the rules that the fleet stands on
+ * @param rules hash of the candidate
+ * @param rulesBytes of its text in UTF-8
+ * @param terms hash of the plan and the roster as frozen then
+ * @param lease seconds for which the candidate may run after contact with a majority
+ * @param attempt of this candidate, counted from 1
+ */
+record Proposal(Member by, double begun, String base, String rules, int rulesBytes, String terms, int termsBytes, double lease,
+        int attempt) implements Comparable<Proposal> {
+    /** Of two begun at two ends the earlier one wins everywhere, of two begun at once the one with the smaller hash. */
+    private static final Comparator<Proposal> ORDER = Comparator.comparingDouble(Proposal::begun).thenComparing(Proposal::rules)
+            .thenComparing(Proposal::by).thenComparing(Proposal::terms).thenComparing(Proposal::base)
+            .thenComparingInt(Proposal::attempt).thenComparingDouble(Proposal::lease)
+            .thenComparingInt(Proposal::rulesBytes).thenComparingInt(Proposal::termsBytes);
+    /** Seconds that a lease may have at most. */
+    static final double LONGEST_LEASE = 300;
+
+    /** The key under which routers share whatever belongs to this rollout. */
+    String id() {
+        var text = by.name() + '\n' + by.boot() + '\n' + begun + '\n' + rules + '\n' + terms + '\n' + base + '\n' + attempt;
+        return String.format("%016x", Hashing.komihash5_0().hashCharsToLong(text));
+    }
+
+    @Override
+    public int compareTo(Proposal other) {
+        return ORDER.compare(this, other);
+    }
+
+    void write(Writer out) {
+        out.begin().text(by.name()).whole(by.boot()).number(begun).text(base).text(rules).whole(rulesBytes).text(terms)
+                .whole(termsBytes).number(lease).whole(attempt).end();
+    }
+
+    static Proposal read(Reader in) {
+        in.begin();
+        var proposal = new Proposal(new Member(in.name(), in.whole()), in.number(), in.name(), in.name(),
+                in.small(RuleSet.LONGEST + 1), in.name(), in.small(Terms.LONGEST + 1), in.number(), in.small(Integer.MAX_VALUE));
+        in.end();
+        if (!(proposal.lease > 0 && proposal.lease <= LONGEST_LEASE)) {
+            throw new IllegalArgumentException("a lease of " + proposal.lease + " s");
+        }
+        return proposal;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/clayhook/rollout/SequentialTest.java
@@ -0,0 +1,96 @@
+package clayhook.rollout;
+
+/**
+ * Whether the candidate ends badly more often than the old version, in a test that may be looked at all the time.
+ *
+ * <p>Within one router and one second both versions live through the same: dead nodes, bursts, the hour. So, were there no
+ * difference, each bad end would fall on the candidate with the chance that the candidate has of all ends there and then, however
+ * many there are. Against that stand ratios by which the candidate might be worse. The product of the likelihood ratios is a
+ * supermartingale (draws without replacement are bounded by draws with, Hoeffding 1963), and so is their mean over the ratios:
+ * by Ville's inequality it ever exceeds 1/alpha with a chance of alpha at most (Wald's sequential test, Robbins' mixture).
+ * Seconds and routers add up in logarithms, so each router sums its own and all are added by whoever looks.
+ *
+ * <p>Sessions, not commands, are dealt to the versions, so one session that always fails would look like proof. The evidence is
+ * divided by how much more the sessions' buckets differ from each other than commands by themselves would (quasi-likelihood).
+ */
+final class SequentialTest {
+    /** Of the candidate's odds to the old ones, all equally likely beforehand: from what matters little to what breaks all. */
+    static final double[] RATIOS = {1.1, 1.2, 1.35, 1.6, 2, 3, 5, 10};
+    /** Logarithms are shared as whole numbers of this part. */
+    private static final double GRAIN = 1e-4;
+
+    private SequentialTest() {
+    }
+
+    /** Adds what one router saw in one second: ends of each version and the bad ones among them. */
+    static void add(double[] sums, int from, long old, long oldBad, long candidate, long candidateBad) {
+        if (oldBad + candidateBad == 0 || old == 0 || candidate == 0) {
+            return;
+        }
+        double chance = (double) candidate / (old + candidate);
+        for (int i = 0; i < RATIOS.length; i++) {
+            sums[from + i] += candidateBad * Math.log(RATIOS[i]) - (oldBad + candidateBad) * Math.log1p(chance * (RATIOS[i] - 1));
+        }
+    }
+
+    /** A sum as it is shared. */
+    static long shared(double sum) {
+        return Math.round(sum / GRAIN);
+    }
+
+    /** The logarithm of the evidence for a worse candidate, from shared sums. */
+    static double evidence(long[] sums, int from) {
+        double most = Double.NEGATIVE_INFINITY;
+        for (int i = 0; i < RATIOS.length; i++) {
+            most = Math.max(most, sums[from + i] * GRAIN);
+        }
+        double mean = 0;
+        for (int i = 0; i < RATIOS.length; i++) {
+            mean += Math.exp(sums[from + i] * GRAIN - most) / RATIOS.length;
+        }
+        return most + Math.log(mean);
+    }
+
+    /**
+     * How much more the buckets of sessions differ in their share of bad ends than commands of their own would: Pearson's
+     * statistic within each version over its degrees of freedom, never below 1.
+     *
+     * @param counts buckets of the old version, then of the candidate
+     * @param all where in a bucket the commands stand, and {@code bad} the bad ones
+     */
+    static double dispersion(long[] counts, int from, int all, int bad) {
+        double squares = 0;
+        int freedom = 0;
+        for (int version = 0; version < 2; version++) {
+            int start = from + version * Batch.Cell.SIZE;
+            long commands = total(counts, start, all);
+            double share = (double) total(counts, start, bad) / commands;
+            if (commands == 0 || share == 0 || share == 1) {
+                continue;
+            }
+            freedom--;
+            for (int at = start; at < start + Batch.Cell.SIZE; at += Batch.Cell.WIDTH) {
+                if (counts[at + all] > 0) {
+                    double expected = counts[at + all] * share;
+                    squares += (counts[at + bad] - expected) * (counts[at + bad] - expected) / (expected * (1 - share));
+                    freedom++;
+                }
+            }
+        }
+        return freedom <= 0 ? 1 : Math.max(1, squares / freedom);
+    }
+
+    /** Of a version's buckets. */
+    static long total(long[] counts, int start, int which) {
+        long total = 0;
+        for (int at = start; at < start + Batch.Cell.SIZE; at += Batch.Cell.WIDTH) {
+            total += counts[at + which];
+        }
+        return total;
+    }
+
+    /** Whether it is proven, but for a chance of alpha. */
+    static boolean proven(double evidence, double alpha) {
+        return evidence >= -Math.log(alpha);
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/clayhook/rollout/Status.java
@@ -0,0 +1,26 @@
+package clayhook.rollout;
+
+import java.util.List;
+
+/**
+ * What a rollout looks like from here, for metrics and log lines.
+ *
+ * @param rules hash of the candidate
+ * @param stage from 1 on; 0 before it begins
+ * @param share of sessions in this stage
+ * @param until when this router's lease ends, seconds since 1970
+ * @param heard routers of the frozen roster whose figures are fresh, of {@code voters}
+ * @param dead routers whose figures count although they are gone
+ * @param waits why the stage goes on
+ */
+public record Status(String rules, int stage, double share, double until, int heard, int voters, int dead, String waits,
+        List<Rate> rates) {
+    /**
+     * A measure of a command group, merged.
+     *
+     * @param candidate share of commands; seconds at the 99th percentile for {@link Measure#SLOW}
+     * @param evidence natural logarithm of the evidence that the candidate is worse
+     */
+    public record Rate(String group, Measure measure, long commands, double candidate, double old, double evidence) {
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/clayhook/rollout/Terms.java
@@ -0,0 +1,48 @@
+package clayhook.rollout;
+
+import clayhook.fleet.Member;
+import clayhook.fleet.Reader;
+import clayhook.fleet.Writer;
+import java.util.List;
+
+/**
+ * What a rollout goes by from its beginning to its end.
+ *
+ * @param fleet routers that the operator counts with; the majority is of these where the roster has fewer
+ * @param roster as frozen at the beginning: only these vote and grant leases, and the dead among them still count
+ */
+record Terms(Plan plan, int fleet, List<Member> roster) {
+    /** Routers. */
+    static final int MOST_ROUTERS = 4096;
+    /** Bytes, for the longest plan and roster. */
+    static final int LONGEST = 1024 * 1024;
+
+    Terms {
+        roster = List.copyOf(roster);
+    }
+
+    byte[] bytes() {
+        var out = new Writer();
+        plan.write(out);
+        out.whole(fleet).begin();
+        roster.forEach(member -> out.begin().text(member.name()).whole(member.boot()).end());
+        return out.end().done();
+    }
+
+    /** Throws IllegalArgumentException for what cannot be. */
+    static Terms of(byte[] bytes) {
+        var in = new Reader(bytes);
+        var terms = new Terms(Plan.read(in), in.small(Integer.MAX_VALUE),
+                in.lists(MOST_ROUTERS, member -> new Member(member.name(), member.whole())));
+        List<Fault> faults = terms.plan.faults();
+        if (!faults.isEmpty()) {
+            throw new IllegalArgumentException(faults.get(0).toString());
+        }
+        return terms;
+    }
+
+    /** Of how many routers a majority is taken. */
+    int voters() {
+        return Math.max(roster.size(), fleet);
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/clayhook/rollout/PlanTest.java
@@ -0,0 +1,96 @@
+package clayhook.rollout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import clayhook.fleet.Member;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class PlanTest {
+    private static final double NONE = Double.POSITIVE_INFINITY;
+
+    @ParameterizedTest
+    @CsvSource({
+        "0.5,  10, 5, read, FAILED, 0.02, 0.01,  ''",
+        "0.5,  10, 5, read, SLOW,   3.0,  1.5,   ''",
+        "1.0,  10, 5, read, FAILED, 0.02, 0.01,  stage[1].share",
+        "0.1,  10, 5, read, FAILED, 0.02, 0.01,  stage[1].share",
+        "NaN,  10, 5, read, FAILED, 0.02, 0.01,  stage[1].share",
+        "0.5,  -1, 5, read, FAILED, 0.02, 0.01,  stage[1].seconds",
+        "0.5,  10, 0, read, FAILED, 0.02, 0.01,  stage[1].samples",
+        "0.5,  10, 5, '',   FAILED, 0.02, 0.01,  stage[1].guard[0].group",
+        "0.5,  10, 5, read, FAILED, 3.0,  0.01,  stage[1].guard[0].most",
+        "0.5,  10, 5, read, FAILED, 0.02, -0.1,  stage[1].guard[0].worse",
+        "0.5,  10, 5, read, FAILED, Infinity, Infinity, stage[1].guard[0]"})
+    void faultsNameTheirKey(double share, double seconds, long samples, String group, Measure measure, double most,
+            double worse, String key) {
+        var first = new Stage(0.1, 0, 1, List.of(new Guard("*", Measure.LATE, NONE, 0)));
+        var plan = new Plan(List.of(first, new Stage(share, seconds, samples, List.of(new Guard(group, measure, most, worse)))),
+                Plan.ALPHA, 1);
+        assertEquals(key.isEmpty() ? List.of() : List.of(key), plan.faults().stream().map(Fault::key).toList());
+        if (key.isEmpty()) {
+            var terms = new Terms(plan, 3, List.of(new Member("a", 1), new Member("b", 2)));
+            assertEquals(terms, Terms.of(terms.bytes()));
+        }
+    }
+
+    @Test
+    void aSetIsNamedByWhatItSaysNotHowItIsLaidOut() {
+        Map<String, Object> one = Map.of("name", "a \"b\"\n", "class", "read", "cost_from", 0.5, "nodes", List.of(1L, 2L));
+        var other = new LinkedHashMap<String, Object>();
+        List.of("nodes", "cost_from", "class", "name").forEach(key -> other.put(key, one.get(key)));
+        var faults = new ArrayList<Fault>();
+        RuleSet set = RuleSet.of(Map.of(), List.of(one), faults);
+        assertEquals(set, RuleSet.of(Map.of(), List.of(other), faults));
+        assertEquals("[statements]\n[[statements.rule]]\nclass = \"read\"\ncost_from = 0.5\nname = \"a \\\"b\\\"\\u000A\"\n"
+                + "nodes = [1, 2]\n", set.text());
+        assertTrue(set.hash().matches("[0-9a-f]{32}"));
+        assertEquals(List.of(), faults);
+        assertNull(RuleSet.of(Map.of("reads", List.of("f")), List.of(Map.of("nodes", new Object())), faults));
+        assertEquals(List.of("reads", "rule[0].nodes"), faults.stream().map(Fault::key).toList());
+    }
+
+    /** At two routers in one stage the same; who has the candidate at a share has it at any larger one; the share is met. */
+    @Property(tries = 50)
+    void sessionsStayWhereTheyAre(@ForAll long seed, @ForAll @DoubleRange(max = 1) double share,
+            @ForAll @DoubleRange(max = 1) double more) {
+        Split small = split(share * more);
+        Split large = split(share);
+        int candidates = 0;
+        for (int i = 0; i < 4000; i++) {
+            long session = seed + i;
+            assertTrue(!small.candidate(session) || large.candidate(session));
+            assertEquals(large.candidate(session), large.version(session, 9).candidate());
+            assertEquals("old", large.version(session, 10).rules(), "the lease is over");
+            candidates += large.candidate(session) ? 1 : 0;
+        }
+        assertEquals(share, candidates / 4000.0, 0.05);
+    }
+
+    private static Split split(double share) {
+        var old = new Version("old", null, 0, false, Map.of());
+        return Split.two(old, old, new Version("00000000deadbeef", "round", 1, true, Map.of()), share, 10);
+    }
+
+    @Test
+    void theSlowestHundredthIsFoundWithinAStep() {
+        long[] counts = new long[Times.SIZE];
+        for (int i = 1; i <= 10_000; i++) {
+            counts[Times.step(i / 1000.0)]++;
+        }
+        assertEquals(9.9, Times.slowest(counts), 9.9 * 0.1);
+        assertTrue(Double.isNaN(Times.slowest(new long[Times.SIZE])));
+        assertEquals(0, Times.step(0));
+        assertEquals(Times.SIZE - 1, Times.step(1e9));
+    }
+}
