--- a/fleet/src/test/java/clayhook/rollout/SequentialTestTest.java
+++ b/fleet/src/test/java/clayhook/rollout/SequentialTestTest.java
@@ -6,6 +6,7 @@
 
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -26,6 +27,13 @@
         assertTrue(at[0] > 0 && at[10] < 75, "halted at " + at[0] + " to " + at[19]);
     }
 
+    /** {@code -Dclayhook.rollouts=10000}: minutes. */
+    @Test
+    @EnabledIfSystemProperty(named = "clayhook.rollouts", matches = "[0-9]+")
+    void report() {
+        Trial.report(Integer.getInteger("clayhook.rollouts"));
+    }
+
     @Test
     void mergedFiguresTellWhatNoRouterCould() {
         var trial = new Trial(20, 1000, 5000, 0.03, false);
