--- a/fleet/src/main/java/clayhook/rollout/SequentialTest.java
+++ b/fleet/src/main/java/clayhook/rollout/SequentialTest.java
@@ -18,6 +18,8 @@
     static final double[] RATIOS = {1.1, 1.2, 1.35, 1.6, 2, 3, 5, 10};
     /** Logarithms are shared as whole numbers of this part. */
     private static final double GRAIN = 1e-4;
+    /** Of a version, that must have commands: what a session or two do says nothing about the rules. */
+    private static final int LEAST_BUCKETS = 6;
 
     private SequentialTest() {
     }
@@ -52,32 +54,37 @@
     }
 
     /**
-     * How much more the buckets of sessions differ in their share of bad ends than commands of their own would: Pearson's
-     * statistic within each version over its degrees of freedom, never below 1.
+     * How much more the share of bad ends varies with the sessions that were dealt than commands of their own would let it: the
+     * variance by leaving out one bucket of sessions at a time (the jackknife, which one heavy session cannot hide from) over
+     * that of a binomial; of the version where it is larger, never below 1.
      *
      * @param counts buckets of the old version, then of the candidate
      * @param all where in a bucket the commands stand, and {@code bad} the bad ones
+     * @return infinite where a version has too few sessions to tell
      */
     static double dispersion(long[] counts, int from, int all, int bad) {
+        return Math.max(1, Math.max(dispersed(counts, from, all, bad), dispersed(counts, from + Batch.Cell.SIZE, all, bad)));
+    }
+
+    private static double dispersed(long[] counts, int start, int all, int bad) {
+        double commands = total(counts, start, all);
+        double share = total(counts, start, bad) / commands;
+        int buckets = 0;
+        double sum = 0;
         double squares = 0;
-        int freedom = 0;
-        for (int version = 0; version < 2; version++) {
-            int start = from + version * Batch.Cell.SIZE;
-            long commands = total(counts, start, all);
-            double share = (double) total(counts, start, bad) / commands;
-            if (commands == 0 || share == 0 || share == 1) {
-                continue;
-            }
-            freedom--;
-            for (int at = start; at < start + Batch.Cell.SIZE; at += Batch.Cell.WIDTH) {
-                if (counts[at + all] > 0) {
-                    double expected = counts[at + all] * share;
-                    squares += (counts[at + bad] - expected) * (counts[at + bad] - expected) / (expected * (1 - share));
-                    freedom++;
-                }
+        for (int at = start; at < start + Batch.Cell.SIZE; at += Batch.Cell.WIDTH) {
+            if (counts[at + all] > 0) {
+                double off = (share * commands - counts[at + bad]) / (commands - counts[at + all]) - share;
+                buckets++;
+                sum += off;
+                squares += off * off;
             }
         }
-        return freedom <= 0 ? 1 : Math.max(1, squares / freedom);
+        if (buckets < LEAST_BUCKETS) {
+            return Double.POSITIVE_INFINITY;
+        }
+        double variance = (squares - sum * sum / buckets) * (buckets - 1) / buckets;
+        return share > 0 && share < 1 ? variance * commands / (share * (1 - share)) : 1;
     }
 
     /** Of a version's buckets. */
