--- a/fleet/src/test/java/clayhook/rollout/Explorer.java
+++ b/fleet/src/test/java/clayhook/rollout/Explorer.java
@@ -12,8 +12,9 @@
 
 /**
  * Every order in which a few things can happen to three routers and one rollout, breadth first; one that leads to a state seen
- * before is not followed. Whatever is not delivered is late or, once more than {@link #ON_LINK} wait, lost. The code itself is explored, not a model of it, so that nothing can differ between the two; a
- * model checker for threads (lincheck) has nothing to interleave here, and Alloy would check a second text of the rules.
+ * before is not followed. Whatever is not delivered is late or, once more than {@link #ON_LINK} wait, lost. The code
+ * itself is explored, not a model of it, so that nothing can differ between the two; a model checker for threads (lincheck) has
+ * nothing to interleave here, and Alloy would check a second text of the rules.
  */
 final class Explorer {
     private static final int SIZE = 3;
--- a/fleet/src/test/java/clayhook/rollout/JoinTest.java
+++ b/fleet/src/test/java/clayhook/rollout/JoinTest.java
@@ -18,7 +18,8 @@
 
     private static Round round(Random chance) {
         var by = new Member(LONGEST, 1_700_000_000_000L + chance.nextInt(2));
-        var proposal = new Proposal(by, chance.nextInt(2), "a".repeat(32), "b".repeat(31) + chance.nextInt(2), 1 + chance.nextInt(2), "c".repeat(32), 7, 10, 1 + chance.nextInt(2));
+        var proposal = new Proposal(by, chance.nextInt(2), "a".repeat(32), "b".repeat(31) + chance.nextInt(2),
+                1 + chance.nextInt(2), "c".repeat(32), 7, 10, 1 + chance.nextInt(2));
         End end = chance.nextBoolean() ? null
                 : End.of(End.What.values()[chance.nextInt(5)], "r".repeat(200 + chance.nextInt(2)), LONGEST, chance.nextInt(2));
         return new Round(proposal, chance.nextInt(4), end, chance.nextInt(3));
