--- /dev/null
+++ b/gather/src/main/java/clayhook/gather/Allowance.java
@@ -0,0 +1,29 @@
+package clayhook.gather;
+
+/** Memory that all gathers of a router share. Called from the gathers' own thread. */
+public interface Allowance {
+    /** Takes that many bytes, or nothing and returns false. */
+    boolean take(long bytes);
+
+    /** Gives back what was taken. */
+    void give(long bytes);
+
+    /** That many bytes in all, for gathers of one thread. */
+    static Allowance of(long bytes) {
+        return new Allowance() {
+            private long left = bytes;
+
+            @Override
+            public boolean take(long wanted) {
+                boolean enough = wanted <= left;
+                left -= enough ? wanted : 0;
+                return enough;
+            }
+
+            @Override
+            public void give(long unused) {
+                left += unused;
+            }
+        };
+    }
+}
--- /dev/null
+++ b/gather/src/main/java/clayhook/gather/Bounds.java
@@ -0,0 +1,16 @@
+package clayhook.gather;
+
+/**
+ * What one gather may hold.
+ *
+ * @param bufferRows read ahead of each part
+ * @param bufferBytes read ahead of all parts together; each has an equal share, of at least one row
+ * @param longestRow bytes of a row's message
+ * @param partRows after so many a part counts as one that never ends
+ * @param heldRows rows, or groups, that have to be held until the end
+ * @param heldBytes memory for these
+ */
+public record Bounds(int bufferRows, long bufferBytes, int longestRow, long partRows, long heldRows, long heldBytes) {
+    /** Ten parts read ahead a few milliseconds of rows each; an answer held whole takes at most a twelfth of a heap of 192 MB. */
+    public static final Bounds DEFAULT = new Bounds(256, 4 << 20, 16 << 10, 10_000_000, 100_000, 16 << 20);
+}
--- /dev/null
+++ b/gather/src/main/java/clayhook/gather/Groups.java
@@ -0,0 +1,205 @@
+package clayhook.gather;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Groups of rows with their figures, as far as they have come. */
+final class Groups implements Pool {
+    /** What groups count as a part of: rows of the answer are of no single one. */
+    static final Part ANSWER = new Part("answer", 0);
+    /** Of an entry of the map and what hangs on it, and of the row that is made of it at the end, about. */
+    private static final int ENTRY = 400;
+
+    /** One group. */
+    private static final class Group {
+        /** The first row with that key, in the order of parts: what shows of equal keys written in two ways, as 1.0 and 1.00. */
+        byte[][] shown;
+        Part part;
+        long number;
+        final Tally[] tallies;
+
+        Group(Tally[] tallies) {
+            this.tallies = tallies;
+        }
+
+        void show(byte[][] fields, Part from, long row) {
+            if (part == null || from.number() < part.number() || from.number() == part.number() && row < number) {
+                shown = fields;
+                part = from;
+                number = row;
+            }
+        }
+
+        long weight() {
+            long weight = ENTRY;
+            for (Tally tally : tallies) {
+                weight += tally.weight();
+            }
+            for (byte[] field : shown) {
+                weight += field == null ? 0 : 3L * field.length;
+            }
+            return weight;
+        }
+    }
+
+    private final Layout layout;
+    private final Account account;
+    private final long most;
+    /** Emptied by {@link #join} into another, or {@link #drop}; bounded by groups and by the account. */
+    private final Map<List<Cell>, Group> byKey = new HashMap<>();
+    private final Map<String, Double> errors = new LinkedHashMap<>();
+    private Fault fault;
+    private long held;
+
+    Groups(Layout layout, Account account, long most) {
+        this.layout = layout;
+        this.account = account;
+        this.most = most;
+    }
+
+    @Override
+    public Fault add(Row row) {
+        var key = new ArrayList<Cell>();
+        for (int slot : layout.groupSlots()) {
+            key.add(row.cell(slot));
+        }
+        Group group = byKey.get(key);
+        long before = group == null ? 0 : group.weight();
+        if (group == null) {
+            if (byKey.size() >= most) {
+                return full(row.part, row.number);
+            }
+            group = new Group(tallies());
+            byKey.put(List.copyOf(key), group);
+        }
+        if (group.part == null || row.part.number() < group.part.number()) {
+            byte[][] fields = new byte[key.size()][];
+            for (int i = 0; i < fields.length; i++) {
+                fields[i] = row.raw(layout.groupSlots()[i]);
+            }
+            group.show(fields, row.part, row.number);
+        }
+        for (int i = 0; i < group.tallies.length; i++) {
+            group.tallies[i].add(row, layout.figures().get(i));
+        }
+        return take(group.weight() - before) ? null : full(row.part, row.number);
+    }
+
+    private Tally[] tallies() {
+        return layout.figures().stream().map(Figure::tally).toArray(Tally[]::new);
+    }
+
+    private boolean take(long bytes) {
+        if (bytes < 0) {
+            account.give(-bytes);
+        } else if (!account.take(bytes)) {
+            return false;
+        }
+        held += bytes;
+        return true;
+    }
+
+    private Fault full(Part part, long row) {
+        return new Fault(Fault.Kind.FULL, part, row, byKey.size() + " groups of " + held
+                + " bytes have to be held for the answer, and that is the bound");
+    }
+
+    @Override
+    public Fault join(Pool pool) {
+        var other = (Groups) pool;
+        held += other.held;
+        other.held = 0;
+        for (var entry : other.byKey.entrySet()) {
+            Group group = byKey.get(entry.getKey());
+            Group more = entry.getValue();
+            if (group == null) {
+                if (byKey.size() >= most) {
+                    return full(more.part, more.number);
+                }
+                byKey.put(entry.getKey(), more);
+                continue;
+            }
+            long before = group.weight() + more.weight();
+            group.show(more.shown, more.part, more.number);
+            for (int i = 0; i < group.tallies.length; i++) {
+                group.tallies[i].join(more.tallies[i]);
+            }
+            if (!take(group.weight() - before)) {
+                return full(more.part, more.number);
+            }
+        }
+        other.byKey.clear();
+        return null;
+    }
+
+    /** Numbered in the order of their keys, so that ties of the answer's own order are the same whatever came first. */
+    @Override
+    public List<Row> rows() {
+        if (byKey.isEmpty() && layout.groupSlots().length == 0) {
+            Group none = new Group(tallies());
+            none.shown = new byte[0][];
+            byKey.put(List.of(), none);
+        }
+        List<List<Cell>> keys = new ArrayList<>(byKey.keySet());
+        keys.sort(Groups::compare);
+        var rows = new ArrayList<Row>(keys.size());
+        for (List<Cell> key : keys) {
+            Row row = row(byKey.get(key), rows.size() + 1);
+            if (row == null) {
+                return null;
+            }
+            rows.add(row);
+        }
+        return rows;
+    }
+
+    private static int compare(List<Cell> a, List<Cell> b) {
+        for (int i = 0; i < a.size(); i++) {
+            int one = a.get(i) == Cell.NULL || b.get(i) == Cell.NULL ? Boolean.compare(a.get(i) == Cell.NULL, b.get(i) == Cell.NULL)
+                    : a.get(i).compareTo(b.get(i));
+            if (one != 0) {
+                return one;
+            }
+        }
+        return 0;
+    }
+
+    private Row row(Group group, long number) {
+        byte[][] fields = Arrays.copyOf(group.shown, group.shown.length + group.tallies.length);
+        for (int i = 0; i < group.tallies.length; i++) {
+            Tally tally = group.tallies[i];
+            String name = layout.figures().get(i).measure().name();
+            if (tally.fault() != null) {
+                fault = new Fault(tally.fault(), null, -1, name + (tally.fault() == Fault.Kind.FULL
+                        ? " of more than " + Quantile.EXACT + " values that are no numbers" : " is beyond its type"));
+                return null;
+            }
+            if (tally.error() > 0) {
+                errors.merge(name, tally.error(), Math::max);
+            }
+            fields[group.shown.length + i] = tally.text();
+        }
+        return layout.shownReading().row(ANSWER, number, Row.message(fields));
+    }
+
+    @Override
+    public Fault fault() {
+        return fault;
+    }
+
+    /** By figure, the largest error of any group as a share of the value, where it is not exact; known after {@link #rows}. */
+    Map<String, Double> errors() {
+        return errors;
+    }
+
+    @Override
+    public void drop() {
+        byKey.clear();
+        account.give(held);
+        held = 0;
+    }
+}
--- /dev/null
+++ b/gather/src/main/java/clayhook/gather/Layout.java
@@ -0,0 +1,128 @@
+package clayhook.gather;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Objects;
+import java.util.function.ToDoubleFunction;
+
+/** A plan for merging, for certain columns. */
+final class Layout {
+    private final List<Column> columns;
+    private final Reading reading;
+    private final Ranks ranks;
+    private final List<Figure> figures;
+    private final int[] groupSlots;
+    private List<Column> shown;
+    private final Reading shownReading;
+    private final Order order;
+    private final String misfit;
+
+    Layout(Merging merging, List<Column> columns, ToDoubleFunction<Part> positions) {
+        this.columns = columns;
+        reading = new Reading(columns);
+        ranks = merging.duplicates() == null ? null : new Ranks(merging.duplicates(), columns, reading, positions);
+        Grouping grouping = merging.groups();
+        if (grouping == null) {
+            figures = List.of();
+            groupSlots = new int[0];
+            shown = columns;
+            shownReading = reading;
+            order = Order.of(merging.order(), columns, reading);
+        } else {
+            figures = grouping.measures().stream().map(measure -> Figure.of(measure, columns, reading)).toList();
+            groupSlots = grouping.by().stream().mapToInt(this::slot).toArray();
+            shown = figures.contains(null) || negative(groupSlots) ? List.of() : shown(grouping);
+            shownReading = new Reading(shown);
+            order = Order.of(merging.order(), shown, shownReading);
+        }
+        misfit = ranks != null && !ranks.fit() ? "a column to tell duplicates by is missing, there twice, or of a type without order"
+                : figures.contains(null) ? "a column to measure is missing, there twice, or of a type that this cannot be made of"
+                : negative(groupSlots) ? "a column to group by is missing, there twice, or of a type without order"
+                : order == null ? "a column to order by is missing, there twice, or of a type without order" : null;
+    }
+
+    private int slot(String name) {
+        int column = Column.find(columns, name);
+        return column < 0 || Type.of(columns.get(column).type()) == Type.OPAQUE ? -1 : reading.slot(column);
+    }
+
+    private static boolean negative(int[] slots) {
+        return Arrays.stream(slots).anyMatch(slot -> slot < 0);
+    }
+
+    private List<Column> shown(Grouping grouping) {
+        var all = new ArrayList<Column>();
+        grouping.by().forEach(name -> all.add(columns.get(Column.find(columns, name))));
+        figures.stream().filter(Objects::nonNull).forEach(figure -> all.add(figure.shown()));
+        return List.copyOf(all);
+    }
+
+    /** Why the plan cannot be carried out on these columns, or null. */
+    String misfit() {
+        return misfit;
+    }
+
+    /** Columns of parts that differ in size or modifier, such as numeric(8,2) and numeric(9,3), are shown without. */
+    void loosen(List<Column> others) {
+        for (int i = 0; i < others.size(); i++) {
+            int at = shown.indexOf(columns.get(i));
+            if (at >= 0 && !others.get(i).equals(columns.get(i))) {
+                var loose = new ArrayList<>(shown);
+                loose.set(at, Column.of(columns.get(i).name(), columns.get(i).type()));
+                shown = List.copyOf(loose);
+            }
+        }
+    }
+
+    /** What is wrong with these columns beside those of the first part, or null. */
+    String differs(List<Column> others) {
+        if (others.size() != columns.size()) {
+            return others.size() + " columns instead of " + columns.size();
+        }
+        for (int i = 0; i < others.size(); i++) {
+            if (!others.get(i).fits(columns.get(i))) {
+                return "column " + (i + 1) + " is " + others.get(i).name() + " of type " + others.get(i).type() + " instead of "
+                        + columns.get(i).name() + " of type " + columns.get(i).type();
+            }
+        }
+        return null;
+    }
+
+    List<Column> columns() {
+        return columns;
+    }
+
+    /** The columns of the answer. */
+    List<Column> shown() {
+        return shown;
+    }
+
+    /** Of rows as they come. */
+    Reading reading() {
+        return reading;
+    }
+
+    /** Of rows of the answer. */
+    Reading shownReading() {
+        return shownReading;
+    }
+
+    /** Of rows of the answer; the same as those that come where there are no groups. */
+    Order order() {
+        return order;
+    }
+
+    /** Null where each row counts. */
+    Ranks ranks() {
+        return ranks;
+    }
+
+    List<Figure> figures() {
+        return figures;
+    }
+
+    int[] groupSlots() {
+        return groupSlots;
+    }
+}
--- /dev/null
+++ b/gather/src/main/java/clayhook/gather/Merge.java
@@ -0,0 +1,172 @@
+package clayhook.gather;
+
+import java.util.List;
+import java.util.Map;
+
+/** Sorted parts become a sorted answer; only what is read ahead is held, and the copies of the row that is next. */
+final class Merge implements Blend {
+    private final Account account;
+    private final Bounds bounds;
+    private List<Stream> parts = List.of();
+    private Layout layout;
+    private Tournament tournament;
+    /** The slot whose next row is not there yet; -1 for none. */
+    private int unknown = -1;
+    /** The row that goes out when one with another key is next; null for none. */
+    private Copies next;
+    private long held;
+    private long conflicts;
+    private final boolean copies;
+    private Fault fault;
+
+    Merge(Merging merging, Account account, Bounds bounds) {
+        this.account = account;
+        this.bounds = bounds;
+        copies = merging.duplicates() != null;
+    }
+
+    @Override
+    public void take(Stream from, Row row, Layout plan) {
+        from.put(row);
+    }
+
+    @Override
+    public void forget(Stream from) {
+        from.clear();
+        int slot = parts.indexOf(from);
+        if (slot >= 0 && slot != unknown) {
+            dry(from);
+            tournament.put(slot, null);
+        }
+    }
+
+    @Override
+    public boolean ready(Stream part) {
+        return part.over || !part.buffer.isEmpty();
+    }
+
+    @Override
+    public boolean firm(Stream part) {
+        return part.over || part.owed == 0 && !part.buffer.isEmpty();
+    }
+
+    @Override
+    public void begin(List<Stream> streams, Layout plan) {
+        parts = streams;
+        layout = plan;
+        Row[] heads = new Row[parts.size()];
+        for (int i = 0; i < heads.length; i++) {
+            heads[i] = parts.get(i).buffer.peek();
+            if (heads[i] == null) {
+                dry(parts.get(i));
+            }
+        }
+        tournament = heads.length == 0 ? null : new Tournament(layout.order(), heads);
+    }
+
+    private static void dry(Stream part) {
+        part.dry = part.over && part.shortened;
+    }
+
+    @Override
+    public boolean pour(Output out) {
+        while (tournament != null && fault == null && !out.full()) {
+            if (unknown >= 0 && !know()) {
+                return false;
+            }
+            Row least = tournament.least();
+            if (out.blocked() && (least != null || next != null)) {
+                return false;
+            }
+            if (!copies) {
+                if (least == null) {
+                    return true;
+                }
+                next();
+                out.emit(least.bytes);
+            } else if (next != null && (least == null || !layout.ranks().same(next.best(), least))) {
+                give(out);
+            } else if (least == null) {
+                return true;
+            } else {
+                next();
+                hold(least);
+            }
+        }
+        return true;
+    }
+
+    /** Whether the part whose row went out last has shown its next one, or its end. */
+    private boolean know() {
+        Stream part = parts.get(unknown);
+        Row head = part.buffer.peek();
+        if (head == null) {
+            if (!part.over) {
+                return false;
+            }
+            dry(part);
+        }
+        tournament.put(unknown, head);
+        unknown = -1;
+        return true;
+    }
+
+    private void next() {
+        unknown = tournament.winner();
+        parts.get(unknown).poll();
+    }
+
+    private void hold(Row row) {
+        var copy = new Copies(layout.ranks(), row);
+        long before = next == null ? 0 : next.weight();
+        if (next == null) {
+            next = copy;
+        } else {
+            next.join(copy);
+        }
+        long more = next.weight() - before;
+        if (more < 0) {
+            account.give(-more);
+        } else if (!account.take(more)) {
+            fault = new Fault(Fault.Kind.FULL, row.part, row.number, "the copies of one row are beyond the memory for it");
+            return;
+        }
+        held += more;
+    }
+
+    private void give(Output out) {
+        conflicts += next.conflict() ? 1 : 0;
+        out.emit(next.row(layout.reading()).bytes);
+        next = null;
+        account.give(held);
+        held = 0;
+    }
+
+    /** Without duplicates the answer needs no more of a part than what it lacks itself. */
+    @Override
+    public long useful(Output out) {
+        return copies ? bounds.bufferRows() : out.left();
+    }
+
+    @Override
+    public Fault fault() {
+        return fault;
+    }
+
+    @Override
+    public long conflicts() {
+        return conflicts;
+    }
+
+    @Override
+    public Map<String, Double> errors() {
+        return Map.of();
+    }
+
+    @Override
+    public void drop() {
+        next = null;
+        account.give(held);
+        held = 0;
+    }
+}
--- /dev/null
+++ b/gather/src/main/java/clayhook/gather/Output.java
@@ -0,0 +1,63 @@
+package clayhook.gather;
+
+import java.util.List;
+
+/** The answer on its way out: as much as there is room for, up to its limit. */
+final class Output {
+    private final Acts acts;
+    private final Limit limit;
+    private long room;
+    private long rows;
+    private long bytes;
+    private boolean tooLong;
+    private boolean begun;
+
+    Output(Acts acts, Limit limit) {
+        this.acts = acts;
+        this.limit = limit;
+    }
+
+    void room(long more) {
+        room += Math.min(more, Long.MAX_VALUE - room);
+    }
+
+    boolean blocked() {
+        return room == 0;
+    }
+
+    /** Nothing more belongs to the answer. */
+    boolean full() {
+        return tooLong || rows >= limit.rows();
+    }
+
+    /** How many rows still belong to it at the most. */
+    long left() {
+        return limit.rows() - rows;
+    }
+
+    void begin(List<Column> columns) {
+        if (!begun) {
+            begun = true;
+            acts.columns(columns);
+        }
+    }
+
+    /** Not while it is blocked or full. */
+    void emit(byte[] row) {
+        tooLong = row.length > limit.bytes() - bytes;
+        if (!tooLong) {
+            room--;
+            rows++;
+            bytes += row.length;
+            acts.emit(row);
+        }
+    }
+
+    long rows() {
+        return rows;
+    }
+
+    Verdict.Cut.Where where() {
+        return tooLong ? Verdict.Cut.Where.BYTES : rows >= limit.rows() ? Verdict.Cut.Where.ROWS : Verdict.Cut.Where.NONE;
+    }
+}
--- /dev/null
+++ b/gather/src/main/java/clayhook/gather/Ranks.java
@@ -0,0 +1,143 @@
+package clayhook.gather;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import clayhook.gather.Duplicates.Rule;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+
+/** The rules on copies, for certain columns: the better copy is the lesser. No two rows are alike to it. */
+final class Ranks implements Comparator<Row> {
+    private final int[] key;
+    private final List<Comparator<Row>> rules = new ArrayList<>();
+    private final boolean union;
+    /** Where conflicts show; -1 for nowhere. */
+    private int conflictSlot = -1;
+    private byte[] conflict;
+    private Map<Cell, Integer> levels = Map.of();
+    private int named;
+    private boolean fit = true;
+
+    /** @param positions of parts, as known when copies are compared */
+    Ranks(Duplicates duplicates, List<Column> columns, Reading reading, ToDoubleFunction<Part> positions) {
+        key = duplicates.key().stream().mapToInt(name -> slot(name, columns, reading)).toArray();
+        union = duplicates.union();
+        for (Rule rule : duplicates.rules()) {
+            rules.add(comparator(rule, columns, reading, positions));
+        }
+        rules.add(Comparator.comparingInt((Row row) -> row.part.number()).thenComparingLong(row -> row.number));
+    }
+
+    private int slot(String name, List<Column> columns, Reading reading) {
+        int column = Column.find(columns, name);
+        fit &= column >= 0 && Type.of(columns.get(column).type()) != Type.OPAQUE;
+        return reading.slot(Math.max(0, column));
+    }
+
+    private Comparator<Row> comparator(Rule rule, List<Column> columns, Reading reading, ToDoubleFunction<Part> positions) {
+        if (rule instanceof Rule.Newest newest) {
+            int slot = slot(newest.column(), columns, reading);
+            return (a, b) -> newer(a.cell(slot), b.cell(slot));
+        } else if (rule instanceof Rule.Position) {
+            return (a, b) -> Double.compare(positions.applyAsDouble(b.part), positions.applyAsDouble(a.part));
+        } else if (rule instanceof Rule.Source source) {
+            return Comparator.comparingInt(row -> {
+                int place = source.parts().indexOf(row.part.name());
+                return place < 0 ? Integer.MAX_VALUE : place;
+            });
+        }
+        return ranking((Rule.Ranking) rule, columns, reading);
+    }
+
+    private static int newer(Cell a, Cell b) {
+        return a == Cell.NULL || b == Cell.NULL ? Boolean.compare(a == Cell.NULL, b == Cell.NULL) : b.compareTo(a);
+    }
+
+    private Comparator<Row> ranking(Rule.Ranking rule, List<Column> columns, Reading reading) {
+        int slot = slot(rule.column(), columns, reading);
+        var ranks = new HashMap<Cell, Integer>();
+        for (int level = 0; level < rule.levels().size(); level++) {
+            for (String text : rule.levels().get(level)) {
+                ranks.putIfAbsent(new Cell.Text(text.getBytes(UTF_8)), level);
+            }
+        }
+        int last = rule.levels().size();
+        if (rule.conflict() != null) {
+            conflictSlot = slot;
+            conflict = rule.conflict().getBytes(UTF_8);
+            levels = ranks;
+            named = last;
+            fit &= reading.type(slot) == Type.TEXT;
+        }
+        return Comparator.comparingInt(row -> level(row, slot, ranks, last));
+    }
+
+    private static int level(Row row, int slot, Map<Cell, Integer> ranks, int last) {
+        byte[] raw = row.raw(slot);
+        return raw == null ? last : ranks.getOrDefault(new Cell.Text(raw), last);
+    }
+
+    /** Whether all columns are there and of types that can be compared. */
+    boolean fit() {
+        return fit;
+    }
+
+    @Override
+    public int compare(Row a, Row b) {
+        for (Comparator<Row> rule : rules) {
+            int one = rule.compare(a, b);
+            if (one != 0) {
+                return one;
+            }
+        }
+        return 0;
+    }
+
+    boolean same(Row a, Row b) {
+        for (int slot : key) {
+            if (!a.cell(slot).equals(b.cell(slot))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    List<Cell> key(Row row) {
+        return Arrays.stream(key).mapToObj(row::cell).toList();
+    }
+
+    int[] keySlots() {
+        return key;
+    }
+
+    boolean union() {
+        return union;
+    }
+
+    int conflictSlot() {
+        return conflictSlot;
+    }
+
+    byte[] conflict() {
+        return conflict;
+    }
+
+    /** Of two copies, each the best of its kind: both of one named level, and yet they differ. */
+    boolean differ(Row a, Row b) {
+        if (conflictSlot < 0) {
+            return false;
+        }
+        int level = level(a, conflictSlot, levels, named);
+        return level < named && level == level(b, conflictSlot, levels, named) && !a.cell(conflictSlot).equals(b.cell(conflictSlot));
+    }
+
+    /** Whether the first copy is of a better level, so that conflicts among lesser ones mean nothing. */
+    boolean outranks(Row a, Row b) {
+        return conflictSlot >= 0 && level(a, conflictSlot, levels, named) < level(b, conflictSlot, levels, named);
+    }
+}
--- /dev/null
+++ b/gather/src/main/java/clayhook/gather/Row.java
@@ -0,0 +1,112 @@
+package clayhook.gather;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+
+/** A row of a part: the bytes as they came, and the values of the columns that merging looks at. */
+final class Row {
+    /** 'D' and the length. */
+    private static final int HEADER = 5;
+    /** Of the objects that make a row on a 64-bit machine, and of each value read from it, about. */
+    private static final int OBJECTS = 72, CELL = 48;
+
+    final Part part;
+    /** Within its part, from 1. */
+    final long number;
+    /** A whole DataRow message. */
+    final byte[] bytes;
+    private final Reading reading;
+    private final Cell[] cells;
+
+    Row(Part part, long number, byte[] bytes, Reading reading, Cell[] cells) {
+        this.part = part;
+        this.number = number;
+        this.bytes = bytes;
+        this.reading = reading;
+        this.cells = cells;
+    }
+
+    Cell cell(int slot) {
+        return cells[slot];
+    }
+
+    /** The bytes of what {@link #cell} gives; null for no value. */
+    byte[] raw(int slot) {
+        return field(reading.column(slot));
+    }
+
+    byte[] field(int column) {
+        int at = HEADER + 2;
+        for (int i = 0; i < column; i++) {
+            at += 4 + Math.max(0, number(bytes, at));
+        }
+        int length = number(bytes, at);
+        return length < 0 ? null : Arrays.copyOfRange(bytes, at + 4, at + 4 + length);
+    }
+
+    byte[][] fields() {
+        byte[][] fields = new byte[width(bytes)][];
+        int at = HEADER + 2;
+        for (int i = 0; i < fields.length; i++) {
+            int length = number(bytes, at);
+            fields[i] = length < 0 ? null : Arrays.copyOfRange(bytes, at + 4, at + 4 + length);
+            at += 4 + Math.max(0, length);
+        }
+        return fields;
+    }
+
+    /** Bytes of memory, about. */
+    long weight() {
+        return weight(bytes.length, cells.length);
+    }
+
+    /** Keys may be all of the row, and are read into bytes of their own. */
+    static long weight(int length, int cells) {
+        return (cells == 0 ? 1L : 2L) * length + OBJECTS + (long) cells * CELL;
+    }
+
+    /** How many columns a message has; -1 where it is no whole DataRow. */
+    static int width(byte[] message) {
+        if (message.length < HEADER + 2 || message[0] != 'D' || number(message, 1) != message.length - 1) {
+            return -1;
+        }
+        int width = (message[HEADER] & 0xff) << 8 | message[HEADER + 1] & 0xff;
+        int at = HEADER + 2;
+        for (int i = 0; i < width; i++) {
+            if (at > message.length - 4) {
+                return -1;
+            }
+            int length = number(message, at);
+            if (length < -1 || length > message.length - at - 4) {
+                return -1;
+            }
+            at += 4 + Math.max(0, length);
+        }
+        return at == message.length ? width : -1;
+    }
+
+    static int number(byte[] in, int at) {
+        return in[at] << 24 | (in[at + 1] & 0xff) << 16 | (in[at + 2] & 0xff) << 8 | in[at + 3] & 0xff;
+    }
+
+    /** Where the first field's length is. */
+    static int start() {
+        return HEADER + 2;
+    }
+
+    /** A whole DataRow message; null is no value. */
+    static byte[] message(byte[]... fields) {
+        int length = HEADER + 2;
+        for (byte[] field : fields) {
+            length += 4 + (field == null ? 0 : field.length);
+        }
+        ByteBuffer out = ByteBuffer.allocate(length).put((byte) 'D').putInt(length - 1).putShort((short) fields.length);
+        for (byte[] field : fields) {
+            out.putInt(field == null ? -1 : field.length);
+            if (field != null) {
+                out.put(field);
+            }
+        }
+        return out.array();
+    }
+}
--- /dev/null
+++ b/gather/src/main/java/clayhook/gather/Rows.java
@@ -0,0 +1,124 @@
+package clayhook.gather;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Rows that are at hand, as one part of an answer.
+ *
+ * @param messages whole DataRow messages
+ */
+public record Rows(List<Column> columns, List<byte[]> messages) {
+    /** What one part holds. @param rows null where it is out of reach, and {@code why} says how; @param position as of the gather */
+    public record Held(Part part, Rows rows, String why, double position) {
+    }
+
+    /** An answer with its verdict. @param columns empty where no part told any */
+    public record Answer(List<Column> columns, List<byte[]> rows, Verdict verdict) {
+    }
+
+    /** @param rows values as PostgreSQL writes them, null for none */
+    public static Rows table(List<Column> columns, List<List<String>> rows) {
+        var messages = new ArrayList<byte[]>(rows.size());
+        for (List<String> row : rows) {
+            messages.add(message(row));
+        }
+        return new Rows(List.copyOf(columns), messages);
+    }
+
+    /** One row as a whole DataRow message. */
+    public static byte[] message(List<String> values) {
+        return Row.message(values.stream().map(value -> value == null ? null : value.getBytes(UTF_8)).toArray(byte[][]::new));
+    }
+
+    /** The values of a whole DataRow message, null for none. */
+    public static List<String> values(byte[] message) {
+        var values = new ArrayList<String>();
+        for (byte[] field : new Row(null, 0, message, null, new Cell[0]).fields()) {
+            values.add(field == null ? null : new String(field, UTF_8));
+        }
+        return values;
+    }
+
+    /** Gathers what is at hand; at once, so that no part is late. */
+    public static Answer gather(Plan plan, List<Held> parts, Allowance allowance) {
+        var feed = new Feed(parts.size());
+        var gather = new Gather(plan, parts.stream().map(Held::part).toList(), allowance, feed);
+        gather.begin(0, Double.POSITIVE_INFINITY);
+        gather.room(Integer.MAX_VALUE);
+        int[] given = new int[parts.size()];
+        for (Held held : parts) {
+            if (feed.verdict == null && held.rows == null) {
+                gather.failed(held.part, held.why, false);
+            } else if (feed.verdict == null) {
+                gather.described(held.part, held.rows.columns);
+            }
+        }
+        while (feed.verdict == null) {
+            for (Held held : parts) {
+                int part = held.part.number();
+                while (feed.credit[part] > 0 && given[part] < held.rows.messages.size()) {
+                    feed.credit[part]--;
+                    gather.row(held.part, held.rows.messages.get(given[part]++));
+                }
+                if (!feed.done[part] && held.rows != null && given[part] == held.rows.messages.size()) {
+                    feed.end(held.part);
+                    gather.ended(held.part, held.position);
+                }
+            }
+        }
+        return new Answer(feed.columns, feed.rows, feed.verdict);
+    }
+
+    /** Remembers what the gather wants. */
+    private static final class Feed implements Acts {
+        final long[] credit;
+        /** Nothing more is to be fed from there. */
+        final boolean[] done;
+        List<Column> columns = List.of();
+        /** The answer; bounded by what the parts hold. */
+        final List<byte[]> rows = new ArrayList<>();
+        Verdict verdict;
+
+        Feed(int parts) {
+            credit = new long[parts];
+            done = new boolean[parts];
+        }
+
+        void end(Part part) {
+            done[part.number()] = true;
+            credit[part.number()] = 0;
+        }
+
+        @Override
+        public void ask(Part part) {
+        }
+
+        @Override
+        public void recall(Part part) {
+            end(part);
+        }
+
+        @Override
+        public void credit(Part part, int more) {
+            credit[part.number()] += more;
+        }
+
+        @Override
+        public void columns(List<Column> shown) {
+            columns = shown;
+        }
+
+        @Override
+        public void emit(byte[] row) {
+            rows.add(row);
+        }
+
+        @Override
+        public void finish(Verdict end) {
+            verdict = end;
+        }
+    }
+}
--- /dev/null
+++ b/gather/src/main/java/clayhook/gather/Type.java
@@ -0,0 +1,151 @@
+package clayhook.gather;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import java.math.BigDecimal;
+import java.util.Arrays;
+
+/** How the text of a column is read, by the number that PostgreSQL gives its type (pg_type.dat, fixed for ever). */
+enum Type {
+    WHOLE, DECIMAL, SINGLE, REAL, TEXT, PADDED, TIME, FLAG, BYTES, UUID,
+    /** Passed on, but no key: its order is not known here. */
+    OPAQUE;
+
+    static final int INT2 = 21, INT4 = 23, INT8 = 20, NUMERIC = 1700, FLOAT4 = 700, FLOAT8 = 701;
+    /** Longer numerics are legal, but the time to read one grows with the square of its digits. */
+    private static final int LONGEST_NUMBER = 1024;
+    /** This many digits fit into a long whatever they are. */
+    private static final int SURE_DIGITS = 18;
+    private static final int UUID_LENGTH = 36;
+
+    static Type of(int oid) {
+        return switch (oid) {
+            case INT2, INT4, INT8, 26 -> WHOLE;
+            case NUMERIC -> DECIMAL;
+            case FLOAT4 -> SINGLE;
+            case FLOAT8 -> REAL;
+            case 25, 1043, 18, 19 -> TEXT;
+            case 1042 -> PADDED;
+            case 1082, 1114, 1184 -> TIME;
+            case 16 -> FLAG;
+            case 17 -> BYTES;
+            case 2950 -> UUID;
+            default -> OPAQUE;
+        };
+    }
+
+    boolean number() {
+        return this == WHOLE || this == DECIMAL || floating();
+    }
+
+    boolean floating() {
+        return this == SINGLE || this == REAL;
+    }
+
+    /** The value of those bytes, or null where they are none of this type. */
+    Cell read(byte[] in, int from, int length) {
+        return switch (this) {
+            case WHOLE -> whole(in, from, length);
+            case DECIMAL -> decimal(in, from, length);
+            case SINGLE, REAL -> real(in, from, length);
+            case TEXT -> new Cell.Text(Arrays.copyOfRange(in, from, from + length));
+            case PADDED -> padded(in, from, length);
+            case TIME -> Times.read(new String(in, from, length, ISO_8859_1));
+            case FLAG -> length == 1 && (in[from] == 't' || in[from] == 'f') ? new Cell.Flag(in[from] == 't') : null;
+            case BYTES -> length >= 2 && in[from] == '\\' && in[from + 1] == 'x' && digits(in, from + 2, length - 2)
+                    ? new Cell.Text(Arrays.copyOfRange(in, from, from + length)) : null;
+            case UUID -> length == UUID_LENGTH && digits(in, from, length) ? new Cell.Text(Arrays.copyOfRange(in, from, from + length))
+                    : null;
+            case OPAQUE -> null;
+        };
+    }
+
+    private static Cell whole(byte[] in, int from, int length) {
+        if (length > SURE_DIGITS) { // rare: with a check for overflow
+            try {
+                return new Cell.Whole(Long.parseLong(new String(in, from, length, ISO_8859_1)));
+            } catch (NumberFormatException e) {
+                return null;
+            }
+        }
+        boolean below = length > 0 && in[from] == '-';
+        long value = 0;
+        for (int i = from + (below ? 1 : 0); i < from + length; i++) {
+            int digit = in[i] - '0';
+            if (digit < 0 || digit > 9) {
+                return null;
+            }
+            value = 10 * value + digit;
+        }
+        return length > (below ? 1 : 0) ? new Cell.Whole(below ? -value : value) : null;
+    }
+
+    private static Cell decimal(byte[] in, int from, int length) {
+        boolean below = length > 0 && in[from] == '-';
+        int start = from + (below ? 1 : 0);
+        int point = -1;
+        long value = 0;
+        for (int i = start; i < from + length; i++) {
+            int digit = in[i] - '0';
+            if (in[i] == '.' && point < 0) {
+                point = i;
+            } else if (digit < 0 || digit > 9) { // no exponents either: PostgreSQL writes none, and "1e999999999" would never end
+                return special(new String(in, from, length, ISO_8859_1));
+            } else {
+                value = 10 * value + digit;
+            }
+        }
+        int digits = from + length - start - (point < 0 ? 0 : 1);
+        if (digits < 1 || digits > LONGEST_NUMBER) {
+            return null;
+        }
+        return digits > SURE_DIGITS ? new Cell.Decimal(new BigDecimal(new String(in, from, length, ISO_8859_1)))
+                : new Cell.Decimal(BigDecimal.valueOf(below ? -value : value, point < 0 ? 0 : from + length - point - 1));
+    }
+
+    private Cell real(byte[] in, int from, int length) {
+        String text = new String(in, from, length, ISO_8859_1);
+        for (int i = 0; i < length; i++) {
+            char c = text.charAt(i);
+            if ((c < '0' || c > '9') && "+-.eE".indexOf(c) < 0) { // what Java reads besides, such as "1d" or " 1"
+                return special(text);
+            }
+        }
+        if (length > LONGEST_NUMBER) {
+            return null;
+        }
+        try {
+            return new Cell.Real(this == SINGLE ? Float.parseFloat(text) : Double.parseDouble(text));
+        } catch (NumberFormatException e) {
+            return null;
+        }
+    }
+
+    private static Cell special(String text) {
+        return switch (text) {
+            case "NaN" -> new Cell.Real(Double.NaN);
+            case "Infinity" -> new Cell.Real(Double.POSITIVE_INFINITY);
+            case "-Infinity" -> new Cell.Real(Double.NEGATIVE_INFINITY);
+            default -> null;
+        };
+    }
+
+    /** Blanks at the end of a char(n) mean nothing. */
+    private static Cell padded(byte[] in, int from, int length) {
+        int end = from + length;
+        while (end > from && in[end - 1] == ' ') {
+            end--;
+        }
+        return new Cell.Text(Arrays.copyOfRange(in, from, end));
+    }
+
+    /** Only hexadecimal digits in lower case, or dashes: else the order of the text is not that of what it means. */
+    private static boolean digits(byte[] in, int from, int length) {
+        for (int i = from; i < from + length; i++) {
+            if ((in[i] < '0' || in[i] > '9') && (in[i] < 'a' || in[i] > 'f') && in[i] != '-') {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/gather/src/main/java/clayhook/gather/Verdict.java
@@ -0,0 +1,73 @@
+package clayhook.gather;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/**
+ * What an answer is worth.
+ *
+ * @param enough whether it may be given out: complete, or the plan takes whatever is there
+ * @param position of the oldest part that the answer rests on, seconds since 1970; negative infinity where one told none, positive
+ *     infinity where it rests on none
+ * @param notes on each part, in their order
+ * @param fault what ended the whole gather; null for none
+ * @param conflicts keys of which copies contradict each other
+ * @param errors by figure that is not exact, its standard or greatest error as a share of the value
+ */
+public record Verdict(Outcome outcome, boolean enough, double position, List<Note> notes, Cut cut, long rows, Fault fault,
+        long conflicts, Map<String, Double> errors) {
+    /** Kinds of answers. */
+    public enum Outcome { COMPLETE, PARTIAL, FAILED }
+
+    /** What became of a part. */
+    public enum Standing {
+        /** All that the answer needs of it is in, read at a position that is fresh enough. */
+        WHOLE,
+        /** It was recalled, as others are enough or nothing can be enough any more. */
+        SPARE,
+        /** It failed, and none of it is in. */
+        MISSING,
+        /** It took too long, and none of it is in. */
+        LATE,
+        /** Not all that the answer needs of it is in. */
+        CUT,
+        /** It is in, and older than the bound. */
+        OLD
+    }
+
+    /** On one part. */
+    public record Note(Part part, Standing standing, String why, Fault fault, double position) {
+        @Override
+        public String toString() {
+            return part + " " + standing.name().toLowerCase(Locale.ROOT) + (why.isEmpty() ? "" : " (" + why + ")");
+        }
+    }
+
+    /**
+     * Where the answer ends.
+     *
+     * @param exact whether the rows given are the first of the whole answer, whatever the parts may hold besides; of groups and of
+     *     rows held whole it is only claimed when no part has more
+     * @param deeper parts that were asked for too few rows to know
+     */
+    public record Cut(Where where, boolean exact, List<Part> deeper) {
+        /** Kinds of ends. */
+        public enum Where { NONE, ROWS, BYTES, DEADLINE }
+    }
+
+    /** The parts with that standing. */
+    public List<Part> parts(Standing standing) {
+        return notes.stream().filter(note -> note.standing == standing).map(Note::part).toList();
+    }
+
+    /** One line for people: what is wrong with which part. */
+    @Override
+    public String toString() {
+        String parts = notes.stream().filter(note -> note.standing != Standing.WHOLE && note.standing != Standing.SPARE)
+                .map(Note::toString).collect(Collectors.joining(", "));
+        return outcome.name().toLowerCase(Locale.ROOT) + (fault == null ? "" : ": " + fault) + (parts.isEmpty() ? "" : ": " + parts)
+                + (cut.deeper.isEmpty() ? "" : "; ask deeper: " + cut.deeper);
+    }
+}
