--- /dev/null
+++ b/gather/src/test/java/clayhook/gather/Sample.java
@@ -0,0 +1,231 @@
+package clayhook.gather;
+
+import java.math.BigDecimal;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Function;
+
+/** Parts with rows of all types drawn from a seed, and the plain way to an answer: lists, a sort, a map. */
+final class Sample {
+    /** What a text means, and the text; {@code meant} is null for no value. */
+    record Value(Comparable<?> meant, String text) {
+    }
+
+    /** A row and where it stands. */
+    record Line(int part, int number, List<Value> values) {
+        List<String> texts() {
+            return values.stream().map(Value::text).toList();
+        }
+    }
+
+    static final List<Column> COLUMNS = List.of(Column.of("i", 23), Column.of("l", 20), Column.of("n", 1700), Column.of("d", 701),
+            Column.of("t", 25), Column.of("at", 1184), Column.of("b", 16), Column.of("fate", 25), Column.of("rest", 114));
+    private static final int OPAQUE = 8;
+    private static final List<String> FATES = List.of("run", "not run", "unknown", "?");
+
+    final Random random;
+    final List<List<Line>> parts = new ArrayList<>();
+    final List<Key> keys = new ArrayList<>();
+
+    Sample(long seed, int parts, int rows) {
+        random = new Random(seed);
+        List<String> names = new ArrayList<>(COLUMNS.subList(0, OPAQUE).stream().map(Column::name).toList());
+        java.util.Collections.shuffle(names, random);
+        for (String name : names.subList(0, 1 + random.nextInt(3))) {
+            keys.add(new Key(name, random.nextBoolean(), random.nextBoolean()));
+        }
+        for (int part = 0; part < parts; part++) {
+            var lines = new ArrayList<Line>();
+            for (int i = random.nextInt(rows + 1); i > 0; i--) {
+                lines.add(line(part, 0));
+            }
+            this.parts.add(lines);
+        }
+    }
+
+    Line line(int part, int number) {
+        var values = new ArrayList<Value>();
+        for (int column = 0; column < COLUMNS.size(); column++) {
+            values.add(random.nextInt(6) == 0 ? new Value(null, null) : value(column));
+        }
+        return new Line(part, number, values);
+    }
+
+    /** Few unlike ones, so that there are ties and copies. */
+    private Value value(int column) {
+        int small = random.nextInt(5) - 2;
+        return switch (column) {
+            case 0 -> new Value((long) small, "" + small);
+            case 1 -> {
+                long value = random.nextInt(4) == 0 ? Long.MAX_VALUE - random.nextInt(2) : small;
+                yield new Value(value, "" + value);
+            }
+            case 2 -> random.nextInt(12) == 0 ? new Value(Decimal.NAN, "NaN") : decimal(small);
+            case 3 -> {
+                double value = List.of(-1e300, -0.0, 0.0, 0.1, 3e-5, Double.NaN, Double.POSITIVE_INFINITY).get(random.nextInt(7));
+                yield new Value(value + 0.0, Double.isInfinite(value) ? "Infinity" : "" + value);
+            }
+            case 4 -> {
+                String text = List.of("", "a", "a b", "B", "é", "\uD83D\uDE00", "\uFF5E").get(random.nextInt(7));
+                yield new Value(text.codePoints().mapToObj(c -> String.format("%08x", c)).reduce("", String::concat), text);
+            }
+            case 5 -> time(small);
+            case 6 -> new Value(small > 0, small > 0 ? "t" : "f");
+            case 7 -> {
+                String fate = FATES.get(random.nextInt(4));
+                yield new Value(fate, fate);
+            }
+            default -> new Value("", "{\"x\":" + random.nextInt(100) + "}");
+        };
+    }
+
+    private Value decimal(int small) {
+        BigDecimal value = BigDecimal.valueOf(small).movePointLeft(random.nextInt(2)).setScale(1 + random.nextInt(2));
+        return new Value(new Decimal(value), value.toPlainString());
+    }
+
+    /** A numeric that may be NaN, above all. */
+    record Decimal(BigDecimal value) implements Comparable<Decimal> {
+        static final Decimal NAN = new Decimal(null);
+
+        @Override
+        public int compareTo(Decimal other) {
+            return value == null || other.value == null ? Boolean.compare(value == null, other.value == null)
+                    : value.compareTo(other.value);
+        }
+    }
+
+    private Value time(int hours) {
+        int zone = random.nextInt(3) - 1;
+        return new Value((long) hours, java.time.OffsetDateTime.of(2026, 3, 1, 12, 0, 0, 250_000_000, java.time.ZoneOffset.UTC)
+                .plusHours(hours + zone).format(java.time.format.DateTimeFormatter.ofPattern("yyyy-MM-dd HH:mm:ss.SS"))
+                + (zone < 0 ? "-0" + -zone : "+0" + zone));
+    }
+
+    static int column(String name) {
+        return Column.find(COLUMNS, name);
+    }
+
+    @SuppressWarnings("unchecked")
+    static int compare(Value a, Value b) {
+        return ((Comparable<Object>) a.meant).compareTo(b.meant);
+    }
+
+    /** By the keys alone. */
+    Comparator<Line> byKeys() {
+        return (a, b) -> {
+            for (Key key : keys) {
+                Value left = a.values.get(column(key.column()));
+                Value right = b.values.get(column(key.column()));
+                int one = left.meant == null || right.meant == null
+                        ? left.meant == right.meant ? 0 : (left.meant == null) == key.nullsFirst() ? -1 : 1
+                        : compare(left, right) * (key.descending() ? -1 : 1);
+                if (one != 0) {
+                    return one;
+                }
+            }
+            return 0;
+        };
+    }
+
+    /** Numbers the rows of each part, sorted or as they are. */
+    Sample arranged(boolean sorted) {
+        parts.replaceAll(lines -> {
+            var copy = new ArrayList<>(lines);
+            if (sorted) {
+                copy.sort(byKeys());
+            }
+            return numbered(copy);
+        });
+        return this;
+    }
+
+    static List<Line> numbered(List<Line> lines) {
+        var out = new ArrayList<Line>();
+        lines.forEach(line -> out.add(new Line(line.part, out.size() + 1, line.values)));
+        return out;
+    }
+
+    List<Line> all() {
+        return parts.stream().flatMap(List::stream).toList();
+    }
+
+    List<Line> sorted(List<Line> lines) {
+        return lines.stream().sorted(byKeys().thenComparingInt(Line::part).thenComparingInt(Line::number)).toList();
+    }
+
+    /** Lines by what those columns mean, in the order met. */
+    static Map<List<Object>, List<Line>> by(List<String> columns, List<Line> lines) {
+        var groups = new LinkedHashMap<List<Object>, List<Line>>();
+        for (Line line : lines) {
+            List<Object> key = new ArrayList<>();
+            columns.forEach(name -> key.add(line.values.get(column(name)).meant));
+            groups.computeIfAbsent(key, any -> new ArrayList<>()).add(line);
+        }
+        return groups;
+    }
+
+    /** One line a key: the best, with its gaps filled in order of merit where asked for, and a conflict shown. */
+    List<Line> distinct(Duplicates duplicates, Function<Integer, Double> positions) {
+        var out = new ArrayList<Line>();
+        for (List<Line> copies : by(duplicates.key(), all()).values()) {
+            Comparator<Line> merit = (a, b) -> 0;
+            for (Duplicates.Rule rule : duplicates.rules()) {
+                merit = merit.thenComparing(merit(rule, positions));
+            }
+            List<Line> ranked = copies.stream().sorted(merit.thenComparingInt(Line::part).thenComparingInt(Line::number)).toList();
+            var values = new ArrayList<>(ranked.get(0).values);
+            for (Line line : duplicates.union() ? ranked : List.<Line>of()) {
+                for (int i = 0; i < values.size(); i++) {
+                    values.set(i, values.get(i).text == null ? line.values.get(i) : values.get(i));
+                }
+            }
+            if (!duplicates.rules().isEmpty() && duplicates.rules().get(0) instanceof Duplicates.Rule.Ranking
+                    && ranked.stream().map(line -> line.values.get(7).text).filter(List.of("run", "not run")::contains).distinct().count() > 1) {
+                values.set(7, new Value("conflict", "conflict"));
+            }
+            out.add(new Line(ranked.get(0).part, ranked.get(0).number, values));
+        }
+        return out;
+    }
+
+    private static Comparator<Line> merit(Duplicates.Rule rule, Function<Integer, Double> positions) {
+        if (rule instanceof Duplicates.Rule.Ranking) {
+            return Comparator.comparingInt(line -> line.values.get(7).text == null ? 2
+                    : List.of(0, 0, 1, 2).get(FATES.indexOf(line.values.get(7).text)));
+        } else if (rule instanceof Duplicates.Rule.Newest newest) {
+            return (a, b) -> {
+                Value left = a.values.get(column(newest.column()));
+                Value right = b.values.get(column(newest.column()));
+                return left.meant == null || right.meant == null ? Boolean.compare(left.meant == null, right.meant == null)
+                        : compare(right, left);
+            };
+        } else if (rule instanceof Duplicates.Rule.Position) {
+            return Comparator.comparingDouble(line -> -positions.apply(line.part));
+        }
+        return Comparator.comparingInt(line -> line.part == 1 ? 0 : 1);
+    }
+
+    /** Some key and rules; a key that the order begins with where they are to be adjacent. */
+    Duplicates duplicates(boolean adjacent) {
+        List<String> key = adjacent ? keys.subList(0, 1 + random.nextInt(keys.size())).stream().map(Key::column).toList() : List.of("i", "b");
+        var rules = new ArrayList<Duplicates.Rule>();
+        if (random.nextBoolean()) {
+            rules.add(new Duplicates.Rule.Ranking("fate", List.of(java.util.Set.of("run", "not run"), java.util.Set.of("unknown")), "conflict"));
+        }
+        if (random.nextBoolean()) {
+            rules.add(new Duplicates.Rule.Newest(random.nextBoolean() ? "at" : "n"));
+        }
+        if (random.nextInt(4) == 0) {
+            rules.add(new Duplicates.Rule.Position());
+        }
+        if (random.nextBoolean()) {
+            rules.add(new Duplicates.Rule.Source(List.of("p1")));
+        }
+        return new Duplicates(key, rules, random.nextBoolean());
+    }
+}
