--- a/gather/src/main/java/clayhook/gather/Layout.java
+++ b/gather/src/main/java/clayhook/gather/Layout.java
@@ -32,12 +32,12 @@
         } else {
             figures = grouping.measures().stream().map(measure -> Figure.of(measure, columns, reading)).toList();
             groupSlots = grouping.by().stream().mapToInt(this::slot).toArray();
-            shown = figures.contains(null) || negative(groupSlots) ? List.of() : shown(grouping);
+            shown = figures.stream().anyMatch(Objects::isNull) || negative(groupSlots) ? List.of() : shown(grouping);
             shownReading = new Reading(shown);
             order = Order.of(merging.order(), shown, shownReading);
         }
         misfit = ranks != null && !ranks.fit() ? "a column to tell duplicates by is missing, there twice, or of a type without order"
-                : figures.contains(null) ? "a column to measure is missing, there twice, or of a type that this cannot be made of"
+                : figures.stream().anyMatch(Objects::isNull) ? "a column to measure is missing, there twice, or of a type that this cannot be made of"
                 : negative(groupSlots) ? "a column to group by is missing, there twice, or of a type without order"
                 : order == null ? "a column to order by is missing, there twice, or of a type without order" : null;
     }
--- a/gather/src/main/java/clayhook/gather/Merge.java
+++ b/gather/src/main/java/clayhook/gather/Merge.java
@@ -142,10 +142,10 @@
         held = 0;
     }
 
-    /** Without duplicates the answer needs no more of a part than what it lacks itself. */
+    /** Without duplicates the answer needs no more of a part than what it lacks itself; it begins with a row of each, though. */
     @Override
     public long useful(Output out) {
-        return copies ? bounds.bufferRows() : out.left();
+        return copies ? bounds.bufferRows() : Math.max(1, out.left());
     }
 
     @Override
--- a/gather/src/main/java/clayhook/gather/Rows.java
+++ b/gather/src/main/java/clayhook/gather/Rows.java
@@ -56,14 +56,15 @@
                 gather.described(held.part, held.rows.columns);
             }
         }
+        List<Held> reached = parts.stream().filter(held -> held.rows != null).toList();
         while (feed.verdict == null) {
-            for (Held held : parts) {
+            for (Held held : reached) {
                 int part = held.part.number();
                 while (feed.credit[part] > 0 && given[part] < held.rows.messages.size()) {
                     feed.credit[part]--;
                     gather.row(held.part, held.rows.messages.get(given[part]++));
                 }
-                if (!feed.done[part] && held.rows != null && given[part] == held.rows.messages.size()) {
+                if (!feed.done[part] && given[part] == held.rows.messages.size()) {
                     feed.end(held.part);
                     gather.ended(held.part, held.position);
                 }
