Read what routers share from the operator's file, off by default

Routers that share need an address, seeds and bounds from their operator.

The table [sharing] is read and checked whole, on or off; faults name file, line and key. Addresses are in figures, as names that are looked up could hold up a start. A line of the log written by one thread no longer holds up another that counts: the counts have a lock of their own.

Seen: six faults by table; the example holds every key with its default.

--- a/benchmarks/src/main/java/clayhook/benchmarks/Routing.java
+++ b/benchmarks/src/main/java/clayhook/benchmarks/Routing.java
@@ -60,7 +60,7 @@
                 "read", "write", 1);
         server = new Server(own, new Configuration("bench", transport.spare(0), discovery.address(), 1, 1 << 27, 1024,
                 NodeList.parse(list), settings, 2), new Operator(statements ? new Operator.Statements(rules, false, 0, 1 << 20)
-                : null, "clayhook", "core"));
+                : null, "clayhook", "core", null));
         client = new StandInClient(transport, server.address());
         client.send(StandInClient.hello(statement()));
         client.next();
--- a/daemon/src/main/java/clayhook/config/Operator.java
+++ b/daemon/src/main/java/clayhook/config/Operator.java
@@ -10,10 +10,11 @@
  * @param statements null where only the two fixed forms of statement are taken
  * @param user as which the router connects to nodes
  * @param database that it connects to
+ * @param sharing null where it shares nothing with other routers
  */
-public record Operator(Statements statements, String user, String database) {
+public record Operator(Statements statements, String user, String database, SharingSettings sharing) {
     /** Without a file. */
-    public static final Operator OFF = new Operator(null, "clayhook", "core");
+    public static final Operator OFF = new Operator(null, "clayhook", "core", null);
 
     /**
      * Statements of any kind.
--- a/daemon/src/main/java/clayhook/config/OperatorFile.java
+++ b/daemon/src/main/java/clayhook/config/OperatorFile.java
@@ -39,8 +39,11 @@
         Toml table = toml.table("statements");
         boolean on = table.flag("enabled", false);
         Operator.Statements statements = statements(table, on ? groups : null);
+        Toml sharing = toml.table("sharing");
+        boolean shares = sharing.flag("enabled", false);
+        SharingSettings shared = SharingSettings.read(sharing);
         toml.nothingElse();
-        return new Operator(on ? statements : null, user, database);
+        return new Operator(on ? statements : null, user, database, shares ? shared : null);
     }
 
     private static Operator.Statements statements(Toml table, List<CommandGroup> groups) throws BadConfig {
--- a/daemon/src/main/java/clayhook/config/Toml.java
+++ b/daemon/src/main/java/clayhook/config/Toml.java
@@ -1,6 +1,8 @@
 package clayhook.config;
 
+import clayhook.discovery.NodeList;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -120,6 +122,29 @@
         return Set.copyOf(texts);
     }
 
+    /** An address and port in figures. */
+    public InetSocketAddress address(String key, String absent) throws BadConfig {
+        String text = text(key, absent);
+        return text == null ? null : numeric(key, text);
+    }
+
+    /** Several of them, each once. */
+    public List<InetSocketAddress> addresses(String key) throws BadConfig {
+        var addresses = new ArrayList<InetSocketAddress>();
+        for (String text : new TreeSet<>(texts(key))) {
+            addresses.add(numeric(key, text));
+        }
+        return List.copyOf(addresses);
+    }
+
+    private InetSocketAddress numeric(String key, String text) throws BadConfig {
+        InetSocketAddress address = NodeList.numeric(text);
+        if (address == null) {
+            throw fault(key, "'" + text + "' is no address and port in figures");
+        }
+        return address;
+    }
+
     public List<Integer> wholes(String key) throws BadConfig {
         var numbers = new ArrayList<Integer>();
         for (Object number : list(key)) {
--- a/daemon/src/main/java/clayhook/discovery/NodeList.java
+++ b/daemon/src/main/java/clayhook/discovery/NodeList.java
@@ -51,19 +51,24 @@
                 entry.containsKey("boot_ms") ? number(entry, "boot_ms") / 1000 : 0);
     }
 
-    /** Names are not looked up: that would hold up the loop. */
     private static InetSocketAddress address(String endpoint) {
-        int colon = endpoint.lastIndexOf(':');
-        byte[] host = NetUtil.createByteArrayFromIpAddressString(endpoint.substring(0, Math.max(0, colon)));
-        int port = port(endpoint.substring(colon + 1));
+        InetSocketAddress address = numeric(endpoint);
+        if (address == null) {
+            throw new IllegalArgumentException("endpoint: '" + endpoint + "' is no address and port");
+        }
+        return address;
+    }
+
+    /** An address and port in figures; null for what is none. Names are not looked up: that would hold up who asks. */
+    public static InetSocketAddress numeric(String text) {
+        int colon = text.lastIndexOf(':');
+        byte[] host = NetUtil.createByteArrayFromIpAddressString(text.substring(0, Math.max(0, colon)));
+        int port = port(text.substring(colon + 1));
         try {
-            if (host != null && port > 0) {
-                return new InetSocketAddress(InetAddress.getByAddress(host), port);
-            }
+            return host == null || port == 0 ? null : new InetSocketAddress(InetAddress.getByAddress(host), port);
         } catch (UnknownHostException e) {
-            // told below, as for an address that is none
+            return null;
         }
-        throw new IllegalArgumentException("endpoint: '" + endpoint + "' is no address and port");
     }
 
     /** 0 for what is no port. */
--- a/daemon/src/main/java/clayhook/log/Log.java
+++ b/daemon/src/main/java/clayhook/log/Log.java
@@ -15,7 +15,7 @@
 
     /** One a kind of line. */
     private static final Map<String, Kind> KINDS = new TreeMap<>();
-    /** Emptied by each summary. */
+    /** Emptied by each summary. It is its own lock: the loop counts while another thread may be writing a line. */
     private static final Map<String, Integer> COUNTS = new TreeMap<>();
 
     private Log() {
@@ -25,13 +25,22 @@
         LOGGER.log(System.Logger.Level.INFO, line);
     }
 
-    public static synchronized void warn(String kind, String line) {
+    public static void warn(String kind, String line) {
+        seldom(System.Logger.Level.WARNING, kind, line);
+    }
+
+    /** What is no cause for worry, but may come often. */
+    public static void info(String kind, String line) {
+        seldom(System.Logger.Level.INFO, kind, line);
+    }
+
+    private static synchronized void seldom(System.Logger.Level level, String kind, String line) {
         Kind of = KINDS.computeIfAbsent(kind, any -> new Kind());
         if (System.nanoTime() - of.loggedAt < SECOND) {
             of.left++;
             return;
         }
-        LOGGER.log(System.Logger.Level.WARNING, line + (of.left > 0 ? " (" + of.left + " alike left out)" : ""));
+        LOGGER.log(level, line + (of.left > 0 ? " (" + of.left + " alike left out)" : ""));
         of.left = 0;
         of.loggedAt = System.nanoTime();
     }
@@ -40,14 +49,18 @@
         LOGGER.log(System.Logger.Level.ERROR, line, cause);
     }
 
-    public static synchronized void count(String what) {
-        COUNTS.merge(what, 1, Integer::sum);
+    public static void count(String what) {
+        synchronized (COUNTS) {
+            COUNTS.merge(what, 1, Integer::sum);
+        }
     }
 
     /** What was counted since the last call. */
-    public static synchronized String counts() {
-        String text = COUNTS.toString();
-        COUNTS.clear();
-        return text;
+    public static String counts() {
+        synchronized (COUNTS) {
+            String text = COUNTS.toString();
+            COUNTS.clear();
+            return text;
+        }
     }
 }
--- a/daemon/src/test/java/clayhook/config/OperatorFileTest.java
+++ b/daemon/src/test/java/clayhook/config/OperatorFileTest.java
@@ -42,6 +42,7 @@
         assertEquals(Operator.OFF, OperatorFile.read(example, GROUPS));
         Operator on = read(Files.readString(example).replace("enabled = false", "enabled = true"));
         assertEquals(StatementRules.DEFAULT, on.statements().rules());
+        assertEquals(SharingSettings.LISTEN, on.sharing().listen().getHostString() + ":" + on.sharing().listen().getPort());
         // Uncommented, its rule is understood key by key; nothing else may be missing from the example.
         String rule = Files.readString(example).replaceAll("(?m)^# (\\[\\[|[a-z_]+ = )", "$1")
                 .replace("mark = \"id\"", "").replace("group = \"report\"", "group = \"read\"");
@@ -65,6 +66,12 @@
         "[statements]\\nenabled = true\\nread_group = \"write\"|:3: statements.read_group: command group 'write' is for writes",
         "[statements]\\nenabled = true\\nwrite_group = \"keyed\"|:3: statements.write_group: command group 'keyed' is keyed",
         "[statements]\\nenabled = true\\nwrite_group = \"again\"|:3: statements.write_group: command group 'again' is replayable",
+        "[sharing]\\nlisten = 'x:1'|:2: sharing.listen: 'x:1' is no address and port in figures",
+        "[sharing]\\nlisten = '0.0.0.0:7400'|:2: sharing.listen: is every address",
+        "[sharing]\\nnews = 1|:2: sharing.news: is no key",
+        "[sharing]\\nadvertise = '0.0.0.0:7400'|:2: sharing.advertise: is no address that others can send to",
+        "[sharing]\\n\\nseeds = ['10.0.0.1:7400', 'a:1']|:3: sharing.seeds: 'a:1' is no address",
+        "[sharing]\\nclock_bound = 3|:2: sharing.clock_bound: 3 is not from 0.01 to 2",
         "[[statements.rule]]\\ngroup = \"x\"|:1: statements.rule.class: is missing", RULE + "|:3: statements.rule.group: is missing",
         RULE + "group = \"none\"|:5: statements.rule.group: there is no command group 'none'",
         RULE + "group = \"read\"|:5: statements.rule.group: command group 'read' is for reads",
