Let an operator name further seeds while a router runs

SIGHUP may add seeds; members took them at the start only.

Members.seek adds those that are not known and knocks at the next turn. None is taken back, so that the table is bounded by what the operator's files have named.

--- a/fleet/src/main/java/clayhook/fleet/members/Knocker.java
+++ b/fleet/src/main/java/clayhook/fleet/members/Knocker.java
@@ -41,9 +41,15 @@
         this.register = register;
         this.voice = voice;
         this.chance = chance;
-        seeds.stream().distinct().filter(seed -> !seed.equals(voice.own().peer().address()))
-                .forEach(seed -> this.seeds.add(new Seed(seed)));
+        seek(seeds);
+    }
+
+    /** Looks at these too, at the next turn; none is ever taken back. */
+    void seek(List<Address> more) {
+        more.stream().distinct().filter(seed -> !seed.equals(voice.own().peer().address())
+                && seeds.stream().noneMatch(known -> known.address.equals(seed))).forEach(seed -> seeds.add(new Seed(seed)));
         pause = settings.knock();
+        nextAt = Double.NEGATIVE_INFINITY;
     }
 
     void answered(Member by, long sequence) {
--- a/fleet/src/main/java/clayhook/fleet/members/Members.java
+++ b/fleet/src/main/java/clayhook/fleet/members/Members.java
@@ -175,6 +175,11 @@
         voice.leave(now, out);
     }
 
+    /** The operator has named further seeds. */
+    public void seek(List<Address> seeds) {
+        knocker.seek(seeds);
+    }
+
     /** Something came from that very member, by whatever machine's part. */
     public void contact(Member member, double now) {
         Known known = register.known(member);
