Carry what routers share over UDP, on a thread beside the router's loop

Members and shared values are pure machines; a router needs a socket, a clock and a thread for them that never hold up a command.

One thread reads and sends datagrams, a burst at a time, and runs the machines. The loop tells by two bounded queues, one for what can be told again, and is told by mailboxes that keep the latest of each key; marks and shares are read by one volatile reference. Evidence is thinned to what others lack, and of writes only doubts and what ends them are told. Off, which is the default, Router has a null and no class of it is loaded.

Seen: a drain told to one of three routers closes the node at all, and at one that was killed and came back; 2,000 datagrams of garbage cost nothing; a process of its own shows that off loads no class, starts no thread and opens no socket.

--- /dev/null
+++ b/cli/src/test/java/clayhook/cli/SharingOffTest.java
@@ -0,0 +1,105 @@
+package clayhook.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import clayhook.rehearsal.StandInClient;
+import clayhook.transport.Transport;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What sharing costs a router that does not share: nothing, as a process of its own shows. */
+class SharingOffTest {
+    private static final String CONFIG = """
+            {"name":"n", "listen":"127.0.0.1:%d", "discovery":"127.0.0.1:%d", "seed":"1",
+            "known":{"rev":1,"all":true,"targets":[]}, "settings":{"domain":{"read_level":["any"]},
+            "grades":[{"name":"any","effect":"idempotent","aim":250000000,"hard_limit":600000000,"value":1}]}}""";
+    private static final List<String> OWN = List.of("clayhook.fleet.", "clayhook.peers.",
+            "com.fasterxml.jackson.dataformat.cbor.", "org.jctools.", "com.dynatrace.hash4j.");
+    @TempDir
+    private Path folder;
+
+    private static int freePort() throws Exception {
+        try (var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static int freeUdpPort() throws Exception {
+        try (var socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Which of those packages the process has loaded classes of, whether it has the thread and whether the socket. */
+    private List<Object> seen(Process process, Path classes, int port) throws Exception {
+        String loaded = Files.readString(classes);
+        boolean thread = threads(process).contains("clayhook-peers");
+        boolean socket = Files.readString(Path.of("/proc/" + process.pid() + "/net/udp")).contains(":%04X ".formatted(port));
+        return List.of(OWN.stream().filter(name -> loaded.contains("] " + name)).toList(), thread, socket);
+    }
+
+    private static List<String> threads(Process process) throws Exception {
+        try (var tasks = Files.list(Path.of("/proc/" + process.pid() + "/task"))) {
+            var names = new ArrayList<String>();
+            for (Path task : tasks.toList()) {
+                names.add(Files.readString(task.resolve("comm")).strip());
+            }
+            return names;
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aRouterThatSharesNothingLoadsNoClassStartsNoThreadAndOpensNoSocketForIt(boolean shares) throws Exception {
+        int port = freePort();
+        int peers = freeUdpPort();
+        Path config = Files.writeString(folder.resolve("config.json"), CONFIG.formatted(port, freePort()));
+        Path operator = Files.writeString(folder.resolve("c.toml"),
+                """
+                [sharing]
+                enabled = %b
+                listen = "127.0.0.1:%d"
+                seeds = ["127.0.0.1:%d"]
+                """.formatted(shares, peers, freeUdpPort()));
+        Path classes = folder.resolve("classes");
+        var builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-Xlog:class+load:file=" + classes, "-cp", System.getProperty("java.class.path"),
+                "clayhook.cli.Main", "serve", "--config", operator.toString());
+        builder.environment().put("LB_CONFIG", config.toString());
+        Process process = builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+        Transport transport = Transport.tcp();
+        try {
+            String word = StandInClient.NO_CONNECTION;
+            for (int tries = 0; tries < 300 && word.equals(StandInClient.NO_CONNECTION); tries++) {
+                var client = new StandInClient(transport, new InetSocketAddress("127.0.0.1", port));
+                client.send(StandInClient.hello(StandInClient.statement(false, "id=1,c=any,d=30000,cluster=1")));
+                word = client.next();
+                Thread.sleep(word.equals(StandInClient.NO_CONNECTION) ? 100 : 0);
+            }
+            assertEquals("ready", word);
+            List<Object> expected = shares ? List.of(OWN, true, true) : List.of(List.of(), false, false);
+            for (int tries = 0; tries < 200 && shares && !expected.equals(seen(process, classes, peers)); tries++) {
+                Thread.sleep(50); // it answers a moment before it shares
+            }
+            assertEquals(expected, seen(process, classes, peers));
+            process.destroy();
+            assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+            String log = Files.readString(folder.resolve("log"));
+            assertEquals(shares, log.contains("sharing as n at 127.0.0.1:" + peers), log);
+        } finally {
+            process.destroyForcibly();
+            transport.close();
+        }
+    }
+}
--- a/daemon/src/main/java/clayhook/discovery/Discovery.java
+++ b/daemon/src/main/java/clayhook/discovery/Discovery.java
@@ -18,6 +18,7 @@
     private Source current;
     /** The one that told news last; it goes on until the current one has answered. */
     private Source former;
+    private InetSocketAddress toldBy;
 
     public Discovery(Transport transport, InetSocketAddress address, long version, Listener listener) {
         this.transport = transport;
@@ -36,6 +37,7 @@
         @Override
         public void listed(NodeList list) {
             answered = true;
+            toldBy = client.address;
             if (this == current && former != null) {
                 former.client.close();
                 former = null;
@@ -69,6 +71,11 @@
         watch();
     }
 
+    /** Where the list came from that was told last; null for none yet. */
+    public InetSocketAddress toldBy() {
+        return toldBy;
+    }
+
     /** Watches no more. */
     public void close() {
         current.client.close();
--- a/daemon/src/main/java/clayhook/front/ClientCommand.java
+++ b/daemon/src/main/java/clayhook/front/ClientCommand.java
@@ -15,15 +15,19 @@
     public final String id;
     /** What the statement was taken for; null where its comment says that. */
     public final Classed classed;
+    /** By which anyone asks whether it has run; null where it has none. */
+    public final String mark;
     /** The error that a node answered last, for the client where that is all that is known; or null. */
     public List<byte[]> error;
 
-    public ClientCommand(CommandGroup group, Statement statement, Session session, double now) {
-        super(group, statement.nodeGroup, statement.key, statement.after, now,
+    /** {@code wroteAt}: the position that a read of its session must cover, as far as others told it; 0 for none. */
+    public ClientCommand(CommandGroup group, Statement statement, Session session, double wroteAt, double now) {
+        super(group, statement.nodeGroup, statement.key, Math.max(statement.after, wroteAt), now,
                 now + Math.min(statement.wait, group.clientTimeout()));
         this.session = session;
         outgoing = statement;
         id = statement.id;
+        mark = statement.mark;
         classed = null;
     }
 
@@ -34,6 +38,7 @@
         this.session = session;
         this.outgoing = outgoing;
         id = null;
+        mark = classed.mark();
         this.classed = classed;
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/clayhook/peers/Mailbox.java
@@ -0,0 +1,58 @@
+package clayhook.peers;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BiConsumer;
+
+/**
+ * From a thread to the router's loop: of each key the latest value, and never more than one task that waits on the loop.
+ * Guards against a loop that is late and finds a pile of news, most of it overtaken.
+ */
+final class Mailbox<K, V> {
+    /** Values handed over in one turn of the loop, tens of microseconds of it; the rest in the next. */
+    static final int MOST_AT_ONCE = 256;
+
+    private final Executor loop;
+    private final BiConsumer<K, V> to;
+    /** No more keys than there are entries of the kind; emptied on the loop. */
+    private final Map<K, V> latest = new ConcurrentHashMap<>();
+    private final AtomicBoolean awaited = new AtomicBoolean();
+
+    Mailbox(Executor loop, BiConsumer<K, V> to) {
+        this.loop = loop;
+        this.to = to;
+    }
+
+    void put(K key, V value) {
+        latest.put(key, value);
+        await();
+    }
+
+    private void await() {
+        if (awaited.compareAndSet(false, true)) {
+            try {
+                loop.execute(this::empty);
+            } catch (RejectedExecutionException e) {
+                latest.clear(); // the loop has ended
+            }
+        }
+    }
+
+    private void empty() {
+        awaited.set(false);
+        int left = MOST_AT_ONCE;
+        for (K key : latest.keySet()) {
+            if (left-- == 0) {
+                await();
+                return;
+            }
+            V value = latest.remove(key);
+            if (value != null) {
+                to.accept(key, value);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/clayhook/peers/News.java
@@ -0,0 +1,36 @@
+package clayhook.peers;
+
+import clayhook.Node;
+import clayhook.Reply;
+import clayhook.discovery.NodeList;
+import clayhook.fleet.Address;
+import clayhook.serve.Sharing;
+import java.util.List;
+
+/** What the router's loop tells the peers' thread; times in seconds since 1970 on the loop's clock. */
+sealed interface News {
+    /** A dispatch or a probe came back. The next one tells as much, so that one may be lost. */
+    record Looked(Node node, Reply reply, double at) implements News {
+    }
+
+    /** @param source where discovery is, as a text of host and port */
+    record Listed(String source, NodeList list) implements News {
+    }
+
+    record Moved(String source) implements News {
+    }
+
+    record Wrote(String session, int group, double position) implements News {
+    }
+
+    /** A write has run at that node, or for all that is known it may have. */
+    record Written(String mark, double sentAt, int group, String commandGroup, boolean ran, String node, double at)
+            implements News {
+    }
+
+    record Used(Sharing.Limit limit, double units) implements News {
+    }
+
+    record Seeds(List<Address> seeds) implements News {
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/clayhook/peers/RosterLog.java
@@ -0,0 +1,61 @@
+package clayhook.peers;
+
+import clayhook.fleet.Peer;
+import clayhook.fleet.members.Members;
+import clayhook.log.Log;
+
+/** Tells in the log how the others stand; of each kind of line one a second at most. */
+final class RosterLog implements Members.Listener {
+    private static String name(Peer peer) {
+        return "sharing: " + peer.member().name() + " at " + peer.address();
+    }
+
+    @Override
+    public void joined(Peer member, double now) {
+        Log.info("sharing joined", name(member) + " joined");
+    }
+
+    @Override
+    public void suspected(Peer member, int accusers, double now) {
+        if (accusers <= 1) {
+            Log.info("sharing suspected", name(member) + " does not answer");
+        }
+    }
+
+    @Override
+    public void alive(Peer member, double now) {
+        Log.info("sharing alive", name(member) + " answers again");
+    }
+
+    @Override
+    public void gone(Peer member, double now) {
+        Log.warn("sharing gone", name(member) + " is gone");
+    }
+
+    @Override
+    public void left(Peer member, double now) {
+        Log.info("sharing left", name(member) + " left");
+    }
+
+    @Override
+    public void twins(Peer counts, Peer other, double now) {
+        Log.warn("sharing twins", "sharing: two routers are called " + counts.member().name() + ", at " + counts.address()
+                + " and at " + other.address() + "; the first counts");
+    }
+
+    @Override
+    public void clockOff(Peer member, double ahead, double now) {
+        Log.warn("sharing clock", name(member) + " has a clock that is " + milliseconds(ahead)
+                + " ms ahead; it is heard only for what needs no clock");
+    }
+
+    @Override
+    public void clockFine(Peer member, double ahead, double now) {
+        Log.info("sharing clock fine", name(member) + " has a clock within the bound again, " + milliseconds(ahead)
+                + " ms ahead");
+    }
+
+    private static long milliseconds(double seconds) {
+        return Math.round(seconds * 1000);
+    }
+}
--- a/daemon/src/main/java/clayhook/protocol/Statement.java
+++ b/daemon/src/main/java/clayhook/protocol/Statement.java
@@ -31,6 +31,8 @@
     public final boolean writes;
     /** It has a key by which nodes drop its repeats. */
     public final boolean keyed;
+    /** That key, or else its id: what anyone asks by whether it has run. */
+    public final String mark;
 
     private Statement(byte[] text, Matcher form) {
         this.text = text;
@@ -49,6 +51,7 @@
         waitTo = waitFrom + milliseconds.length();
         after = comment.seconds("after", 0);
         keyed = comment.keyed();
+        mark = keyed ? comment.text("k") : id;
     }
 
     /** Throws IllegalArgumentException naming what does not fit. */
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -41,7 +41,7 @@
 import java.util.function.DoubleConsumer;
 
 /** The loop: gathers what is ready, hands it to the module in one go, carries out what came back. */
-public final class Router implements Session.Listener, Nodes.Listener, Discovery.Listener {
+public final class Router implements Session.Listener, Nodes.Listener, Discovery.Listener, Sharing.Listener {
     /** Time between summaries in the log. */
     private static final double SUMMARY = 10;
     /** Time between looks at connections that open or stand idle; short beside a connection's time limit. */
@@ -52,6 +52,9 @@
     /** What a node answers to a write that it may not run. */
     private static final String READ_ONLY = "25006";
 
+    /** The type of the message that is an error. */
+    private static final byte ERROR = 'E';
+
     /** Where a corrected clock falls short of the time asked for. */
     private static final double LEAST_WAKE = 0.001;
 
@@ -69,6 +72,10 @@
     private final Discovery discovery;
     private final Front front;
     private final Descriptors descriptors;
+    /** Null where nothing is shared with other routers. */
+    private final Sharing sharing;
+    /** The newest revision that discovery has told this router itself. */
+    private long ownRevision = -1;
     /** The commands that sessions wait for; each leaves with its final answer. */
     private final Map<Session, ClientCommand> waiting = new HashMap<>();
     /** Their ids. */
@@ -86,9 +93,12 @@
     private double late;
     private double summaryAt = clock.now() + SUMMARY;
 
-    public Router(Transport transport, Configuration configuration, Operator operator) throws InterruptedException {
+    /** {@code sharing}: null where nothing is shared with other routers. */
+    public Router(Transport transport, Configuration configuration, Operator operator, Sharing sharing)
+            throws InterruptedException {
         started = configuration;
         this.operator = operator;
+        this.sharing = sharing;
         loop = transport.loop();
         settings = configuration.settings();
         settings.groups().forEach(g -> groups.put(g.name(), g));
@@ -103,6 +113,9 @@
         decide.listed(listings(configuration.known()), true, clock.now());
         front = new Front(transport, configuration.listen(), descriptors, configuration.memory(),
                 sql == null ? null : () -> sql.session(), clock::now, this);
+        if (sharing != null) {
+            sharing.begin(loop, configuration.discovery(), this);
+        }
         turning = true;
         loop.execute(this::turn);
     }
@@ -127,7 +140,12 @@
             return;
         }
         open.add(statement.id);
-        tell(rest, now -> take(new ClientCommand(group, statement, session, now), now));
+        tell(rest, now -> take(new ClientCommand(group, statement, session, need(group, statement.key, now), now), now));
+    }
+
+    /** The position that others know a session's read to need; 0 for none. */
+    private double need(CommandGroup group, String session, double now) {
+        return sharing == null || group.level() != ReadLevel.SESSION ? 0 : sharing.need(session, now);
     }
 
     private void take(ClientCommand command, double now) {
@@ -176,6 +194,7 @@
             if (command != null) {
                 open.remove(command.id);
                 Log.count("left");
+                shareDoubt(command);
                 hand.left(command);
             }
         });
@@ -199,10 +218,38 @@
             if (command.classed != null && answers) {
                 answered(command, reply, now);
             }
+            if (sharing != null) {
+                share(dispatch, reply, answer, now);
+            }
             hand.ended(dispatch, reply, answers, now);
         });
     }
 
+    /** What others may need of an outcome: what the node showed of itself, and that a write has run. */
+    private void share(Dispatch dispatch, Reply reply, List<byte[]> answer, double now) {
+        var command = (ClientCommand) dispatch.command;
+        sharing.looked(dispatch.node, reply, now);
+        // Of statements of any kind an answer may be an error of the database, after which nothing has run.
+        if (reply.outcome() == Outcome.ANSWERED && command.group.level() == ReadLevel.WRITE
+                && answer.stream().noneMatch(message -> message[0] == ERROR)) {
+            if (command.classed == null) {
+                sharing.wrote(dispatch.command.session, command.nodeGroup, reply.position() > 0 ? reply.position() : now);
+            }
+            if (command.group.effect() != Effect.REPLAYABLE) {
+                sharing.written(command, dispatch.node, now);
+            }
+        }
+    }
+
+    /** It was given up: its client does not know whether it has run, and another router may. */
+    private void shareDoubt(Command command) {
+        boolean doubt = command.group.level() == ReadLevel.WRITE && command.group.effect() != Effect.REPLAYABLE
+                && command.dispatches.stream().anyMatch(dispatch -> dispatch.outcome == null || !dispatch.outcome.neverRan);
+        if (sharing != null && doubt) {
+            sharing.written((ClientCommand) command, null, clock.now());
+        }
+    }
+
     /** A node will not run what was taken for a read: that command is over without an answer, and a write begins. */
     private void beginAsWrite(ClientCommand command, Dispatch dispatch, Reply reply, double now) {
         Session session = command.session;
@@ -229,7 +276,12 @@
     @Override
     public void probed(Node node, Reply reply) {
         Log.count("probe " + reply.outcome());
-        tell(rest, now -> decide.probed(node, reply, now));
+        tell(rest, now -> {
+            if (sharing != null) {
+                sharing.looked(node, reply, now);
+            }
+            decide.probed(node, reply, now);
+        });
     }
 
     @Override
@@ -244,9 +296,29 @@
 
     @Override
     public void listed(NodeList list) {
+        if (sharing != null) {
+            ownRevision = Math.max(ownRevision, list.version());
+            sharing.listed(discovery.toldBy(), list);
+        }
         tell(lists, now -> decide.listed(listings(list), list.whole(), now));
     }
 
+    /** Overtaken by what this router has heard itself, it counts only where it closes a node. */
+    @Override
+    public void told(NodeList change) {
+        boolean closes = change.entries().stream().allMatch(entry -> entry.state() != Listing.State.READY);
+        if (closes || change.version() >= ownRevision) {
+            Log.count("list told");
+            tell(lists, now -> decide.listed(listings(change), false, now));
+        }
+    }
+
+    /** What others have seen of a node. */
+    @Override
+    public void told(String node, Told told) {
+        Log.count("node told");
+    }
+
     @Override
     public void listFailed() {
         tell(lists, decide::listFailed);
@@ -290,6 +362,9 @@
         Hand.Turn turn = hand.settle(now);
         turn.orders().forEach(order -> guarded(() -> carryOut(order.command(), order.choice())));
         turn.pause().probes().forEach(nodes::probe);
+        if (sharing != null && !turn.pause().probes().isEmpty()) {
+            sharing.used(Sharing.Limit.PROBES, turn.pause().probes().size());
+        }
         if (turn.pause().watchList()) {
             discovery.watch();
         }
@@ -339,8 +414,14 @@
         choice.recall().forEach(nodes::recall);
         if (choice.verdict() == Verdict.SEND) {
             nodes.send(choice.dispatch(), order.outgoing);
+            if (sharing != null && order.dispatches.size() > 1) {
+                sharing.used(Sharing.Limit.REPEATS, 1);
+            }
             return;
         }
+        if (choice.verdict() != Verdict.DONE) {
+            shareDoubt(order);
+        }
         Log.count(choice.verdict() + " " + order.group.name());
         List<byte[]> answer = answers.remove(order);
         if (!waiting.remove(order.session, order)) {
@@ -368,9 +449,19 @@
         if (sql != null && said.statements() != null) {
             sql = new SqlCommands(said.statements(), settings.groups(), started.seed());
         }
+        boolean shares = (said.sharing() == null) == (sharing == null)
+                && (sharing == null || !said.sharing().unlike(operator.sharing()));
+        kept += shares ? "" : (kept.isEmpty() ? "" : ", ") + "sharing but its seeds";
         Log.info("reload: discovery at " + fresh.discovery()
                 + (kept.isEmpty() ? "" : "; a restart is needed for " + kept));
         discovery.move(fresh.discovery());
+        if (sharing != null) {
+            ownRevision = -1;
+            sharing.moved(fresh.discovery());
+            if (said.sharing() != null) {
+                sharing.reload(said.sharing());
+            }
+        }
     }
 
     InetSocketAddress address() {
--- a/daemon/src/main/java/clayhook/serve/Server.java
+++ b/daemon/src/main/java/clayhook/serve/Server.java
@@ -4,7 +4,9 @@
 import clayhook.config.Configuration;
 import clayhook.config.Operator;
 import clayhook.log.Log;
+import clayhook.peers.Peers;
 import clayhook.transport.Transport;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -24,6 +26,8 @@
 
     private final Transport transport;
     private final Router router;
+    /** Null where nothing is shared with other routers. */
+    private final Sharing sharing;
     /** Seconds after a request to end: until no more commands are taken, and until what is left is given up. */
     private final double takesUntil;
     private final double givesUpAt;
@@ -31,12 +35,21 @@
 
     /** Without a file of the operator's. */
     public Server(Transport transport, Configuration configuration) throws InterruptedException {
-        this(transport, configuration, Operator.OFF);
+        this(transport, configuration, Operator.OFF, null);
     }
 
-    public Server(Transport transport, Configuration configuration, Operator operator) throws InterruptedException {
+    /** Throws IOException naming the address where others cannot be heard at it. */
+    public Server(Transport transport, Configuration configuration, Operator operator)
+            throws IOException, InterruptedException {
+        this(transport, configuration, operator, operator.sharing() == null ? null
+                : Peers.open(operator.sharing(), configuration));
+    }
+
+    private Server(Transport transport, Configuration configuration, Operator operator, Sharing sharing)
+            throws InterruptedException {
         this.transport = transport;
-        router = new Router(transport, configuration, operator);
+        this.sharing = sharing;
+        router = new Router(transport, configuration, operator, sharing);
         List<CommandGroup> groups = configuration.settings().groups();
         double longest = groups.stream().mapToDouble(CommandGroup::clientTimeout).max().orElse(LONGEST_COUNTED);
         givesUpAt = Math.min(longest, LONGEST_COUNTED) + KILLED_AFTER - AT_LAST;
@@ -64,6 +77,9 @@
         await(start, givesUpAt);
         transport.loop().submit(router::giveUp).get();
         await(start, givesUpAt + AT_LAST / 2);
+        if (sharing != null) {
+            sharing.leave();
+        }
         close();
         Log.info("ended");
     }
@@ -82,6 +98,9 @@
             closed = true;
             router.close();
             transport.close();
+            if (sharing != null) {
+                sharing.close();
+            }
         }
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/clayhook/serve/Sharing.java
@@ -0,0 +1,63 @@
+package clayhook.serve;
+
+import clayhook.Node;
+import clayhook.Reply;
+import clayhook.config.SharingSettings;
+import clayhook.discovery.NodeList;
+import clayhook.front.ClientCommand;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Executor;
+
+/**
+ * What a router tells others and hears from them. All but the end is called on the router's loop; each call returns at once,
+ * and whatever goes wrong behind it costs no command. A router that shares nothing has none of this.
+ */
+public interface Sharing {
+    /** Hears on the router's loop what others told. */
+    interface Listener {
+        /** Others have seen that of a node. */
+        void told(String node, Told told);
+
+        /** The discovery that this router hears now said that, perhaps to others only; or another did, where it says nothing. */
+        void told(NodeList change);
+    }
+
+    /** What all routers together may use of, in units: probes, and dispatches beyond the first of a command. */
+    enum Limit { PROBES, REPEATS }
+
+    /** Begins to tell and to hear. {@code discovery} is where the list of nodes comes from. */
+    void begin(Executor loop, InetSocketAddress discovery, Listener listener);
+
+    /** A dispatch or a probe came back from that node, at {@code now} in seconds since 1970. */
+    void looked(Node node, Reply reply, double now);
+
+    /** The discovery at that address told this. */
+    void listed(InetSocketAddress discovery, NodeList list);
+
+    /** Discovery is asked at that address from now on. */
+    void moved(InetSocketAddress discovery);
+
+    /** The position that a read of that session must cover, in seconds since 1970; 0 for none. */
+    double need(String session, double now);
+
+    /** A write of that session was committed at that position of its group of nodes. */
+    void wrote(String session, int group, double position);
+
+    /** That write has run at that node; or, with null, has its final answer and it is not known whether it has run. */
+    void written(ClientCommand command, Node ranAt, double now);
+
+    /** This router has used so much of a limit. */
+    void used(Limit limit, int units);
+
+    /** What is left of it for this router, as reckoned last; infinite where the limit is not shared. */
+    double left(Limit limit);
+
+    /** The operator's file was read again; only its seeds count. */
+    void reload(SharingSettings settings);
+
+    /** Tells the others that this router goes, and ends; waits for that a tenth of a second at most. For any thread. */
+    void leave();
+
+    /** Ends at once. For any thread. */
+    void close();
+}
--- /dev/null
+++ b/daemon/src/test/java/clayhook/peers/PeersTest.java
@@ -0,0 +1,204 @@
+package clayhook.peers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import clayhook.Node;
+import clayhook.Outcome;
+import clayhook.Reply;
+import clayhook.Role;
+import clayhook.Settings;
+import clayhook.config.Configuration;
+import clayhook.config.SharingSettings;
+import clayhook.discovery.NodeList;
+import clayhook.fleet.state.StateSettings;
+import clayhook.serve.Sharing;
+import clayhook.serve.Told;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class PeersTest {
+    /** Seconds; far more than any of it takes. */
+    private static final double PATIENCE = 20;
+    /** Seconds; shorter than usual, as no router here can know more than those that start with it. */
+    private static final double ALONE_AFTER = 0.5;
+    private static final InetSocketAddress DISCOVERY = new InetSocketAddress("127.0.0.1", 1);
+    private static final Reply ANSWER = new Reply(Outcome.ANSWERED, 0.001, Role.PRIMARY, 1e9, Role.UNKNOWN, 0, 3);
+    private final List<Sharing> open = new ArrayList<>();
+    private final Map<String, Told> told = new ConcurrentHashMap<>();
+    private final Map<String, NodeList.Entry> listed = new ConcurrentHashMap<>();
+
+    @AfterEach
+    void close() {
+        open.forEach(Sharing::close);
+    }
+
+    private static double now() {
+        return System.currentTimeMillis() / 1000.0;
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        for (double until = now() + PATIENCE; !condition.getAsBoolean(); Thread.sleep(5)) {
+            assertTrue(now() < until, "not in time");
+        }
+    }
+
+    private static SharingSettings settings(int port, List<InetSocketAddress> seeds) {
+        return new SharingSettings(at(port), null, null, seeds, 0.5, 60, 0.5, 128 << 10, 4 << 20, 10, true, true, true, true,
+                86_400, true);
+    }
+
+    private static InetSocketAddress at(int port) {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    private Peers start(String name, int port, int... seeds) throws IOException {
+        var settings = new Settings(2, "a", List.of(), true, true, false, false, true, true, true, true, 1, 3, 0.2, 10, 3, 3,
+                1, 15);
+        StateSettings usual = StateSettings.DEFAULT;
+        var peers = Peers.open(settings(port, Arrays.stream(seeds).mapToObj(PeersTest::at).toList()),
+                new Configuration(name, at(0), DISCOVERY, 1, 1 << 24, 100, new NodeList(0, true, List.of()), settings, 1),
+                new StateSettings(usual.round(), usual.fanout(), usual.newsParts(), usual.newsBytes(), usual.newsFor(),
+                        usual.mostNews(), usual.digestEvery(), usual.digestBytes(), usual.answerWait(), usual.silence(),
+                        usual.window(), usual.catchUpBytes(), usual.pushBytes(), usual.pairsEvery(), usual.clockBound(),
+                        usual.margin(), ALONE_AFTER, usual.stood(), usual.sweep()));
+        open.add(peers);
+        peers.begin(Runnable::run, DISCOVERY, new Sharing.Listener() {
+            @Override
+            public void told(String node, Told word) {
+                told.put(name + " " + node, word);
+            }
+
+            @Override
+            public void told(NodeList change) {
+                change.entries().forEach(entry -> listed.put(name + " " + entry.id(), entry));
+            }
+        });
+        return peers;
+    }
+
+    private static NodeList list() {
+        return NodeList.parse("{\"rev\":7,\"all\":true,\"targets\":[{\"uid\":\"n\",\"endpoint\":\"127.0.0.1:9\",\"az\":\"a\","
+                + "\"pod_group\":1,\"state\":\"up\",\"role\":\"primary\",\"boot_ms\":0}]}");
+    }
+
+    private static void knowsWhatIsToldTo(Peers first, Peers second) throws InterruptedException {
+        double position = now() - 10;
+        first.wrote("s", 1, position);
+        await(() -> second.need("s", now()) == position);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {2, 3})
+    void whatOneIsToldTheOthersKnowAndOneThatReturnsToo(int routers) throws Exception {
+        Peers first = start("r0", 0);
+        int seed = first.address().port();
+        var others = new ArrayList<Peers>();
+        for (int i = 1; i < routers; i++) {
+            others.add(start("r" + i, 0, seed));
+        }
+        first.listed(DISCOVERY, list());
+        double position = now() - 10;
+        first.wrote("s", 1, position);
+        for (int i = 1; i < routers; i++) {
+            Peers other = others.get(i - 1);
+            String node = "r" + i + " n";
+            await(() -> other.need("s", now()) == position && other.need("t", now()) < position && listed.containsKey(node));
+            other.listed(DISCOVERY, list());
+            await(() -> {
+                first.looked(new Node("n", "a", 1), ANSWER, now());
+                return told.containsKey(node);
+            });
+            assertEquals(List.of(1e9, 3.0), List.of(told.get(node).position(), told.get(node).load()));
+        }
+        // Killed, and back at once with nothing, at the same place, though nobody there was told that.
+        others.get(0).close();
+        Peers back = start("r1", others.get(0).address().port(), seed);
+        await(() -> back.need("s", now()) == position);
+        others.get(0).leave();
+        back.leave();
+    }
+
+    @Test
+    void garbageCostsNothingButItself() throws Exception {
+        Peers first = start("r0", 0);
+        var random = new Random(1);
+        try (var socket = new DatagramSocket()) {
+            for (int i = 0; i < 2000; i++) {
+                var bytes = new byte[random.nextInt(4000)];
+                random.nextBytes(bytes);
+                socket.send(new DatagramPacket(bytes, bytes.length, at(first.address().port())));
+            }
+        }
+        Peers second = start("r1", 0, first.address().port());
+        knowsWhatIsToldTo(first, second);
+    }
+
+    @Test
+    void aSeedThatIsAddedLaterIsFound() throws Exception {
+        Peers first = start("r0", 0);
+        Peers second = start("r1", 0);
+        second.reload(settings(0, List.of(at(first.address().port()))));
+        knowsWhatIsToldTo(first, second);
+    }
+
+    @Test
+    void anAddressThatIsTakenIsNamed() throws Exception {
+        int port = start("r0", 0).address().port();
+        IOException told = assertThrows(IOException.class, () -> start("r1", port));
+        assertTrue(told.getMessage().contains("sharing.listen: 127.0.0.1:" + port), told::getMessage);
+    }
+
+    @Test
+    void aFullQueueDropsAndCountsAndWakesWhoWaitsOnce() {
+        var wakes = new AtomicInteger();
+        var queue = new Outbound(wakes::incrementAndGet);
+        assertTrue(queue.doze());
+        for (int i = 0; i < Outbound.PASSING + 10; i++) {
+            queue.add(new News.Looked(new Node("n", "a", 1), ANSWER, 0));
+        }
+        for (int i = 0; i < Outbound.LASTING + 10; i++) {
+            queue.add(new News.Wrote("s", 1, i));
+        }
+        assertEquals(List.of(10L, 10L, 1), List.of(queue.dropped(), queue.lost(), wakes.get()));
+        int taken = 0;
+        for (int some = 1; some > 0; taken += some) {
+            some = queue.drain(news -> { });
+        }
+        assertEquals(Outbound.PASSING + Outbound.LASTING, taken);
+    }
+
+    @Test
+    void theLoopGetsTheLatestOfEachKeyAndNeverTwoTasks() {
+        var tasks = new ArrayDeque<Runnable>();
+        var got = new HashMap<Integer, Integer>();
+        var mailbox = new Mailbox<Integer, Integer>(tasks::add, got::put);
+        for (int i = 0; i < 3 * Mailbox.MOST_AT_ONCE; i++) {
+            mailbox.put(i / 2, i);
+            assertEquals(1, tasks.size());
+        }
+        tasks.poll().run();
+        assertEquals(List.of(Mailbox.MOST_AT_ONCE, 1), List.of(got.size(), tasks.size()));
+        tasks.poll().run();
+        assertEquals(0, tasks.size());
+        got.forEach((key, value) -> assertEquals(2 * key + 1, value));
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/clayhook/serve/SharingTest.java
@@ -0,0 +1,104 @@
+package clayhook.serve;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import clayhook.CommandGroup;
+import clayhook.CommandGroup.Effect;
+import clayhook.CommandGroup.ReadLevel;
+import clayhook.CommandGroup.Scope;
+import clayhook.Settings;
+import clayhook.config.Configuration;
+import clayhook.config.Operator;
+import clayhook.config.SharingSettings;
+import clayhook.discovery.NodeList;
+import clayhook.rehearsal.StandInClient;
+import clayhook.rehearsal.StandInDiscovery;
+import clayhook.rehearsal.StandInNode;
+import clayhook.transport.Transport;
+import io.netty.buffer.ByteBuf;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Whole routers on loopback that share what one of them was told. */
+class SharingTest {
+    private static final int ROUTERS = 3;
+    /** Reads in a row that must not come to a node that drains; without the news every one does. */
+    private static final int READS = 20;
+    /** Far more than it takes. */
+    private static final double PATIENCE_S = 20;
+    private final Transport transport = Transport.tcp();
+    private final List<Server> servers = new ArrayList<>();
+    private final List<InetSocketAddress> peers = new ArrayList<>();
+    /** Answers of discovery that told of the drain: one, to one router. */
+    private final AtomicInteger drains = new AtomicInteger();
+    private StandInDiscovery discovery;
+    private String nodes;
+
+    @AfterEach
+    void close() {
+        servers.forEach(Server::close);
+        transport.close();
+    }
+
+    private String entry(String role, String state, StandInNode node) {
+        return "{\"uid\":\"" + role + "\",\"endpoint\":\"127.0.0.1:" + node.address().getPort()
+                + "\",\"az\":\"a\",\"pod_group\":1,\"state\":\"" + state + "\",\"role\":\"" + role + "\",\"boot_ms\":0}";
+    }
+
+    private Server start(int number) throws Exception {
+        var group = new CommandGroup("any", Effect.REPLAYABLE, ReadLevel.ANY, 20, 60, 1, 0, Scope.GROUP, 60, 0);
+        var settings = new Settings(ROUTERS, "a", List.of(group), true, true, false, true, true, true, true, true, 1, 3, 0.2, 10,
+                3, 3, 1, 15);
+        var sharing = new SharingSettings(peers.get(number), null, null, peers, 0.5, 60, 0.5, 128 << 10, 4 << 20, 10, true, true,
+                true, true, 86_400, true);
+        return new Server(Transport.tcp(), new Configuration("r" + number, transport.spare(0), discovery.address(), number + 1,
+                1 << 24, 1024, NodeList.parse(nodes), settings, 2), new Operator(null, "clayhook", "core", sharing));
+    }
+
+    @Test
+    void aDrainThatOneRouterWasToldClosesTheNodeAtAllAndAtOneThatWasKilledAndIsBack() throws Exception {
+        var primary = new StandInNode(transport, transport.spare(0), "primary", any -> StandInNode.Deed.answer("primary"));
+        var replica = new StandInNode(transport, transport.spare(0), "replica", any -> StandInNode.Deed.answer("replica"));
+        nodes = "{\"rev\":2,\"all\":true,\"targets\":[" + entry("primary", "up", primary) + ","
+                + entry("replica", "up", replica) + "]}";
+        String drain = "{\"rev\":3,\"all\":false,\"targets\":[" + entry("replica", "draining", replica) + "]}";
+        discovery = new StandInDiscovery(transport, transport.spare(0),
+                call -> call.contains("after=2&") && drains.getAndIncrement() == 0 ? drain : null);
+        for (int i = 0; i < ROUTERS; i++) {
+            try (var free = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+                peers.add((InetSocketAddress) free.getLocalSocketAddress());
+            }
+        }
+        for (int i = 0; i < ROUTERS; i++) {
+            servers.add(start(i));
+        }
+        for (Server server : servers) {
+            awaitClosed(server);
+        }
+        servers.get(0).close();
+        servers.set(0, start(0));
+        awaitClosed(servers.get(0));
+    }
+
+    private void awaitClosed(Server server) throws InterruptedException {
+        var client = new StandInClient(transport, server.address());
+        client.send(StandInClient.hello(read()));
+        client.next();
+        double until = System.nanoTime() / 1e9 + PATIENCE_S;
+        for (int row = 0; row < READS; row = client.next().equals("primary") ? row + 1 : 0) {
+            assertTrue(System.nanoTime() / 1e9 < until, "reads go on to a node that drains");
+            client.send(read());
+        }
+        client.close();
+    }
+
+    private static ByteBuf read() {
+        return StandInClient.statement(false, "id=1,c=any,d=30000,cluster=1");
+    }
+}
