Hand news to the loop a batch a turn, and keep the watch on discovery apart from it

News of the list came to the module node by node, which costs nodes times nodes at a start, and counted as a sign that this router's own watch on discovery stood: one that had failed would never have been opened again.

The mailbox hands over a batch; what the loop has heard itself does not come back to it; after news of others the module is told to ask again.

--- a/daemon/src/main/java/clayhook/peers/Exchange.java
+++ b/daemon/src/main/java/clayhook/peers/Exchange.java
@@ -34,6 +34,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.Executor;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 
 /**
  * Puts what this router's loop tells into what routers share, and takes from there what the loop is to know. On the peers'
@@ -41,7 +42,7 @@
  */
 final class Exchange implements Machine {
     /** Seconds between two snapshots of marks: short beside the time in which a session comes to another router. */
-    private static final double PUBLISH = 0.025;
+    private static final double PUBLISH = 0.05;
     /** Seconds between two reckonings of shares, and looks at what is to be put in again. */
     private static final double SELDOM = 0.25;
     /** Bytes and characters; a longer id is cut in a key, so that nobody could tell which node is meant. */
@@ -106,7 +107,7 @@
         this.shared = shared;
         this.roster = roster;
         evidence = new Mailbox<>(loop, listener::told);
-        changes = new Mailbox<>(loop, (id, change) -> listener.told(change));
+        changes = new Mailbox<>(loop, news -> listener.told(news.values()));
         if (kinds.evidence()) {
             looks = new Looks(roster, chance);
             hearsay = new Hearsay(shared, roster);
@@ -195,6 +196,10 @@
         if (lists != null) {
             // Guards against calling a node gone that only could not be told: what is left out of a whole list is gone.
             lists.own(source, list.version(), list.whole() && fits, entries, now);
+            Set<String> heard = entries.stream().map(ListMerge.Entry::id).collect(Collectors.toSet());
+            // The loop has heard the same from discovery itself.
+            lists.changes().stream().filter(change -> change.word().revision() != list.version()
+                    || !(list.whole() || heard.contains(change.id()))).forEach(this::hand);
         }
     }
 
--- a/daemon/src/main/java/clayhook/peers/Looks.java
+++ b/daemon/src/main/java/clayhook/peers/Looks.java
@@ -134,7 +134,8 @@
     private boolean differs(Look look, Evidence known) {
         boolean primary = look.primaryAt > look.replicaAt;
         double roleAt = Math.max(look.primaryAt, look.replicaAt);
-        boolean role = primary != at(known.primary()) > at(known.replica()) && roleAt > Math.max(at(known.primary()), at(known.replica()));
+        boolean role = primary != at(known.primary()) > at(known.replica())
+                && roleAt > Math.max(at(known.primary()), at(known.replica()));
         boolean said = known.strikes().stream()
                 .anyMatch(strike -> strike.count() >= look.strikes && strike.sight().by().equals(self));
         return role || look.strikes > 0 && look.failedAt > at(known.heard()) && known.strikes().size() < ENOUGH && !said;
--- a/daemon/src/main/java/clayhook/peers/Mailbox.java
+++ b/daemon/src/main/java/clayhook/peers/Mailbox.java
@@ -1,11 +1,12 @@
 package clayhook.peers;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /**
  * From a thread to the router's loop: of each key the latest value, and never more than one task that waits on the loop.
@@ -16,12 +17,12 @@
     static final int MOST_AT_ONCE = 256;
 
     private final Executor loop;
-    private final BiConsumer<K, V> to;
+    private final Consumer<Map<K, V>> to;
     /** No more keys than there are entries of the kind; emptied on the loop. */
     private final Map<K, V> latest = new ConcurrentHashMap<>();
     private final AtomicBoolean awaited = new AtomicBoolean();
 
-    Mailbox(Executor loop, BiConsumer<K, V> to) {
+    Mailbox(Executor loop, Consumer<Map<K, V>> to) {
         this.loop = loop;
         this.to = to;
     }
@@ -43,16 +44,17 @@
 
     private void empty() {
         awaited.set(false);
-        int left = MOST_AT_ONCE;
+        var batch = new HashMap<K, V>();
         for (K key : latest.keySet()) {
-            if (left-- == 0) {
+            if (batch.size() == MOST_AT_ONCE) {
                 await();
-                return;
+                break;
             }
             V value = latest.remove(key);
             if (value != null) {
-                to.accept(key, value);
+                batch.put(key, value);
             }
         }
+        to.accept(batch);
     }
 }
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -32,6 +32,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -303,20 +304,26 @@
         tell(lists, now -> decide.listed(listings(list), list.whole(), now));
     }
 
-    /** Overtaken by what this router has heard itself, it counts only where it closes a node. */
+    /** What this router's own discovery has overtaken counts only where it closes a node. */
     @Override
-    public void told(NodeList change) {
-        boolean closes = change.entries().stream().allMatch(entry -> entry.state() != Listing.State.READY);
-        if (closes || change.version() >= ownRevision) {
-            Log.count("list told");
-            tell(lists, now -> decide.listed(listings(change), false, now));
-        }
+    public void told(Collection<NodeList> changes) {
+        Log.count("list told");
+        tell(lists, now -> {
+            var news = new ArrayList<Listing>();
+            for (NodeList change : changes) {
+                boolean closes = change.entries().stream().allMatch(entry -> entry.state() != Listing.State.READY);
+                news.addAll(closes || change.version() >= ownRevision ? listings(change) : List.of());
+            }
+            decide.listed(news, false, now);
+            // Guards against taking the word of others for a sign that this router's own watch stands.
+            decide.listFailed(now);
+        });
     }
 
-    /** What others have seen of a node. */
+    /** What others have seen of nodes. */
     @Override
-    public void told(String node, Told told) {
-        Log.count("node told");
+    public void told(Map<String, Told> nodes) {
+        Log.count("nodes told");
     }
 
     @Override
--- a/daemon/src/main/java/clayhook/serve/Sharing.java
+++ b/daemon/src/main/java/clayhook/serve/Sharing.java
@@ -6,6 +6,8 @@
 import clayhook.discovery.NodeList;
 import clayhook.front.ClientCommand;
 import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.Map;
 import java.util.concurrent.Executor;
 
 /**
@@ -15,11 +17,11 @@
 public interface Sharing {
     /** Hears on the router's loop what others told. */
     interface Listener {
-        /** Others have seen that of a node. */
-        void told(String node, Told told);
+        /** Others have seen that of nodes, by their ids. */
+        void told(Map<String, Told> nodes);
 
         /** The discovery that this router hears now said that, perhaps to others only; or another did, where it says nothing. */
-        void told(NodeList change);
+        void told(Collection<NodeList> changes);
     }
 
     /** What all routers together may use of, in units: probes, and dispatches beyond the first of a command. */
