--- a/cli/src/main/java/clayhook/cli/LabCommand.java
+++ b/cli/src/main/java/clayhook/cli/LabCommand.java
@@ -7,6 +7,7 @@
 import clayhook.lab.Comparison.Played;
 import clayhook.lab.Experiment;
 import clayhook.lab.Report;
+import clayhook.lab.SharingPlays;
 import clayhook.lab.model.Tally;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -19,11 +20,14 @@
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import java.util.function.BiConsumer;
+import java.util.stream.IntStream;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.ITypeConverter;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import picocli.CommandLine.TypeConversionException;
 
 @Command(name = "lab", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
         description = "A laboratory: fleets, load and failures in virtual time.", subcommands = LabCommand.Run.class)
@@ -47,8 +51,9 @@
         private boolean sockets;
         @Option(names = "--report", paramLabel = "HTML", description = "also write a page with pictures to this file")
         private Path report;
-        @Option(names = "--seed", description = "play with this seed alone")
-        private Integer seed;
+        @Option(names = "--seed", paramLabel = "N[-M]", description = "play with this seed alone, or with those from N to M",
+                converter = Seeds.class)
+        private Seeds.Range seeds;
         @Parameters(paramLabel = "FILE", description = "the experiment; examples/ has some")
         private Path file;
 
@@ -60,9 +65,11 @@
             } catch (BadConfig e) {
                 return Main.wrong(e);
             }
-            if (seed != null) {
-                experiment = new Experiment(experiment.variants(), experiment.failures(), experiment.seconds(), List.of(seed),
-                        experiment.goal());
+            if (seeds != null) {
+                experiment = experiment.seeded(seeds.all());
+            }
+            if (experiment.peers().play() != null) {
+                return SharingPlays.play(experiment, System.out) ? Main.DONE : Main.FAILED;
             }
             boolean terminal = System.console() != null;
             BiConsumer<String, Integer> progress = (name, number) -> {
@@ -91,6 +98,33 @@
                     : Main.FAILED;
         }
 
+        /** Reads one seed or a range of them. */
+        static final class Seeds implements ITypeConverter<Seeds.Range> {
+            /** A few hours' worth, and far more than any sweep needs. */
+            private static final int MOST = 10_000_000;
+
+            record Range(int from, int to) {
+                List<Integer> all() {
+                    return IntStream.rangeClosed(from, to).boxed().toList();
+                }
+            }
+
+            @Override
+            public Range convert(String text) {
+                String[] ends = text.split("-", 2);
+                try {
+                    int from = Integer.parseInt(ends[0]);
+                    int to = Integer.parseInt(ends[ends.length - 1]);
+                    if (from >= 0 && from <= to && to - from < MOST) {
+                        return new Range(from, to);
+                    }
+                } catch (NumberFormatException e) {
+                    // told below
+                }
+                throw new TypeConversionException("'" + text + "' is no seed, nor a range as 1-300");
+            }
+        }
+
         private static void table(List<Played> played, PrintStream out) {
             out.printf("%-24s %-18s %8s %8s %9s %8s %8s%n", "variant", "command group", "in time", "p50 ms", "p99 ms", "thrott.",
                     "failed");
--- a/lab/src/main/java/clayhook/lab/Comparison.java
+++ b/lab/src/main/java/clayhook/lab/Comparison.java
@@ -1,8 +1,11 @@
 package clayhook.lab;
 
 import clayhook.lab.model.Fleet;
+import clayhook.lab.model.FleetSpec;
 import clayhook.lab.model.Loopback;
+import clayhook.lab.model.Sharing;
 import clayhook.lab.model.Tally;
+import clayhook.lab.sharing.PeeredFleet;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
@@ -51,13 +54,18 @@
             var runs = new ArrayList<Tally>();
             for (int seed : experiment.seeds()) {
                 progress.accept(variant.name(), seed);
-                runs.add(new Fleet(variant.fleet(), experiment.failures(), seed).run(experiment.seconds()));
+                Sharing sharing = sharing(variant.fleet().contact(), experiment.peers());
+                runs.add(new Fleet(variant.fleet(), experiment.failures(), seed, sharing).run(experiment.seconds()));
             }
             played.add(new Played(variant, runs));
         }
         return played;
     }
 
+    private static Sharing sharing(FleetSpec.Contact contact, Experiment.Peers peers) {
+        return contact.shares() ? new PeeredFleet(contact, peers.way(), peers.loss(), peers.faults()) : Sharing.NONE;
+    }
+
     /** The same on loopback sockets, one run after the other; a run without a verdict has null for it. */
     public static List<Played> playOnSockets(Experiment experiment, BiConsumer<String, Integer> progress)
             throws InterruptedException {
--- a/lab/src/main/java/clayhook/lab/model/Fleet.java
+++ b/lab/src/main/java/clayhook/lab/model/Fleet.java
@@ -8,7 +8,10 @@
 import clayhook.Node;
 import clayhook.Settings;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
 
 /** A whole deployment in virtual time: nodes, routers, clients and what befalls them. The same seed gives the same run. */
 public final class Fleet {
@@ -29,37 +32,72 @@
     private final Arrivals arrivals;
     /** The position of the last write of each session. */
     private final double[] wrote;
+    /** When that was answered, and by whom. */
+    private final double[] wroteWhen;
+    private final RouterModel[] wroteBy;
     private int nextRouter;
+    private long commands;
+    /** What the list says by now, a row a node. */
+    private final Map<NodeModel, News> published = new LinkedHashMap<>();
+    private long revision;
+    private final SplittableRandom spread;
+
+    private record News(Listing entry, long revision) {
+    }
 
     private static final class Asked extends Command {
         final Arrivals.Ask ask;
+        /** The position of what its session had written when it was asked; 0 where it need not see that. */
+        final double written;
+        final String mark;
 
-        Asked(Arrivals.Ask ask, double wroteAt, double now) {
-            super(ask.kind().group(), ask.group(), ask.session() < 0 ? null : "s" + ask.session(), wroteAt, now,
-                    now + ask.kind().group().clientTimeout());
+        Asked(Arrivals.Ask ask, double written, double wroteAt, double now, long number) {
+            super(ask.kind().group(), ask.group(), session(ask), wroteAt, now, now + ask.kind().group().clientTimeout());
             this.ask = ask;
+            this.written = written;
+            this.mark = "c" + number;
+        }
+
+        static String session(Arrivals.Ask ask) {
+            return ask.session() < 0 ? null : "s" + ask.session();
         }
     }
 
     public Fleet(FleetSpec spec, List<Failure> failures, long seed) {
+        this(spec, failures, seed, Sharing.NONE);
+    }
+
+    public Fleet(FleetSpec spec, List<Failure> failures, long seed, Sharing sharing) {
         this.spec = spec;
+        spread = new SplittableRandom(seed);
         arrivals = new Arrivals(spec, seed);
         tally = new Tally(START);
         wrote = new double[spec.sessions()];
+        wroteWhen = new double[spec.sessions()];
+        wroteBy = new RouterModel[spec.sessions()];
         world = new World(spec, timeline, this::died, this::listChanged);
         List<CommandGroup> asked = spec.commands().stream().map(FleetSpec.Kind::group).toList();
         for (int r = 0; r < spec.routers(); r++) {
             var settings = new Settings(spec.routers(), spec.zones().get(r % spec.zones().size()), asked, false, true,
-                    spec.replicasCheck(), true, true, true, true, true, 1, 5, spec.machine().coldShare(),
+                    spec.replicasCheck(), marksReachRouters(), true, true, true, true, 1, 5, spec.machine().coldShare(),
                     spec.machine().warmAfter(), OVERLOAD, OVERLOAD_FOR, 1, 15);
             routers.add(new RouterModel(timeline, this, settings, seed * 31 + r, this::answered));
         }
+        List<Peers> peers = sharing.among(timeline, routers, seed);
         List<Listing> all = world.listings();
-        routers.forEach(router -> router.listed(all, true));
+        for (int r = 0; r < routers.size(); r++) {
+            routers.get(r).join(peers.get(r));
+            routers.get(r).listed(all, true, revision);
+        }
         world.befall(failures, START);
         arrivals();
     }
 
+    /** A mark comes with the command, or its router knows it from its peers and itself. */
+    private boolean marksReachRouters() {
+        return spec.contact().marksCarried() || spec.contact().shares();
+    }
+
     /** Plays so many seconds from the start, then until all that was asked has its answer. */
     public Tally run(double seconds) {
         stopAt = START + seconds;
@@ -88,11 +126,21 @@
     private void ask(Arrivals.Ask ask) {
         CommandGroup group = ask.kind().group();
         boolean own = group.level() == ReadLevel.SESSION && ask.session() >= 0;
-        var command = new Asked(ask, own ? wrote[ask.session()] : 0, timeline.now());
+        RouterModel router = routerFor(ask.session());
+        double written = own ? wrote[ask.session()] : 0;
+        double mark = own && !spec.contact().marksCarried() ? router.needs(Asked.session(ask)) : written;
+        var command = new Asked(ask, written, mark, timeline.now(), commands++);
         audit.sweep(timeline.now());
         audit.sent(command, group, command.expires);
         tally.asked(group, timeline.now());
-        routers.get(nextRouter++ % routers.size()).take(command);
+        router.take(command);
+    }
+
+    /** Sessions go from router to router, but not right after a write. */
+    private RouterModel routerFor(int session) {
+        RouterModel next = routers.get(nextRouter++ % routers.size());
+        boolean stays = session >= 0 && timeline.now() < wroteWhen[session] + spec.contact().roam();
+        return stays ? wroteBy[session] : next;
     }
 
     private void answered(Command command, Verdict verdict) {
@@ -142,19 +190,26 @@
         return ((Asked) command).ask.work();
     }
 
+    /** By which anyone may ask whether it has run. */
+    String mark(Command command) {
+        return ((Asked) command).mark;
+    }
+
     /** The position that a read must see that was sent then. */
     double needed(Command command, double sentAt) {
         return switch (command.group.level()) {
             case BOUNDED -> sentAt - command.group.bound();
-            case SESSION -> command.wroteAt;
+            case SESSION -> ((Asked) command).written;
             default -> 0;
         };
     }
 
-    void wrote(Command command, double position) {
+    void wrote(Command command, double position, RouterModel by) {
         int session = ((Asked) command).ask.session();
         if (command.group.level() == ReadLevel.WRITE && session >= 0) {
             wrote[session] = Math.max(wrote[session], position);
+            wroteWhen[session] = timeline.now();
+            wroteBy[session] = by;
         }
     }
 
@@ -165,8 +220,19 @@
 
     private void listChanged(NodeModel node) {
         timeline.in(spec.listDelay(), () -> {
-            List<Listing> entry = List.of(world.listing(node));
-            routers.forEach(router -> router.listed(entry, false));
+            published.put(node, new News(world.listing(node), ++revision));
+            for (RouterModel router : routers) {
+                timeline.in(spec.contact().listSpread() * spread.nextDouble(), () -> tell(router));
+            }
         });
     }
+
+    /** A router hears the list: all that it has not heard, as it is by now. */
+    private void tell(RouterModel router) {
+        List<Listing> entries = published.values().stream().filter(news -> news.revision() > router.revision())
+                .map(News::entry).toList();
+        if (!entries.isEmpty()) {
+            router.listed(entries, false, revision);
+        }
+    }
 }
--- a/lab/src/main/java/clayhook/lab/model/FleetSpec.java
+++ b/lab/src/main/java/clayhook/lab/model/FleetSpec.java
@@ -16,10 +16,32 @@
  * @param rate commands a second, over all routers
  * @param phases parts of the run in which the rate is a multiple
  * @param sessions that read what they wrote; 0 for none
+ * @param contact how routers come to know what others do
  */
 public record FleetSpec(int groups, int replicas, int routers, List<String> zones, Machine machine, double way,
         double election, double listDelay, boolean reports, boolean replicasCheck, List<Kind> commands, double rate,
-        List<Phase> phases, int sessions) {
+        List<Phase> phases, int sessions, Contact contact) {
+
+    /**
+     * How routers come to know what others do.
+     *
+     * @param shares they are peers
+     * @param marksCarried a session's read tells when it last wrote; otherwise routers must know
+     * @param listSpread seconds over which routers hear of a change of the list, each at a time of its own
+     * @param roam seconds after the answer to its write in which a session stays with the router that gave it
+     */
+    public record Contact(boolean shares, boolean marksCarried, double listSpread, double roam) {
+        /** Alone, with clients that carry marks, and told at once. */
+        public static final Contact NONE = new Contact(false, true, 0, 0);
+    }
+
+    /** Of routers that share nothing and are told at once. */
+    public FleetSpec(int groups, int replicas, int routers, List<String> zones, Machine machine, double way, double election,
+            double listDelay, boolean reports, boolean replicasCheck, List<Kind> commands, double rate, List<Phase> phases,
+            int sessions) {
+        this(groups, replicas, routers, zones, machine, way, election, listDelay, reports, replicasCheck, commands, rate, phases,
+                sessions, Contact.NONE);
+    }
 
     /**
      * A command group in the load.
@@ -38,17 +60,17 @@
     /** The same with a load that many times as high. */
     public FleetSpec loaded(double factor) {
         return new FleetSpec(groups, replicas, routers, zones, machine, way, election, listDelay, reports, replicasCheck, commands,
-                rate * factor, phases, sessions);
+                rate * factor, phases, sessions, contact);
     }
 
     public FleetSpec with(Machine other) {
         return new FleetSpec(groups, replicas, routers, zones, other, way, election, listDelay, reports, replicasCheck, commands,
-                rate, phases, sessions);
+                rate, phases, sessions, contact);
     }
 
     public FleetSpec withReplicas(int count) {
         return new FleetSpec(groups, count, routers, zones, machine, way, election, listDelay, reports, replicasCheck, commands,
-                rate, phases, sessions);
+                rate, phases, sessions, contact);
     }
 
     /** The highest rate of any phase. */
--- a/lab/src/main/java/clayhook/lab/model/RouterModel.java
+++ b/lab/src/main/java/clayhook/lab/model/RouterModel.java
@@ -3,6 +3,7 @@
 import clayhook.Choice;
 import clayhook.Choice.Verdict;
 import clayhook.Command;
+import clayhook.CommandGroup.Effect;
 import clayhook.CommandGroup.ReadLevel;
 import clayhook.Decide;
 import clayhook.Dispatch;
@@ -13,6 +14,7 @@
 import clayhook.Role;
 import clayhook.Settings;
 import clayhook.hand.Hand;
+import clayhook.serve.Told;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
@@ -20,7 +22,7 @@
 import java.util.function.BiConsumer;
 
 /** One router in virtual time: the real module and hand; connections and the way to nodes are modelled. */
-final class RouterModel {
+final class RouterModel implements Hearing {
     private final Timeline timeline;
     private final Fleet fleet;
     private final Decide decide;
@@ -32,6 +34,12 @@
     /** Attempts whose outcome is awaited; each leaves with it. */
     private final Map<Dispatch, Attempt> attempts = new HashMap<>();
     private final BiConsumer<Command, Verdict> answered;
+    /** The last write of each session that this router answered; a row a session. */
+    private final Map<String, Double> wrote = new HashMap<>();
+    private Peers peers = Peers.NONE;
+    /** The newest revision of the list that this router heard itself. */
+    private long revision = -1;
+    private long told;
     private double wakeAt = Double.POSITIVE_INFINITY;
     private boolean turning;
 
@@ -51,7 +59,45 @@
         });
     }
 
-    void listed(List<Listing> entries, boolean whole) {
+    void join(Peers others) {
+        peers = others;
+    }
+
+    /** The list itself told that. */
+    void listed(List<Listing> entries, boolean whole, long as) {
+        revision = Math.max(revision, as);
+        peers.listed(entries, whole, as);
+        listed(entries, whole);
+    }
+
+    long revision() {
+        return revision;
+    }
+
+    /** As on sockets: overtaken by what this router has heard itself, it counts only where it closes a node. */
+    @Override
+    public void told(Listing entry, long as) {
+        if (as >= revision || entry.state() != Listing.State.READY) {
+            listed(List.of(entry), false);
+        }
+    }
+
+    @Override
+    public void told(String node, Told what) {
+        told++;
+    }
+
+    /** How often peers told something of a node. */
+    long told() {
+        return told;
+    }
+
+    /** The position that a read of that session must see, as far as this router and its peers know. */
+    double needs(String session) {
+        return Math.max(wrote.getOrDefault(session, 0.0), peers.needs(session));
+    }
+
+    private void listed(List<Listing> entries, boolean whole) {
         for (Listing entry : entries) {
             if (entry.state() == Listing.State.DRAINING) {
                 drainingSince.putIfAbsent(entry.node(), timeline.now());
@@ -85,6 +131,7 @@
         Hand.Turn turn = hand.settle(now);
         turn.orders().forEach(order -> carryOut(order.command(), order.choice()));
         turn.pause().probes().forEach(this::probe);
+        peers.used(turn.pause().probes().size(), 0);
         if (turn.wake() > 0 || wakeAt <= now) {
             wake(turn.wake() > 0 ? now + turn.wake() : now + Math.max(LEAST_WAKE, hand.remaining(now)));
         }
@@ -105,8 +152,13 @@
     private void carryOut(Command command, Choice choice) {
         choice.recall().forEach(dispatch -> end(dispatch, Reply.untold(Outcome.CANCELLED, timeline.now() - dispatch.sentAt), true));
         if (choice.verdict() == Verdict.SEND) {
+            peers.used(0, command.dispatches.size() > 1 ? 1 : 0);
             send(choice.dispatch());
         } else if (choice.verdict() != Verdict.NOT_YET) {
+            if (choice.verdict() != Verdict.DONE && changes(command)
+                    && command.dispatches.stream().anyMatch(sent -> sent.outcome == null || !sent.outcome.neverRan)) {
+                peers.written(command, fleet.mark(command), null);
+            }
             answered.accept(command, choice.verdict());
         }
     }
@@ -194,12 +246,31 @@
         }
         Command command = dispatch.command;
         if (reply.outcome() == Outcome.ANSWERED) {
-            fleet.wrote(command, reply.position());
+            fleet.wrote(command, reply.position(), this);
         }
+        tellPeers(dispatch, reply);
         hand.ended(dispatch, reply, reply.outcome() == Outcome.ANSWERED && !command.over, timeline.now());
         turn();
     }
 
+    private static boolean changes(Command command) {
+        return command.group.level() == ReadLevel.WRITE && command.group.effect() != Effect.REPLAYABLE;
+    }
+
+    private void tellPeers(Dispatch dispatch, Reply reply) {
+        Command command = dispatch.command;
+        peers.looked(dispatch.node, reply);
+        if (reply.outcome() == Outcome.ANSWERED && command.group.level() == ReadLevel.WRITE) {
+            if (command.session != null) {
+                wrote.merge(command.session, reply.position(), Math::max);
+                peers.wrote(command, reply.position());
+            }
+            if (changes(command)) {
+                peers.written(command, fleet.mark(command), dispatch.node);
+            }
+        }
+    }
+
     /** A node has died: what is out there is reset. */
     void reset(Node node) {
         idle.remove(node);
@@ -212,14 +283,17 @@
         timeline.in(2 * fleet.way(), () -> {
             NodeModel at = fleet.node(node);
             if (at.up() && !at.silent()) {
-                decide.probed(node, tell(at, Outcome.ANSWERED), timeline.now());
-                turn();
+                probed(node, tell(at, Outcome.ANSWERED));
             } else {
-                timeline.at(asked + fleet.probeTimeout(), () -> {
-                    decide.probed(node, Reply.untold(at.up() ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, 0), timeline.now());
-                    turn();
-                });
+                timeline.at(asked + fleet.probeTimeout(),
+                        () -> probed(node, Reply.untold(at.up() ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, 0)));
             }
         });
     }
+
+    private void probed(Node node, Reply reply) {
+        peers.looked(node, reply);
+        decide.probed(node, reply, timeline.now());
+        turn();
+    }
 }
--- a/lab/src/main/java/clayhook/lab/model/Timeline.java
+++ b/lab/src/main/java/clayhook/lab/model/Timeline.java
@@ -1,15 +1,17 @@
 package clayhook.lab.model;
 
-import java.util.Comparator;
 import java.util.PriorityQueue;
 
 /** Virtual time: what is due, in order of time and then of its making. What has happened leaves. */
 public final class Timeline implements Time {
-    private record Event(double time, long number, Runnable what) {
+    private record Event(double time, long number, Runnable what) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            return time != other.time ? Double.compare(time, other.time) : Long.compare(number, other.number);
+        }
     }
 
-    private final PriorityQueue<Event> due =
-            new PriorityQueue<>(Comparator.comparingDouble(Event::time).thenComparingLong(Event::number));
+    private final PriorityQueue<Event> due = new PriorityQueue<>();
     private double now;
     private long made;
 
--- a/lab/src/main/java/clayhook/lab/model/World.java
+++ b/lab/src/main/java/clayhook/lab/model/World.java
@@ -59,7 +59,9 @@
 
     private List<NodeModel> targets(String target) {
         if (target.endsWith("p")) {
-            NodeModel primary = group(Integer.parseInt(target.substring(0, target.length() - 1))).primary();
+            int group = Integer.parseInt(target.substring(0, target.length() - 1));
+            // A variant may have fewer groups than the failures name.
+            NodeModel primary = group > groups.size() ? null : group(group).primary();
             return primary == null ? List.of() : List.of(primary);
         }
         return inOrder.stream().filter(node -> node.node.id().equals(target) || node.node.zone().equals(target)).toList();
--- /dev/null
+++ b/lab/src/main/java/clayhook/lab/sharing/Company.java
@@ -0,0 +1,110 @@
+package clayhook.lab.sharing;
+
+import clayhook.fleet.Address;
+import clayhook.fleet.Kind;
+import clayhook.fleet.Member;
+import clayhook.fleet.Peer;
+import clayhook.lab.model.Time;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.IntFunction;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/** All routers that share, the network between them, and what befalls them. */
+public final class Company {
+    /** Routers that the operator's file names for the others to find the rest by. */
+    private static final int SEEDS = 3;
+
+    /**
+     * How many there are and how they reach each other.
+     *
+     * @param way seconds that a packet takes, the median
+     * @param loss the part of all packets that is lost at the best of times
+     */
+    public record Spec(int routers, double way, double loss) {
+    }
+
+    private final Network network;
+    private final List<PeeredRouter> routers = new ArrayList<>();
+
+    /** They start at once, now; the plan's times count from then. {@code births} tells how each number of them lives. */
+    public Company(Time time, Spec spec, FaultPlan plan, IntFunction<Life.Birth> births, long seed) {
+        double start = time.now();
+        network = new Network(time, spec.routers(), spec.way(), spec.loss(), seed);
+        List<Address> seeds = IntStream.range(0, Math.min(SEEDS, spec.routers())).mapToObj(PeeredRouter::address).toList();
+        for (int i = 0; i < spec.routers(); i++) {
+            routers.add(new PeeredRouter(i, time, network, births.apply(i), seeds, seed * 31 + i));
+        }
+        plan.faults().forEach(fault -> {
+            time.at(start + fault.at(), () -> begin(fault));
+            time.at(start + fault.end(), () -> end(fault));
+        });
+    }
+
+    public List<PeeredRouter> routers() {
+        return routers;
+    }
+
+    public Network network() {
+        return network;
+    }
+
+    private void struck(Fault fault, Consumer<PeeredRouter> by) {
+        routers.stream().filter(router -> fault.strikes(router.number())).forEach(by);
+    }
+
+    private void begin(Fault fault) {
+        switch (fault.kind()) {
+            case FREEZE -> struck(fault, PeeredRouter::stand);
+            case KILL -> struck(fault, PeeredRouter::die);
+            case CLOCK_OFF -> struck(fault, router -> router.startWithClock(fault.amount()));
+            case CLOCK_DRIFT -> struck(fault, router -> router.drift(fault.amount()));
+            default -> network.begin(fault);
+        }
+    }
+
+    private void end(Fault fault) {
+        switch (fault.kind()) {
+            case FREEZE -> struck(fault, PeeredRouter::goOn);
+            case KILL -> struck(fault, PeeredRouter::comeBack);
+            case CLOCK_OFF -> struck(fault, router -> router.startWithClock(-fault.amount()));
+            case CLOCK_DRIFT -> struck(fault, router -> router.drift(0));
+            default -> network.end(fault);
+        }
+    }
+
+    // ---- whether all agree ----
+
+    private static Set<Member> seen(PeeredRouter by) {
+        var seen = by.roster().others().stream().map(Peer::member).collect(Collectors.toSet());
+        seen.add(by.roster().self().member());
+        return seen;
+    }
+
+    /** Who sees other members than the rest, or has another copy of one of these kinds; null while all agree. */
+    public String disagreement(List<Kind<?>> kinds) {
+        List<PeeredRouter> awake = routers.stream().filter(PeeredRouter::awake).toList();
+        Set<Member> living = awake.stream().map(router -> router.roster().self().member()).collect(Collectors.toSet());
+        for (PeeredRouter router : awake) {
+            Set<Member> seen = seen(router);
+            if (!seen.equals(living)) {
+                return router + " sees " + seen.size() + " members of " + living.size() + ", "
+                        + living.stream().filter(member -> !seen.contains(member)).findFirst().map(m -> "not " + m).orElse("too many");
+            }
+        }
+        for (Kind<?> kind : kinds) {
+            PeeredRouter first = awake.get(0);
+            long digest = first.shared().digest(kind, first.now());
+            for (PeeredRouter router : awake) {
+                if (router.shared().digest(kind, router.now()) != digest) {
+                    return router + " has another copy of " + kind.name() + " than " + first + ": " + router.shared().size(kind)
+                            + " entries, " + first.shared().size(kind);
+                }
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/clayhook/lab/sharing/FaultPlan.java
@@ -0,0 +1,126 @@
+package clayhook.lab.sharing;
+
+import clayhook.lab.sharing.Fault.Kind;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/** Faults in order of time. It can be printed, put into an experiment's file and played again. */
+public record FaultPlan(List<Fault> faults) {
+    public static final FaultPlan NONE = new FaultPlan(List.of());
+
+    /** How often each kind is drawn, beside the others: all of them, those more that rosters and copies differ by. */
+    private static final Map<Kind, Integer> WEIGHTS = Map.ofEntries(Map.entry(Kind.LOSS, 3), Map.entry(Kind.DELAY, 2),
+            Map.entry(Kind.DOUBLE, 1), Map.entry(Kind.REORDER, 1), Map.entry(Kind.CUT, 3), Map.entry(Kind.SPLIT, 4),
+            Map.entry(Kind.SLOW, 1), Map.entry(Kind.GARBLE, 1), Map.entry(Kind.FREEZE, 3), Map.entry(Kind.KILL, 3),
+            Map.entry(Kind.CLOCK_OFF, 1), Map.entry(Kind.CLOCK_DRIFT, 1));
+    /** Seconds: a hiccup, and a stand or split of minutes. */
+    private static final double SHORTEST = 0.2, LONGEST = 90;
+    /** Below it a fault is as good as gone, so that shrinking ends. */
+    private static final double LEAST = 0.05;
+
+    public FaultPlan {
+        faults = faults.stream().sorted(Comparator.comparingDouble(Fault::at)).toList();
+    }
+
+    /** So many faults among so many routers, all of them over by then. */
+    public static FaultPlan drawn(long seed, int count, int routers, double until) {
+        var random = new SplittableRandom(seed);
+        List<Kind> kinds = WEIGHTS.entrySet().stream().sorted(Map.Entry.comparingByKey())
+                .flatMap(entry -> Collections.nCopies(entry.getValue(), entry.getKey()).stream()).toList();
+        var faults = new ArrayList<Fault>();
+        for (int i = 0; i < count; i++) {
+            Kind kind = kinds.get(random.nextInt(kinds.size()));
+            double at = random.nextDouble() * until;
+            // Most are short, a few last for minutes: even by the logarithm.
+            double lasts = SHORTEST * Math.pow(LONGEST / SHORTEST, random.nextDouble());
+            faults.add(new Fault(at, kind, whom(kind, routers, random), Math.min(lasts, until - at), amount(kind, random)));
+        }
+        return new FaultPlan(faults);
+    }
+
+    private static List<Integer> whom(Kind kind, int routers, SplittableRandom random) {
+        int count = switch (kind) {
+            case CUT -> 2;
+            case SPLIT -> 1 + random.nextInt(Math.max(1, routers / 2));
+            case LOSS, DELAY, DOUBLE, REORDER, GARBLE -> random.nextInt(3) == 0 ? 0 : 1 + random.nextInt(routers);
+            // Now and then all at once: then nobody is left who remembers.
+            case KILL -> random.nextInt(8) == 0 ? routers : 1 + random.nextInt(Math.max(1, routers / 4));
+            default -> 1 + random.nextInt(Math.max(1, routers / 4));
+        };
+        List<Integer> all = IntStream.range(0, routers).boxed().collect(Collectors.toCollection(ArrayList::new));
+        for (int i = 0; i < count; i++) {
+            Collections.swap(all, i, i + random.nextInt(routers - i));
+        }
+        return all.subList(0, Math.min(count, routers));
+    }
+
+    private static double amount(Kind kind, SplittableRandom random) {
+        double part = random.nextDouble();
+        return switch (kind) {
+            case LOSS, DOUBLE, REORDER, GARBLE -> 0.05 + 0.55 * part;
+            case DELAY -> 0.005 * Math.pow(100, part);
+            case SLOW -> 2_000 * Math.pow(20, part);
+            // Within what is allowed for and far beyond it, ahead and behind.
+            case CLOCK_OFF -> (random.nextBoolean() ? 1 : -1) * 0.05 * Math.pow(1000, part);
+            // The clock of a router is led to the wall's by no more than that.
+            case CLOCK_DRIFT -> (2 * part - 1) / 200;
+            default -> 0;
+        };
+    }
+
+    /** When the last one is over, in seconds from the start; 0 without any. */
+    public double over() {
+        return faults.stream().mapToDouble(Fault::end).max().orElse(0);
+    }
+
+    /**
+     * As few faults as still fail, each as short as that allows: every one is left out in turn while the failure stays, then
+     * halved.
+     */
+    public FaultPlan shrunk(Predicate<FaultPlan> fails) {
+        FaultPlan plan = this;
+        boolean fewer = true;
+        while (fewer) {
+            fewer = false;
+            for (int i = plan.faults.size() - 1; i >= 0; i--) {
+                FaultPlan without = plan.with(i, null);
+                if (fails.test(without)) {
+                    plan = without;
+                    fewer = true;
+                }
+            }
+        }
+        for (int i = 0; i < plan.faults.size(); i++) {
+            FaultPlan shorter = plan;
+            do {
+                plan = shorter;
+                Fault fault = plan.faults.get(i);
+                shorter = plan.with(i, fault.shorter(fault.lasts() / 2));
+            } while (shorter.faults.get(i).lasts() > LEAST && fails.test(shorter));
+        }
+        return plan;
+    }
+
+    private FaultPlan with(int place, Fault fault) {
+        var other = new ArrayList<>(faults);
+        if (fault == null) {
+            other.remove(place);
+        } else {
+            other.set(place, fault);
+        }
+        return new FaultPlan(other);
+    }
+
+    /** As an experiment's file has it. */
+    @Override
+    public String toString() {
+        return faults.stream().map(Fault::toString).collect(Collectors.joining(",\n    ", "fault = [\n    ", ",\n]"));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/clayhook/lab/sharing/Life.java
@@ -0,0 +1,35 @@
+package clayhook.lab.sharing;
+
+import clayhook.fleet.Address;
+import clayhook.fleet.Kind;
+import clayhook.fleet.Machine;
+import clayhook.fleet.Peer;
+import clayhook.fleet.Roster;
+import clayhook.fleet.Shared;
+import clayhook.fleet.members.MemberSettings;
+import clayhook.fleet.members.Members;
+import clayhook.fleet.state.State;
+import clayhook.fleet.state.StateSettings;
+import java.util.List;
+
+/**
+ * What one life of a router runs.
+ *
+ * @param machines in the order of their turns
+ */
+public record Life(Roster roster, Shared shared, List<? extends Machine> machines) {
+
+    /** Begins one; {@code now} is told by the router's own clock. */
+    public interface Birth {
+        Life begin(Peer self, List<Address> seeds, long seed, double now);
+    }
+
+    /** The roster and the copy as routers run them, with nothing beside. */
+    public static Birth sharing(List<Kind<?>> kinds) {
+        return (self, seeds, seed, now) -> {
+            var members = new Members(MemberSettings.DEFAULT, self, seeds, seed, now, new Members.Listener() { });
+            var state = new State(members, kinds, StateSettings.DEFAULT, seed + 1, now);
+            return new Life(members, state, List.of(members, state));
+        };
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/clayhook/lab/sharing/ModelPeer.java
@@ -0,0 +1,144 @@
+package clayhook.lab.sharing;
+
+import clayhook.Command;
+import clayhook.Listing;
+import clayhook.Node;
+import clayhook.Reply;
+import clayhook.discovery.NodeList;
+import clayhook.fleet.Address;
+import clayhook.fleet.Peer;
+import clayhook.fleet.kinds.Fate;
+import clayhook.fleet.members.MemberSettings;
+import clayhook.fleet.members.Members;
+import clayhook.fleet.state.State;
+import clayhook.fleet.state.StateSettings;
+import clayhook.lab.model.Hearing;
+import clayhook.lab.model.Peers;
+import clayhook.lab.model.Time;
+import clayhook.peers.Exchange;
+import clayhook.peers.News;
+import clayhook.serve.Sharing;
+import clayhook.serve.Told;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * One router of the model among its peers: what it learns is put in, and what peers know comes back, by the same code as on
+ * sockets. While its peering is dead or stands still it tells nothing and hears nothing; the router itself serves on.
+ */
+final class ModelPeer implements Peers, Sharing.Listener, Life.Birth {
+    /** All routers of the model hear one discovery. */
+    private static final String SOURCE = "10.0.0.1:1";
+    /** Of every node: nothing is sent to addresses here. */
+    private static final InetSocketAddress ADDRESS = NodeList.numeric("10.0.0.2:1");
+
+    private final Time time;
+    private final Hearing router;
+    private final int routers;
+    private final boolean marks;
+    private final double roam;
+    /** The list as its router has heard it; what a new life is told first. */
+    private final Map<String, NodeList.Entry> listed = new LinkedHashMap<>();
+    private long revision;
+    private PeeredRouter peer;
+    private Exchange exchange;
+
+    /** {@code marks}: clients carry none, so that routers must share them. */
+    ModelPeer(Time time, Hearing router, int routers, boolean marks, double roam) {
+        this.time = time;
+        this.router = router;
+        this.routers = routers;
+        this.marks = marks;
+        this.roam = roam;
+    }
+
+    void at(PeeredRouter place) {
+        peer = place;
+    }
+
+    @Override
+    public Life begin(Peer self, List<Address> seeds, long seed, double now) {
+        var chance = new SplittableRandom(seed);
+        var members = new Members(MemberSettings.DEFAULT, self, seeds, chance.nextLong(), now, new Members.Listener() { });
+        var kinds = new Exchange.Kinds(true, true, marks, Fate.KIND, true);
+        var state = new State(members, kinds.all(), StateSettings.DEFAULT, chance.nextLong(), now);
+        exchange = new Exchange(kinds, roam, routers, SOURCE, state, members, chance.split(), what -> time.in(0, what), this);
+        if (!listed.isEmpty()) {
+            exchange.take(new News.Listed(SOURCE, new NodeList(revision, true, List.copyOf(listed.values()))), now);
+        }
+        return new Life(members, state, List.of(members, exchange, state));
+    }
+
+    private void tell(News news) {
+        if (peer.awake()) {
+            exchange.take(news, peer.now());
+            peer.stir();
+        }
+    }
+
+    // ---- from the router ----
+
+    @Override
+    public void listed(List<Listing> entries, boolean whole, long as) {
+        List<NodeList.Entry> told = entries.stream().map(ModelPeer::entry).toList();
+        told.forEach(entry -> listed.put(entry.id(), entry));
+        revision = as;
+        tell(new News.Listed(SOURCE, new NodeList(as, whole, told)));
+    }
+
+    private static NodeList.Entry entry(Listing listing) {
+        Node node = listing.node();
+        return new NodeList.Entry(node.id(), ADDRESS, node.zone(), node.group(),
+                listing.state(), listing.primary(), listing.startedAt());
+    }
+
+    @Override
+    public void looked(Node node, Reply reply) {
+        tell(new News.Looked(node, reply, peer.now()));
+    }
+
+    @Override
+    public void wrote(Command command, double position) {
+        if (marks) {
+            tell(new News.Wrote(command.session, command.nodeGroup, position));
+        }
+    }
+
+    @Override
+    public void written(Command command, String mark, Node ranAt) {
+        tell(new News.Written(mark, command.dispatches.get(0).sentAt, command.nodeGroup, command.group.name(), ranAt != null,
+                ranAt == null ? "" : ranAt.id(), peer.now()));
+    }
+
+    @Override
+    public void used(int probes, int repeats) {
+        if (probes > 0) {
+            tell(new News.Used(Sharing.Limit.PROBES, probes));
+        }
+        if (repeats > 0) {
+            tell(new News.Used(Sharing.Limit.REPEATS, repeats));
+        }
+    }
+
+    /** Where peers cannot be asked, anything may have been written up to now. */
+    @Override
+    public double needs(String session) {
+        return !marks ? 0 : peer.awake() ? exchange.need(session, peer.now()) : time.now();
+    }
+
+    // ---- to the router ----
+
+    @Override
+    public void told(String node, Told told) {
+        router.told(node, told);
+    }
+
+    @Override
+    public void told(NodeList change) {
+        change.entries().forEach(entry -> router.told(new Listing(new Node(entry.id(), entry.zone(), entry.group()), entry.state(),
+                entry.primary(), entry.startedAt()), change.version()));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/clayhook/lab/sharing/Network.java
@@ -0,0 +1,123 @@
+package clayhook.lab.sharing;
+
+import clayhook.fleet.Address;
+import clayhook.lab.model.Time;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * Datagrams between routers: they get lost, late, doubled, out of order and spoilt, and do not pass where a link is cut.
+ * Several faults at once add up.
+ */
+public final class Network {
+    /** The ways' spread: the sigma of their logarithm, as within one site. */
+    private static final double SPREAD = 0.4;
+    /** Seconds by which a packet is held back at the most, so that others overtake it. */
+    private static final double HELD_BACK = 0.5;
+    /** Seconds of a slow link that its sender queues; what does not fit is lost. */
+    private static final double QUEUED = 1;
+
+    /** Who takes what comes to an address. */
+    interface Receiver {
+        void heard(Address from, byte[] bytes);
+    }
+
+    private record Place(int router, Receiver receiver) {
+    }
+
+    private final Time time;
+    private final double way;
+    private final double loss;
+    private final SplittableRandom random;
+    private final Map<Address, Place> places = new HashMap<>();
+    /** Each leaves when it is over. */
+    private final List<Fault> faults = new ArrayList<>();
+    /** When the slow link of each router is free again. */
+    private final double[] freeAt;
+    private final Traffic traffic;
+
+    /**
+     * @param way seconds that a packet takes, the median
+     * @param loss the part of all packets that is lost at the best of times
+     */
+    Network(Time time, int routers, double way, double loss, long seed) {
+        this.time = time;
+        this.way = way;
+        this.loss = loss;
+        random = new SplittableRandom(seed);
+        freeAt = new double[routers];
+        traffic = new Traffic(routers, time.now());
+    }
+
+    void place(Address address, int router, Receiver receiver) {
+        places.put(address, new Place(router, receiver));
+    }
+
+    void begin(Fault fault) {
+        faults.add(fault);
+    }
+
+    void end(Fault fault) {
+        faults.remove(fault);
+    }
+
+    public Traffic traffic() {
+        return traffic;
+    }
+
+    /** Takes a packet; it is the network's own from then on. */
+    void send(Address from, Address to, byte[] bytes) {
+        int sender = places.get(from).router();
+        traffic.sent(sender, bytes.length, time.now());
+        Place place = places.get(to);
+        if (place == null || random.nextDouble() < loss) {
+            return;
+        }
+        double late = 0;
+        boolean twice = false;
+        byte[] carried = bytes;
+        for (Fault fault : faults) {
+            if (fault.parts(sender, place.router())) {
+                return;
+            }
+            boolean hit = fault.strikes(sender);
+            boolean struck = hit && random.nextDouble() < fault.amount();
+            switch (fault.kind()) {
+                case LOSS -> {
+                    if (struck) {
+                        return;
+                    }
+                }
+                case DELAY -> late += hit ? fault.amount() * random.nextExponential() : 0;
+                case DOUBLE -> twice |= struck;
+                case REORDER -> late += struck ? HELD_BACK * random.nextDouble() : 0;
+                case GARBLE -> carried = struck ? spoilt(carried) : carried;
+                case SLOW -> late += hit ? queued(sender, bytes.length, fault.amount()) : 0;
+                default -> { }
+            }
+        }
+        for (int copies = twice ? 2 : 1; copies > 0 && late < Double.POSITIVE_INFINITY; copies--) {
+            byte[] arriving = carried;
+            time.in(late + way * Math.exp(SPREAD * random.nextGaussian()), () -> place.receiver().heard(from, arriving));
+        }
+    }
+
+    /** Seconds until the slow link has passed it on; infinite where its queue is full. */
+    private double queued(int sender, int bytes, double rate) {
+        double free = Math.max(time.now(), freeAt[sender]) + bytes / rate;
+        if (free - time.now() > QUEUED) {
+            return Double.POSITIVE_INFINITY;
+        }
+        freeAt[sender] = free;
+        return free - time.now();
+    }
+
+    private byte[] spoilt(byte[] bytes) {
+        byte[] other = bytes.clone();
+        other[random.nextInt(other.length)] ^= (byte) (1 + random.nextInt(255));
+        return other;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/clayhook/lab/sharing/SharingFigures.java
@@ -0,0 +1,165 @@
+package clayhook.lab.sharing;
+
+import clayhook.fleet.Kind;
+import clayhook.fleet.kinds.Listed;
+import clayhook.fleet.kinds.Mark;
+import clayhook.lab.model.Timeline;
+import java.lang.management.ManagementFactory;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+/** How fast news is, what it costs, and how long a router that was away is brought up; each a line of figures. */
+public final class SharingFigures {
+    private static final double START = 1_000_000;
+    /** Seconds until all have found each other, as many as a thousand. */
+    private static final double SETTLED = 30;
+    /** Seconds over which traffic is counted. */
+    private static final int COUNTED = 30;
+    /** Pieces of news, and seconds between two: one is known everywhere before the next. */
+    private static final int NEWS = 200;
+    private static final double BETWEEN = 3;
+    private static final int[] SIZES = {10, 100, 1000};
+    /** Pieces of news a second over all routers, for what news adds. */
+    private static final double RATE = 50;
+    /** Seconds away, and until which one must have been brought up. */
+    private static final double AWAY = 60, GIVEN_UP = 120;
+    private static final double LOOK = 0.01;
+
+    private final Company.Spec spec;
+    private final long seed;
+    private final Consumer<String> lines;
+
+    /** @param lines takes each line of figures as it is known */
+    public SharingFigures(Company.Spec spec, long seed, Consumer<String> lines) {
+        this.spec = spec;
+        this.seed = seed;
+        this.lines = lines;
+    }
+
+    private void line(String format, Object... figures) {
+        lines.accept(String.format(Locale.ROOT, format, figures));
+    }
+
+    private static Company company(Timeline time, Company.Spec spec, FaultPlan plan, long seed) {
+        return new Company(time, spec, plan, number -> Life.sharing(Trial.KINDS), seed);
+    }
+
+    // ---- news ----
+
+    /** Seconds until news is at 99 of a hundred routers, with nothing lost and with a fifth of all packets lost. */
+    public void news() {
+        for (double loss : new double[] {0, 0.2}) {
+            var lossy = new Company.Spec(spec.routers(), spec.way(), loss);
+            news("urgent", lossy, Listed.KIND,
+                    number -> new Listed(number, Listed.State.DRAINING, 0, false, "a", 1, "10.0.0.1", 1, START));
+            news("usual", lossy, Mark.KIND, number -> new Mark(START + BETWEEN * number, 1));
+        }
+    }
+
+    private interface Piece<V> {
+        V of(int number);
+    }
+
+    private <V> void news(String name, Company.Spec lossy, Kind<V> kind, Piece<V> piece) {
+        var time = new Timeline(START);
+        Company company = company(time, lossy, FaultPlan.NONE, seed);
+        var random = new SplittableRandom(seed);
+        double[][] came = new double[NEWS][lossy.routers()];
+        company.routers().forEach(router -> router.shared().listen(kind,
+                (key, value, now) -> came[Integer.parseInt(key)][router.number()] = time.now()));
+        double[] told = new double[NEWS];
+        for (int i = 0; i < NEWS; i++) {
+            int number = i;
+            told[i] = START + SETTLED + BETWEEN * (i + random.nextDouble() / 2);
+            time.at(told[i], () -> company.routers().get(random.nextInt(lossy.routers()))
+                    .put(kind, Integer.toString(number), piece.of(number)));
+        }
+        time.run(START + SETTLED + BETWEEN * (NEWS + 2));
+        double[] most = new double[NEWS];
+        for (int i = 0; i < NEWS; i++) {
+            double[] times = came[i];
+            Arrays.sort(times);
+            most[i] = times[0] == 0 ? Double.POSITIVE_INFINITY
+                    : times[(int) Math.ceil(0.99 * times.length) - 1] - told[i];
+        }
+        Arrays.sort(most);
+        line("%s news, %d routers, %.0f%% lost: at 99%% of them after %.3f s at the median, %.3f s at the 99th percentile, "
+                + "%.3f s at the most", name, lossy.routers(), 100 * lossy.loss(), most[NEWS / 2], most[NEWS * 99 / 100], most[NEWS - 1]);
+    }
+
+    // ---- what it costs ----
+
+    /** Bytes, packets and processor time a router a second, by the number of routers, without news and with some. */
+    public void traffic() {
+        for (int size : SIZES) {
+            var time = new Timeline(START);
+            Company company = company(time, new Company.Spec(size, spec.way(), spec.loss()), FaultPlan.NONE, seed);
+            time.run(START + SETTLED);
+            traffic("no news", company, time);
+            var learning = new Learning(Trial.KINDS, seed);
+            var random = new SplittableRandom(seed);
+            for (double at = 0; at < COUNTED; at += random.nextExponential() / RATE) {
+                time.in(at, () -> put(learning.next(company.routers().get(random.nextInt(size)), time.now())));
+            }
+            traffic("50 pieces of news a second", company, time);
+        }
+    }
+
+    private static <V> void put(Learning.Said<V> said) {
+        said.by().put(said.kind(), said.key(), said.value());
+    }
+
+    private void traffic(String what, Company company, Timeline time) {
+        int size = company.routers().size();
+        int from = (int) (time.now() - START);
+        long before = processor();
+        time.run(time.now() + COUNTED);
+        double spent = (processor() - before) / 1e9;
+        Traffic traffic = company.network().traffic();
+        line("%d routers, %s: %.0f bytes and %.1f packets sent a router a second, %d bytes the most of one in any second, "
+                + "%.3f%% of a core a router, network and all", size, what, traffic.bytes(from, from + COUNTED),
+                traffic.packets(from, from + COUNTED), traffic.most(from, from + COUNTED), 100 * spent / COUNTED / size);
+    }
+
+    private static long processor() {
+        return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+    }
+
+    // ---- one who was away ----
+
+    /** Seconds from the return of a router after a minute until it has as many marks as all have written meanwhile. */
+    public void catchUp(int marks) {
+        catchUp("cut off", Fault.Kind.SPLIT, marks);
+        catchUp("frozen", Fault.Kind.FREEZE, marks);
+        catchUp("killed", Fault.Kind.KILL, marks);
+    }
+
+    private void catchUp(String what, Fault.Kind kind, int marks) {
+        var time = new Timeline(START);
+        var plan = new FaultPlan(List.of(new Fault(SETTLED, kind, List.of(0), AWAY, 0)));
+        Company company = company(time, spec, plan, seed);
+        for (int i = 0; i < marks; i++) {
+            int number = i;
+            double at = START + SETTLED + (AWAY - 1) * i / marks;
+            time.at(at, () -> company.routers().get(1 + number % (spec.routers() - 1)).put(Mark.KIND, "s" + number, new Mark(at, 1)));
+        }
+        double back = START + SETTLED + AWAY;
+        time.run(back);
+        PeeredRouter away = company.routers().get(0);
+        double full = Double.NaN;
+        double certain = Double.NaN;
+        while (Double.isNaN(certain) && time.now() < back + GIVEN_UP) {
+            time.run(time.now() + LOOK);
+            full = Double.isNaN(full) && away.shared().size(Mark.KIND) >= marks ? time.now() - back : full;
+            certain = !Double.isNaN(full) && away.shared().certainUpTo(away.now()) > back ? time.now() - back : Double.NaN;
+        }
+        int from = (int) (back - START);
+        Traffic traffic = company.network().traffic();
+        line("%d routers, one %s for %.0f s: all %d marks after %.2f s, certain of them after %.2f s; %d bytes the most that any "
+                + "sent in a second meanwhile", spec.routers(), what, AWAY, marks, full, certain,
+                traffic.most(from, from + 1 + (int) Math.ceil(certain)));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/clayhook/lab/sharing/SharingSweep.java
@@ -0,0 +1,79 @@
+package clayhook.lab.sharing;
+
+import clayhook.fleet.Kind;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.IntStream;
+
+/** Many trials, each with faults drawn from its seed; what fails is told by its seed and the fewest faults that show it. */
+public final class SharingSweep {
+    /** Failures that are shrunk; one is enough to see what is wrong. */
+    private static final int SHRUNK = 3;
+
+    /**
+     * A failure.
+     *
+     * @param plan the fewest and shortest faults with which that seed still fails
+     * @param broken what did not hold with them
+     */
+    public record Found(int seed, FaultPlan plan, String broken) {
+        @Override
+        public String toString() {
+            return "seed " + seed + ": " + broken + "\n" + plan;
+        }
+    }
+
+    /**
+     * What a sweep came to.
+     *
+     * @param healed seconds from the end of faults and news until all agreed, in rising order, of those that did
+     */
+    public record Result(int played, int failed, List<Found> found, double[] healed) {
+        @Override
+        public String toString() {
+            return String.format(Locale.ROOT, "%d seeds, %d failed; all agreed after %.2f s at the median, %.2f s at the 99th "
+                    + "percentile, %.2f s at the most", played, failed, at(0.5), at(0.99), at(1));
+        }
+
+        private double at(double part) {
+            return healed.length == 0 ? Double.NaN : healed[(int) Math.round(part * (healed.length - 1))];
+        }
+    }
+
+    private final Trial.Spec spec;
+    private final List<Kind<?>> kinds;
+    private final FaultPlan given;
+    private final int faults;
+
+    /**
+     * @param given faults of all trials; where there are none, {@code faults} are drawn for each
+     */
+    public SharingSweep(Trial.Spec spec, List<Kind<?>> kinds, FaultPlan given, int faults) {
+        this.spec = spec;
+        this.kinds = kinds;
+        this.given = given;
+        this.faults = faults;
+    }
+
+    private FaultPlan plan(int seed) {
+        return given.faults().isEmpty() ? FaultPlan.drawn(seed, faults, spec.company().routers(), spec.seconds()) : given;
+    }
+
+    /** Plays them all, on all cores; the same seeds give the same result. */
+    public Result play(List<Integer> seeds) {
+        Trial.Verdict[] verdicts = new Trial.Verdict[seeds.size()];
+        IntStream.range(0, seeds.size()).parallel()
+                .forEach(i -> verdicts[i] = Trial.play(spec, kinds, plan(seeds.get(i)), seeds.get(i)));
+        int[] failed = IntStream.range(0, verdicts.length).filter(i -> verdicts[i].broken() != null).toArray();
+        List<Found> found = Arrays.stream(failed).limit(SHRUNK).mapToObj(i -> shrunk(seeds.get(i))).toList();
+        double[] healed = Arrays.stream(verdicts).filter(verdict -> verdict.broken() == null)
+                .mapToDouble(Trial.Verdict::healed).sorted().toArray();
+        return new Result(seeds.size(), failed.length, found, healed);
+    }
+
+    private Found shrunk(int seed) {
+        FaultPlan least = plan(seed).shrunk(plan -> Trial.play(spec, kinds, plan, seed).broken() != null);
+        return new Found(seed, least, Trial.play(spec, kinds, least, seed).broken());
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/clayhook/lab/sharing/Trial.java
@@ -0,0 +1,203 @@
+package clayhook.lab.sharing;
+
+import clayhook.fleet.Kind;
+import clayhook.fleet.Member;
+import clayhook.fleet.Shared;
+import clayhook.fleet.kinds.Evidence;
+import clayhook.fleet.kinds.Fate;
+import clayhook.fleet.kinds.Listed;
+import clayhook.fleet.kinds.Mark;
+import clayhook.fleet.kinds.SessionNeeds;
+import clayhook.fleet.kinds.Use;
+import clayhook.lab.model.Timeline;
+import clayhook.lab.sharing.Learning.Said;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * One play of routers that share, under faults, with news put in all along. What must hold: after the last fault all rosters and
+ * copies become equal; nothing is in them that nobody put in, and all that was put in by lives that go on; a session that comes
+ * to another router no sooner than is asked of it sees its own write there.
+ */
+public final class Trial {
+    /** Any time that a clock would tell; far from zero, which stands for never. */
+    private static final double START = 1_000_000;
+    /** Seconds between a write's answer and the session's read elsewhere, at least; and how much later it comes at most. */
+    private static final double ROAM = 0.5, ROAMING = 5;
+    /** Seconds by which a clock may be off for what is promised only where clocks agree; delays make the measure that bad. */
+    private static final double CLOCKS = 0.1;
+    /** Seconds before an entry's end from which it may be gone from copies. */
+    private static final double FADING = 8;
+    /** Seconds between two looks whether all agree. */
+    private static final double LOOK = 0.25;
+
+    /** The values that routers share, in order of their numbers. */
+    public static final List<Kind<?>> KINDS = List.of(Evidence.KIND, Listed.KIND, Mark.KIND, Fate.KIND, Use.KIND);
+
+    /**
+     * What is played.
+     *
+     * @param seconds in which news comes and faults befall
+     * @param settle seconds after that in which all must agree
+     * @param rate pieces of news a second, over all routers
+     */
+    public record Spec(Company.Spec company, double seconds, double settle, double rate) {
+    }
+
+    /**
+     * What came of it.
+     *
+     * @param broken what did not hold, and when; null for nothing
+     * @param healed seconds from the end of faults and news until all agreed
+     */
+    public record Verdict(String broken, double healed) {
+    }
+
+    private final Timeline time = new Timeline(START);
+    private final Spec spec;
+    private final List<Kind<?>> kinds;
+    private final Company company;
+    private final Learning learning;
+    private final SplittableRandom random;
+    /** All that was put in. */
+    private final List<Said<?>> said = new ArrayList<>();
+    private final Map<Shared, SessionNeeds> needs = new HashMap<>();
+    private final double end;
+    private String broken;
+
+    /** {@code kinds} are {@link #KINDS}, or some of them broken on purpose. */
+    private Trial(Spec spec, List<Kind<?>> kinds, FaultPlan plan, long seed) {
+        this.spec = spec;
+        this.kinds = kinds;
+        random = new SplittableRandom(seed);
+        learning = new Learning(kinds, random.nextLong());
+        company = new Company(time, spec.company(), plan, number -> Life.sharing(kinds), random.nextLong());
+        end = START + Math.max(spec.seconds(), plan.over());
+        news();
+    }
+
+    /** The same seed and plan give the same verdict. */
+    public static Verdict play(Spec spec, List<Kind<?>> kinds, FaultPlan plan, long seed) {
+        return new Trial(spec, kinds, plan, seed).play();
+    }
+
+    private Verdict play() {
+        time.run(end);
+        String apart = company.disagreement(kinds);
+        while (apart != null && broken == null && time.now() < end + spec.settle()) {
+            time.run(time.now() + LOOK);
+            apart = company.disagreement(kinds);
+        }
+        broke(apart == null ? null : "no agreement: " + apart);
+        kinds.forEach(this::compare);
+        return new Verdict(broken, time.now() - end);
+    }
+
+    private void broke(String what) {
+        if (broken == null && what != null) {
+            broken = String.format(Locale.ROOT, "%.3f s: %s", time.now() - START, what);
+        }
+    }
+
+    // ---- what routers come to know ----
+
+    private void news() {
+        time.in(random.nextExponential() / spec.rate(), () -> {
+            if (time.now() < end) {
+                learn(company.routers().get(random.nextInt(company.routers().size())));
+                news();
+            }
+        });
+    }
+
+    private void learn(PeeredRouter by) {
+        Said<?> next = by.awake() ? learning.next(by, time.now()) : null;
+        if (next != null && put(next) && next.kind() == Mark.KIND) {
+            roam(next);
+        }
+    }
+
+    private <V> boolean put(Said<V> next) {
+        boolean taken = next.by().put(next.kind(), next.key(), next.value()) != null;
+        if (taken) {
+            said.add(next);
+        }
+        return taken;
+    }
+
+    // ---- a session reads elsewhere what it wrote ----
+
+    private void roam(Said<?> mark) {
+        PeeredRouter to = company.routers().get(random.nextInt(company.routers().size()));
+        time.in(ROAM + ROAMING * random.nextDouble(), () -> {
+            if (to.awake()) {
+                read(mark, to);
+            }
+        });
+    }
+
+    private void read(Said<?> mark, PeeredRouter at) {
+        SessionNeeds marks = needs.computeIfAbsent(at.shared(), shared -> new SessionNeeds(shared, ROAM));
+        marks.publish(at.now());
+        double need = marks.need(Mark.key(mark.key()), at.now());
+        if (need < mark.at() && promised(mark, at)) {
+            broke(String.format(Locale.ROOT, "session %s wrote at %s and came to %s %.3f s later, which asks for %.3f s less",
+                    mark.key(), mark.by(), at, time.now() - mark.at(), mark.at() - need));
+        }
+    }
+
+    /** Not where the life that took the write is over or not known to go on, nor where a clock is off. */
+    private boolean promised(Said<?> mark, PeeredRouter at) {
+        Member writer = mark.by().roster() == null ? null : mark.by().roster().self().member();
+        boolean lives = mark.by().lives() == mark.life() && writer != null
+                && (mark.by() == at || at.roster().mayServe(at.now()).contains(writer));
+        return lives && Math.abs(at.now() - time.now()) < CLOCKS && time.now() - mark.at() > ROAM + CLOCKS
+                && Math.abs(mark.by().now() - time.now()) < CLOCKS;
+    }
+
+    // ---- what is in the copies in the end ----
+
+    private <V> void compare(Kind<V> kind) {
+        Kind<V> right = right(kind);
+        var must = new HashMap<String, V>();
+        var may = new HashMap<String, V>();
+        for (Said<?> each : said) {
+            if (each.kind() == kind) {
+                Said<V> mine = own(each);
+                may.merge(mine.key(), mine.value(), right::join);
+                if (mine.life() == mine.by().lives() && lasts(kind, mine)) {
+                    must.merge(mine.key(), mine.value(), right::join);
+                }
+            }
+        }
+        for (PeeredRouter router : company.routers()) {
+            must.forEach((key, value) -> {
+                V has = router.shared().get(kind, key);
+                broke(has != null && right.join(has, value).equals(has) ? null
+                        : router + " lacks of " + kind.name() + " " + key + ": " + value + ", has " + has);
+            });
+            router.shared().each(kind, (key, has) -> broke(may.containsKey(key) && right.join(may.get(key), has).equals(may.get(key))
+                    ? null : router + " has of " + kind.name() + " what nobody put in, under " + key + ": " + has));
+        }
+    }
+
+    /** It may not have gone with its time, and no clock kept it from being heard. */
+    private <V> boolean lasts(Kind<V> kind, Said<V> mine) {
+        return kind.at(mine.value()) + kind.keep() > time.now() + FADING
+                && (!kind.timed() || Math.abs(mine.by().now() - time.now()) < CLOCKS);
+    }
+
+    @SuppressWarnings("unchecked") // of the same number, so of the same values
+    private static <V> Kind<V> right(Kind<V> kind) {
+        return (Kind<V>) KINDS.stream().filter(one -> one.number() == kind.number()).findFirst().orElse(kind);
+    }
+
+    @SuppressWarnings("unchecked") // its kind was compared
+    private static <V> Said<V> own(Said<?> each) {
+        return (Said<V>) each;
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/clayhook/lab/sharing/SharingTest.java
@@ -0,0 +1,188 @@
+package clayhook.lab.sharing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import clayhook.CommandGroup;
+import clayhook.CommandGroup.Effect;
+import clayhook.CommandGroup.ReadLevel;
+import clayhook.CommandGroup.Scope;
+import clayhook.fleet.Reader;
+import clayhook.fleet.Writer;
+import clayhook.lab.model.Audit.RuleKept;
+import clayhook.lab.model.Failure;
+import clayhook.lab.model.Fleet;
+import clayhook.lab.model.FleetSpec;
+import clayhook.lab.model.Machine;
+import clayhook.lab.model.Sharing;
+import clayhook.lab.model.Tally;
+import clayhook.lab.model.Timeline;
+import clayhook.lab.sharing.Fault.Kind;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SharingTest {
+    private static final Trial.Spec SPEC = new Trial.Spec(new Company.Spec(12, 0.0005, 0), 45, 30, 10);
+    private static final int FAULTS = 8;
+    /** CI plays so many; a command of {@code lab run} as many as wanted. */
+    private static final int SEEDS = 200;
+
+    private static List<Integer> seeds(int count) {
+        return IntStream.rangeClosed(1, count).boxed().toList();
+    }
+
+    @Test
+    void whateverBefallsAllAgreeInTheEnd() {
+        SharingSweep.Result result = new SharingSweep(SPEC, Trial.KINDS, FaultPlan.NONE, FAULTS).play(seeds(SEEDS));
+        assertEquals(List.of(), result.found(), result::toString);
+        assertEquals(0, result.failed());
+    }
+
+    /** The later word wins: neither commutative nor anything else. */
+    private static final class Broken<V> implements clayhook.fleet.Kind<V> {
+        private final clayhook.fleet.Kind<V> kind;
+
+        Broken(clayhook.fleet.Kind<V> kind) {
+            this.kind = kind;
+        }
+
+        @Override
+        public int number() {
+            return kind.number();
+        }
+
+        @Override
+        public String name() {
+            return kind.name();
+        }
+
+        @Override
+        public V join(V a, V b) {
+            return b;
+        }
+
+        @Override
+        public double at(V value) {
+            return kind.at(value);
+        }
+
+        @Override
+        public double keep() {
+            return kind.keep();
+        }
+
+        @Override
+        public int most() {
+            return kind.most();
+        }
+
+        @Override
+        public boolean urgent() {
+            return kind.urgent();
+        }
+
+        @Override
+        public boolean timed() {
+            return kind.timed();
+        }
+
+        @Override
+        public void write(V value, Writer out) {
+            kind.write(value, out);
+        }
+
+        @Override
+        public V read(Reader in) {
+            return kind.read(in);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 3, 4})
+    void aBrokenJoinIsFoundAndToldBySeedAndStep(int which) {
+        var kinds = new ArrayList<>(Trial.KINDS);
+        kinds.set(which, new Broken<>(kinds.get(which)));
+        SharingSweep.Result result = new SharingSweep(SPEC, kinds, FaultPlan.NONE, FAULTS).play(seeds(2));
+        assertTrue(result.failed() > 0, result::toString);
+        SharingSweep.Found found = result.found().get(0);
+        assertTrue(found.broken().contains(kinds.get(which).name()) && found.plan().faults().size() < FAULTS, found::toString);
+        assertEquals(found.broken(), Trial.play(SPEC, kinds, found.plan(), found.seed()).broken());
+    }
+
+    @Test
+    void aFailureIsShrunkToTheFaultsThatItNeeds() {
+        FaultPlan drawn = FaultPlan.drawn(5, 40, 12, 90);
+        assertEquals(drawn, FaultPlan.drawn(5, 40, 12, 90));
+        assertTrue(drawn.over() <= 90);
+        FaultPlan least = drawn.shrunk(plan -> plan.faults().stream().anyMatch(f -> f.kind() == Kind.SPLIT && f.lasts() > 1)
+                && plan.faults().stream().anyMatch(f -> f.kind() == Kind.KILL));
+        assertEquals(2, least.faults().size(), least::toString);
+        assertTrue(least.faults().stream().allMatch(f -> f.kind() == Kind.KILL ? f.lasts() < 0.1 : f.lasts() <= 2), least::toString);
+    }
+
+    /** Of a thousand packets from 0 to 1: how many come, how many of them spoilt, and the latest, in seconds. */
+    @ParameterizedTest
+    @CsvSource({"LOSS, 0, 0.3, 700, 0, 0.004", "LOSS, 2, 0.3, 1000, 0, 0.004", "DOUBLE, 0, 0.2, 1200, 0, 0.004",
+        "CUT, 0 1, 0, 0, 0, 0", "CUT, 1 0, 0, 1000, 0, 0.004", "SPLIT, 0 2, 0, 0, 0, 0", "SPLIT, 0 1, 0, 1000, 0, 0.004",
+        "GARBLE, '', 0.5, 1000, 500, 0.004", "REORDER, 0, 0.5, 1000, 0, 0.5", "SLOW, 0, 10000, 1000, 0, 1.1", "FREEZE, 2, 0, 1000, 0, 0.004"})
+    void theNetworkDoesWhatTheFaultSays(Kind kind, String whom, double amount, int come, int spoilt, double latest) {
+        var time = new Timeline(100);
+        var network = new Network(time, 3, 0.0005, 0, 7);
+        int[] counts = new int[2];
+        double[] last = new double[1];
+        for (int i = 0; i < 3; i++) {
+            network.place(PeeredRouter.address(i), i, (from, bytes) -> {
+                counts[0]++;
+                counts[1] += bytes[0] == 1 && bytes[1] == 1 ? 0 : 1;
+                last[0] = Math.max(last[0], time.now() - 100);
+            });
+        }
+        List<Integer> routers = whom.isEmpty() ? List.of() : java.util.Arrays.stream(whom.split(" ")).map(Integer::valueOf).toList();
+        network.begin(new Fault(0, kind, routers, 10, amount));
+        for (int i = 0; i < 1000; i++) {
+            network.send(PeeredRouter.address(0), PeeredRouter.address(1), new byte[] {1, 1, 1, 1, 1, 1, 1, 1, 1, 1});
+        }
+        time.run(200);
+        assertEquals(come, counts[0], 60);
+        assertEquals(spoilt * 2 / 10.0, counts[1], 30); // two bytes of ten are looked at
+        assertTrue(last[0] <= latest && last[0] >= latest / 4, "" + last[0]);
+        assertEquals(10_000.0 / 3, network.traffic().bytes(0, 1), 1e-9);
+    }
+
+    // ---- a modelled fleet whose routers are peers ----
+
+    private static CommandGroup group(String name, Effect effect, ReadLevel level) {
+        return new CommandGroup(name, effect, level, 0.25, 2, 1, 0, Scope.GROUP, 1, 0.2);
+    }
+
+    private static FleetSpec fleet(boolean shares) {
+        return new FleetSpec(2, 2, 6, List.of("a", "b", "c"), new Machine(2, 50, 0.02, 0.02, 0.005, 0.3, 5), 0.0005, 2, 0.5, true, false,
+                List.of(new FleetSpec.Kind(group("own", Effect.REPLAYABLE, ReadLevel.SESSION), 4, 0.004, 0.5),
+                        new FleetSpec.Kind(group("pay", Effect.KEYED, ReadLevel.WRITE), 1, 0.003, 0.5)),
+                300, List.of(), 50, new FleetSpec.Contact(shares, false, 3, 0.5));
+    }
+
+    /** Sessions roam without carrying marks; replicas fall seconds behind, routers are split, killed and frozen. */
+    @Test
+    void roamingSessionsReadTheirOwnWritesOnlyWithPeers() {
+        var failures = List.of(new Failure(Failure.Kind.SLOW_LOG, "1r1", 3, 20, 5), new Failure(Failure.Kind.SLOW_LOG, "2r2", 3, 20, 5),
+                new Failure(Failure.Kind.DRAIN, "1r2", 10, 4, 0), new Failure(Failure.Kind.CRASH, "2p", 18, 4, 0));
+        var plan = new FaultPlan(List.of(new Fault(8, Kind.SPLIT, List.of(0, 1, 2), 6, 0), new Fault(16, Kind.LOSS, List.of(), 6, 0.3),
+                new Fault(17, Kind.KILL, List.of(1), 2, 0), new Fault(19, Kind.FREEZE, List.of(4), 3, 0)));
+        Tally alone = new Fleet(fleet(false), failures, 1, Sharing.NONE).run(30);
+        assertTrue(alone.broken().getOrDefault(RuleKept.NO_STALE_READ, 0) > 10, alone::firstBroken);
+        FleetSpec spec = fleet(true);
+        var sharing = new PeeredFleet(spec.contact(), 0.0005, 0, plan);
+        Tally shared = new Fleet(spec, failures, 1, sharing).run(30);
+        assertEquals(Map.of(), shared.broken(), shared::firstBroken);
+        assertNotNull(sharing.company());
+        assertEquals(null, sharing.company().disagreement(List.of()));
+    }
+}
