Let the laboratory drive the exchange between a router and what routers share

Need: virtual time should play the same code as sockets, not a second copy of what is told when. Change: the exchange, its kinds and its news are public; nothing else.

--- a/daemon/src/main/java/clayhook/peers/Exchange.java
+++ b/daemon/src/main/java/clayhook/peers/Exchange.java
@@ -39,7 +39,7 @@
  * Puts what this router's loop tells into what routers share, and takes from there what the loop is to know. On the peers'
  * thread, but for {@link #need} and {@link #left}.
  */
-final class Exchange implements Machine {
+public final class Exchange implements Machine {
     /** Seconds between two snapshots of marks: short beside the time in which a session comes to another router. */
     private static final double PUBLISH = 0.025;
     /** Seconds between two reckonings of shares, and looks at what is to be put in again. */
@@ -50,8 +50,8 @@
     private static final double REPEATS = 90, PROBES = 15, WINDOW = 10;
 
     /** What this router's copy holds; each is null where the operator has turned it off. */
-    record Kinds(boolean evidence, boolean lists, boolean marks, Kind<Fate> fates, boolean limits) {
-        List<Kind<?>> all() {
+    public record Kinds(boolean evidence, boolean lists, boolean marks, Kind<Fate> fates, boolean limits) {
+        public List<Kind<?>> all() {
             var kinds = new ArrayList<Kind<?>>();
             if (evidence) {
                 kinds.add(Evidence.KIND);
@@ -100,7 +100,7 @@
     private long senseless;
     private volatile Map<Sharing.Limit, Double> left = Map.of();
 
-    Exchange(Kinds kinds, double roam, int routers, String source, Shared shared, Roster roster, SplittableRandom chance,
+    public Exchange(Kinds kinds, double roam, int routers, String source, Shared shared, Roster roster, SplittableRandom chance,
             Executor loop, Sharing.Listener listener) {
         this.kinds = kinds;
         this.shared = shared;
@@ -131,7 +131,8 @@
 
     // ---- from the loop ----
 
-    void take(News news, double now) {
+    /** Takes what the loop tells; what no value may hold is counted and dropped. */
+    public void take(News news, double now) {
         try {
             carry(news, now);
         } catch (IllegalArgumentException e) {
@@ -274,7 +275,7 @@
     }
 
     /** The position that a read of that session must cover; 0 for none. For any thread. */
-    double need(String session, double now) {
+    public double need(String session, double now) {
         return needs == null || session == null ? 0 : Math.max(0, needs.need(Mark.key(session), now));
     }
 
