Try fleets of real router processes, with a relay and faults between them

The parts of a fleet were tested in one process only; what processes do to each other when some are stopped, killed or cut off was tried by hand.

The new last module starts `serve` processes with nodes, discovery and clients of its own, and a relay through which all their datagrams go: one socket a router, one link a direction, each with its own loss, repeats, order, garbling, delay, rate and cuts. Processes are stopped, killed and brought back.

--- /dev/null
+++ b/trials/src/main/java/clayhook/trials/Caller.java
@@ -0,0 +1,107 @@
+package clayhook.trials;
+
+import clayhook.CommandGroup.Effect;
+import clayhook.CommandGroup.ReadLevel;
+import clayhook.CommandGroup;
+import clayhook.protocol.Encoder;
+import clayhook.rehearsal.StandInClient;
+import clayhook.transport.Transport;
+import io.netty.buffer.ByteBuf;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** A session of one client, which may roam: one command at a time, at whichever router it is told. For one thread. */
+public final class Caller {
+    private static final AtomicLong IDS = new AtomicLong();
+    /** The code of an answer that says so. */
+    private static final String THROTTLED = "53300";
+    /** Until a client whose router was not there asks again. */
+    private static final long AGAIN_MS = 20;
+
+    private final Transport transport;
+    private final Witness witness;
+    /** Connections that stand, by router. */
+    private final Map<RouterProcess, StandInClient> connections = new HashMap<>();
+    private double wroteAt;
+    /** The command that was answered last, or null. */
+    private String last;
+
+    Caller(Transport transport, Witness witness) {
+        this.transport = transport;
+        this.witness = witness;
+    }
+
+    /** A command's answer. */
+    public enum Answer { WELL, THROTTLED, FAILED, NONE }
+
+    /** Asks and waits for the answer; its session's reads carry the position of its last write. */
+    public Answer ask(RouterProcess router, CommandGroup group) throws InterruptedException {
+        return ask(router, group, "c" + IDS.incrementAndGet());
+    }
+
+    /** The same with the id of an earlier command, which for a keyed one names the same write. */
+    public Answer ask(RouterProcess router, CommandGroup group, String id) throws InterruptedException {
+        boolean writes = group.level() == ReadLevel.WRITE;
+        boolean carried = group.level() == ReadLevel.SESSION && wroteAt > 0;
+        double patience = group.clientTimeout() + Witness.MACHINE;
+        witness.asked(id, group, carried ? wroteAt : 0, router.name(), patience);
+        ByteBuf statement = StandInClient.statement(writes, "id=" + id + ",c=" + group.name() + ",cluster=1,d="
+                + Math.round(group.clientTimeout() * 1000) + (group.effect() == Effect.KEYED ? ",k=" + id : "")
+                + (carried ? ",after=" + (long) Math.ceil(wroteAt * 1000) : ""));
+        String word = word(router, statement, patience);
+        boolean value = word != null && word.indexOf('.') > 0;
+        if (word == null || word.equals(StandInClient.NO_CONNECTION) || word.equals("closed")
+                || value && word.endsWith("closed")) {
+            witness.unanswered(id);
+            leave(router);
+            Thread.sleep(AGAIN_MS);
+            return Answer.NONE;
+        }
+        last = id;
+        witness.answered(id, word.startsWith(THROTTLED), value);
+        wroteAt = value && writes ? Math.max(wroteAt, Double.parseDouble(word)) : wroteAt;
+        return value ? Answer.WELL : word.startsWith(THROTTLED) ? Answer.THROTTLED : Answer.FAILED;
+    }
+
+    /** What comes back, or null; a connection that ended while it was idle is opened anew. */
+    private String word(RouterProcess router, ByteBuf statement, double patience) throws InterruptedException {
+        StandInClient standing = connections.get(router);
+        String stray = standing == null ? "closed" : standing.next(0);
+        if (stray == null) {
+            standing.send(statement);
+            return standing.next(patience);
+        } else if (standing != null && !stray.equals("closed")) {
+            witness.answered(last, false, false); // a second answer, which is what the witness will say
+        }
+        leave(router);
+        var opened = new StandInClient(transport, router.address());
+        connections.put(router, opened);
+        opened.send(StandInClient.hello(statement));
+        String hello = opened.next(patience);
+        return "ready".equals(hello) ? opened.next(patience) : hello;
+    }
+
+    private void leave(RouterProcess router) {
+        StandInClient client = connections.remove(router);
+        if (client != null) {
+            client.close();
+        }
+    }
+
+    /** Ends its connections. */
+    void close() {
+        connections.values().forEach(StandInClient::close);
+        connections.clear();
+    }
+
+    /** Whether a router takes commands; asks nothing that the witness hears of. */
+    static boolean greeted(Transport transport, InetSocketAddress router, double seconds) throws InterruptedException {
+        var client = new StandInClient(transport, router);
+        client.send(Encoder.startup("client", "core"));
+        String word = client.next(seconds);
+        client.close();
+        return "ready".equals(word);
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/clayhook/trials/Cluster.java
@@ -0,0 +1,105 @@
+package clayhook.trials;
+
+import clayhook.CommandGroup.Effect;
+import clayhook.CommandGroup;
+import clayhook.Listing;
+import clayhook.Node;
+import clayhook.transport.Transport;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/** One group of nodes that hold the same data: who is primary, what was written, and what the list of nodes says of it. */
+public final class Cluster {
+    /** From a commit until replicas hold it, in seconds. */
+    static final double LAG = 0.02;
+
+    final Witness witness;
+    private final List<ClusterNode> nodes = new ArrayList<>();
+    private final Map<String, CommandGroup> groups;
+    /** Positions of writes by their key, whose repeats are dropped; a trial writes some thousand. */
+    private final Map<String, Double> written = new HashMap<>();
+    private final List<Runnable> watchers = new ArrayList<>();
+    private ClusterNode primary;
+    private double head;
+    private int version = 1;
+
+    /** The first node is primary. All listen on one loop. */
+    Cluster(Transport transport, int id, int size, List<String> zones, List<CommandGroup> groups, Witness witness)
+            throws InterruptedException {
+        this.witness = witness;
+        this.groups = groups.stream().collect(Collectors.toMap(CommandGroup::name, group -> group));
+        for (int i = 0; i < size; i++) {
+            nodes.add(new ClusterNode(this, new Node(id + "n" + i, zones.get(i % zones.size()), id), transport));
+        }
+        primary = nodes.get(0);
+    }
+
+    public List<ClusterNode> nodes() {
+        return nodes;
+    }
+
+    public synchronized ClusterNode primary() {
+        return primary;
+    }
+
+    /** Another node takes over at once; the old one refuses writes from then on. */
+    public void promote(ClusterNode next) {
+        synchronized (this) {
+            primary = next;
+        }
+        listChanged();
+    }
+
+    /** Null for one that is not known. */
+    CommandGroup group(String name) {
+        return groups.get(name);
+    }
+
+    /** A write: its position, the same again for a repeat of a key, which changes nothing. */
+    synchronized double write(CommandGroup group, String key) {
+        Double before = group.effect() == Effect.KEYED ? written.get(key) : null;
+        if (before == null) {
+            head = Math.max(Math.nextUp(head), Witness.now());
+            written.put(key, head);
+            return head;
+        }
+        return before;
+    }
+
+    // ---- the list ----
+
+    /** Hears of each change of the list, on the thread that makes it. */
+    synchronized void watch(Runnable watcher) {
+        watchers.add(watcher);
+    }
+
+    void listChanged() {
+        List<Runnable> all;
+        synchronized (this) {
+            version++;
+            all = List.copyOf(watchers);
+        }
+        all.forEach(Runnable::run);
+    }
+
+    synchronized int version() {
+        return version;
+    }
+
+    /** As discovery tells it. */
+    synchronized String list() {
+        return "{\"rev\":" + version + ",\"all\":true,\"targets\":["
+                + nodes.stream().map(this::entry).collect(Collectors.joining(",")) + "]}";
+    }
+
+    private String entry(ClusterNode node) {
+        return "{\"uid\":\"" + node.node.id() + "\",\"endpoint\":\"127.0.0.1:" + node.port() + "\",\"az\":\"" + node.node.zone()
+                + "\",\"pod_group\":" + node.node.group() + ",\"state\":\""
+                + (node.state() == Listing.State.DRAINING ? "draining" : node.state() == Listing.State.GONE ? "removed" : "up")
+                + "\",\"role\":\"" + (node == primary ? "primary" : "replica") + "\",\"boot_ms\":"
+                + (long) (node.startedAt() * 1000) + "}";
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/clayhook/trials/ClusterNode.java
@@ -0,0 +1,187 @@
+package clayhook.trials;
+
+import clayhook.CommandGroup.ReadLevel;
+import clayhook.CommandGroup;
+import clayhook.Listing;
+import clayhook.Node;
+import clayhook.protocol.Allowance;
+import clayhook.protocol.ClientDecoder;
+import clayhook.protocol.ClientMessage;
+import clayhook.protocol.Encoder;
+import clayhook.protocol.Statement;
+import clayhook.rehearsal.StandInNode;
+import clayhook.transport.Transport;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** A node on a socket that tells the witness what it runs, for whom. Its state may be changed by any thread. */
+public final class ClusterNode {
+    /** What it does with a statement. */
+    public enum Mood {
+        WELL,
+        /** Takes it and does nothing. */
+        HUNG,
+        /** Runs it and says nothing: what becomes of a charge is known to nobody but the node. */
+        SPEECHLESS,
+        /** Runs it and resets the connection. */
+        RESETTING,
+        /** Ends each connection at once. */
+        DEAD
+    }
+
+    /** Seconds of work of a command, and of work that a warm node does in a second: far more than any trial asks for. */
+    private static final double WORK = 0.001, CAPACITY = 2;
+    /** Its part of that when it starts, and seconds until it has all of it. */
+    static final double COLD_SHARE = 0.2, WARM_AFTER = 2;
+
+    final Node node;
+    private final Cluster cluster;
+    private final Channel listening;
+    private final Set<Channel> connections = ConcurrentHashMap.newKeySet();
+    private volatile Mood mood = Mood.WELL;
+    private volatile Listing.State state = Listing.State.READY;
+    private volatile double startedAt;
+    /** Where its log stands still; 0 while it goes on. */
+    private volatile double stalledAt;
+
+    ClusterNode(Cluster cluster, Node node, Transport transport) throws InterruptedException {
+        this.cluster = cluster;
+        this.node = node;
+        listening = transport.listen(transport.spare(0), () -> new ChannelHandler[] {
+            new ClientDecoder(new Allowance(Long.MAX_VALUE), true), new Connection()});
+    }
+
+    public Node node() {
+        return node;
+    }
+
+    int port() {
+        return ((InetSocketAddress) listening.localAddress()).getPort();
+    }
+
+    Listing.State state() {
+        return state;
+    }
+
+    double startedAt() {
+        return startedAt;
+    }
+
+    /** As the list tells it from now on. */
+    public void state(Listing.State next) {
+        state = next;
+        cluster.listChanged();
+    }
+
+    public void mood(Mood next) {
+        mood = next;
+        if (next == Mood.DEAD) {
+            connections.forEach(Channel::close);
+        }
+    }
+
+    /** Comes back cold after its death. */
+    public void restart() {
+        startedAt = Witness.now();
+        mood = Mood.WELL;
+        cluster.listChanged();
+    }
+
+    /** A replica's log stands still, or goes on and is whole again. */
+    public void stall(boolean stalls) {
+        stalledAt = stalls ? position() : 0;
+    }
+
+    private boolean leads() {
+        return cluster.primary() == this;
+    }
+
+    private double position() {
+        double stalled = stalledAt;
+        return leads() ? Witness.now() : stalled > 0 ? stalled : Witness.now() - Cluster.LAG;
+    }
+
+    private void reckonCold() {
+        double age = Witness.now() - startedAt;
+        if (startedAt > 0 && age < WARM_AFTER) {
+            cluster.witness.worked(node, WORK, CAPACITY * (COLD_SHARE + (1 - COLD_SHARE) * age / WARM_AFTER));
+        }
+    }
+
+    private ByteBuf row(String value, double position) {
+        String load = "inflight=1,x0=" + position + ",x1=" + (leads() ? 1 : 0);
+        // Rounded down: nobody is told of more than there is.
+        return StandInNode.row(value == null ? load : value, leads() ? "primary" : "replica", (long) Math.floor(position * 1000),
+                load);
+    }
+
+    private final class Connection extends ChannelInboundHandlerAdapter {
+        /** The user as whom the router connects. */
+        private String router = "";
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            connections.add(ctx.channel());
+            if (mood == Mood.DEAD) {
+                ctx.close();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            connections.remove(ctx.channel());
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (mood == Mood.HUNG) {
+                return;
+            } else if (message instanceof ClientMessage.Startup startup) {
+                router = startup.parameters().getOrDefault("user", "");
+                ctx.writeAndFlush(Encoder.welcome(0, Map.of()));
+            } else if (message instanceof ClientMessage.Sql sql) {
+                Statement statement = statement(sql.text());
+                ByteBuf answer = statement == null ? row(null, position()) : run(statement);
+                if (statement == null || mood == Mood.WELL) {
+                    ctx.writeAndFlush(answer);
+                } else if (mood != Mood.SPEECHLESS) {
+                    ctx.close();
+                }
+            }
+        }
+
+        private ByteBuf run(Statement statement) {
+            cluster.witness.came(router, node);
+            CommandGroup group = cluster.group(statement.group);
+            if (group == null || group.primaryOnly() && !leads()) {
+                return Encoder.error(false, "25006", "not here", null);
+            }
+            reckonCold();
+            boolean writes = group.level() == ReadLevel.WRITE;
+            double position = writes ? cluster.write(group, statement.id) : position();
+            cluster.witness.ran(statement.id, node, position);
+            return row(Double.toString(position), writes ? position : position());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    /** Null for what is a look at the node. */
+    private static Statement statement(byte[] text) {
+        try {
+            return Statement.parse(text);
+        } catch (IllegalArgumentException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/clayhook/trials/RouterProcess.java
@@ -0,0 +1,148 @@
+package clayhook.trials;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+/** One router's process: {@code java -jar clayhook.jar serve}, its files and what it logs. It may come back after its end. */
+public final class RouterProcess {
+    /** Small, since many run side by side; classes come out of the archive where the build has made one. */
+    private static final List<String> OPTIONS = List.of("-Xms24m", "-Xmx64m", "-Xss512k", "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1", "-XX:MaxDirectMemorySize=32m", "-XX:-UsePerfData", "-Xlog:disable", "-Xlog:all=error:stderr",
+            "-Dio.netty.jfr.enabled=false");
+    /** Lines kept, of all lives; a trial writes some thousand. */
+    private static final int MOST_LINES = 100_000;
+    /** Of a process that was killed. */
+    private static final int ENDS_WITHIN_S = 20;
+
+    private final String name;
+    private final InetSocketAddress address;
+    private final Path jar;
+    private final Path folder;
+    private final List<String> lines = new ArrayList<>();
+    private Process process;
+
+    /** {@code address} is where it listens, {@code folder} is its own. */
+    RouterProcess(String name, InetSocketAddress address, Path jar, Path folder) throws IOException {
+        this.name = name;
+        this.address = address;
+        this.jar = jar;
+        this.folder = Files.createDirectories(folder);
+    }
+
+    public String name() {
+        return name;
+    }
+
+    /** Where clients reach it. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** Writes its two files; a router that runs reads them on {@link #reload}. */
+    void configure(String platform, String operator) throws IOException {
+        Files.writeString(folder.resolve("config.json"), platform);
+        Files.writeString(operatorFile(), operator);
+    }
+
+    /** The operator's own file, for trials that change it. */
+    public Path operatorFile() {
+        return folder.resolve("clayhook.toml");
+    }
+
+    /** Begins a life. Throws IOException where there is no such jar. */
+    synchronized void start() throws IOException {
+        if (!Files.exists(jar)) {
+            throw new IOException("no jar at " + jar + "; mvn verify makes it");
+        }
+        var command = new ArrayList<String>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(OPTIONS);
+        Path archive = jar.resolveSibling("clayhook.jsa");
+        if (Files.exists(archive)) {
+            command.addAll(List.of("-XX:SharedArchiveFile=" + archive, "-Xshare:auto"));
+        }
+        command.addAll(List.of("-Djava.io.tmpdir=" + folder, "-jar", jar.toString(), "serve", "--config",
+                operatorFile().toString()));
+        var builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.environment().put("LB_CONFIG", folder.resolve("config.json").toString());
+        process = builder.start();
+        BufferedReader from = process.inputReader(StandardCharsets.UTF_8);
+        var reader = new Thread(() -> from.lines().forEach(this::logged), "log of " + name);
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private void logged(String line) {
+        synchronized (lines) {
+            if (lines.size() < MOST_LINES) {
+                lines.add(line);
+            }
+        }
+    }
+
+    /** The number of lines so far. */
+    public int mark() {
+        synchronized (lines) {
+            return lines.size();
+        }
+    }
+
+    /** The lines from a mark on. */
+    public List<String> since(int mark) {
+        synchronized (lines) {
+            return List.copyOf(lines.subList(mark, lines.size()));
+        }
+    }
+
+    /** The last line from a mark on that fits, or null. */
+    public String last(int mark, Predicate<String> fits) {
+        List<String> all = since(mark);
+        for (int i = all.size() - 1; i >= 0; i--) {
+            if (fits.test(all.get(i))) {
+                return all.get(i);
+            }
+        }
+        return null;
+    }
+
+    public synchronized boolean runs() {
+        return process != null && process.isAlive();
+    }
+
+    /** Sends it a signal by name: STOP, CONT, HUP to read its files again, TERM to leave. */
+    public synchronized void signal(String which) throws IOException {
+        try {
+            int code = new ProcessBuilder("sh", "-c", "kill -" + which + " " + process.pid()).inheritIO().start().waitFor();
+            if (code != 0) {
+                throw new IOException("no signal " + which + " to " + name);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    /** Without notice; returns at once. */
+    synchronized void kill() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
+    /** Waits until this life is over; false where it is not. */
+    public boolean ended() throws InterruptedException {
+        Process life;
+        synchronized (this) {
+            life = process;
+        }
+        return life == null || life.waitFor(ENDS_WITHIN_S, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/clayhook/trials/Witness.java
@@ -0,0 +1,157 @@
+package clayhook.trials;
+
+import clayhook.CommandGroup;
+import clayhook.CommandGroup.ReadLevel;
+import clayhook.Node;
+import clayhook.lab.model.Audit;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Hears all that clients and nodes of a trial see, and judges by it. Times are seconds since 1970 on one clock, of this
+ * process. Commands live as long as the trial.
+ */
+public final class Witness {
+    /** What a machine that is shared with other work may hold up a process; no rule is held to less. */
+    static final double MACHINE = 1;
+    /** Seconds in which a router may still send to what drains. */
+    private static final double GRACE = 0.25;
+    /** Between the clock of this process and those of routers, which are led to the machine's. */
+    private static final double CLOCKS = 0.01;
+
+    /** Why an answer cannot be asked for: the router was down or stood still at some time while it was asked. */
+    private static final class Up {
+        int changes;
+        boolean down;
+    }
+
+    private record Asked(CommandGroup group, double at, double wroteAt, String router, int changes) {
+    }
+
+    private static final double WALL = System.currentTimeMillis() / 1000.0 - System.nanoTime() / 1e9;
+
+    private final Audit audit;
+    private final Map<String, Asked> commands = new HashMap<>();
+    private final Map<String, Up> routers = new HashMap<>();
+    /** Since when a router knows that a node drains. */
+    private final Map<String, Map<Node, Double>> told = new HashMap<>();
+    private final Map<Node, Integer> runs = new HashMap<>();
+    private final Map<String, Integer> answered = new HashMap<>();
+
+    Witness(double overloadFactor, double overloadFor) {
+        audit = new Audit(GRACE + MACHINE, overloadFactor, overloadFor);
+    }
+
+    /** Seconds since 1970; never goes back. */
+    static double now() {
+        return WALL + System.nanoTime() / 1e9;
+    }
+
+    // ---- routers ----
+
+    /** From now on until {@link #up} no answer can be asked of that router, nor for what is open there. */
+    synchronized void down(String router) {
+        Up up = routers.computeIfAbsent(router, any -> new Up());
+        up.changes++;
+        up.down = true;
+    }
+
+    synchronized void up(String router) {
+        Up up = routers.computeIfAbsent(router, any -> new Up());
+        up.changes++;
+        up.down = false;
+        // What it was told while it stood still it reads now; a new life is told anew.
+        told.computeIfAbsent(router, any -> new HashMap<>()).replaceAll((node, at) -> Math.max(at, now()));
+    }
+
+    synchronized boolean isDown(String router) {
+        return routers.computeIfAbsent(router, any -> new Up()).down;
+    }
+
+    /** A list that a router was sent, or what a peer told it, says whether that node drains. */
+    public synchronized void told(String router, Node node, boolean drains) {
+        Map<Node, Double> of = told.computeIfAbsent(router, any -> new HashMap<>());
+        if (drains) {
+            of.putIfAbsent(node, now());
+        } else {
+            of.remove(node);
+        }
+    }
+
+    // ---- clients ----
+
+    /** A client asks; {@code wroteAt} is the position of its session's last write, {@code wait} how long it has patience. */
+    synchronized void asked(String id, CommandGroup group, double wroteAt, String router, double wait) {
+        double now = now();
+        commands.put(id, new Asked(group, now, wroteAt, router, routers.computeIfAbsent(router, any -> new Up()).changes));
+        audit.sent(id, group, now + wait);
+    }
+
+    /** Its answer came; {@code throttled} says that it never ran. */
+    synchronized void answered(String id, boolean throttled, boolean well) {
+        audit.answered(id, now());
+        if (throttled) {
+            audit.throttled(id, now());
+        } else if (well) {
+            answered.merge(commands.get(id).router(), 1, Integer::sum);
+        }
+    }
+
+    /** None came. Only where its router was down or stood still meanwhile is that no fault. */
+    synchronized void unanswered(String id) {
+        Asked asked = commands.get(id);
+        Up up = routers.get(asked.router());
+        if (up.down || up.changes != asked.changes()) {
+            audit.excused(id);
+        }
+    }
+
+    // ---- nodes ----
+
+    /** A statement came from a router to a node that drains. */
+    synchronized void came(String router, Node node) {
+        Double since = told.getOrDefault(router, Map.of()).get(node);
+        if (since != null) {
+            audit.sentToDraining(node, since, now());
+        }
+    }
+
+    /** A node runs a command; what it does not know came from no client. {@code position} is where the node stands. */
+    synchronized void ran(String id, Node node, double position) {
+        Asked asked = commands.get(id);
+        if (asked != null) {
+            double needed = asked.group().level() == ReadLevel.BOUNDED ? asked.at() - asked.group().bound() - CLOCKS
+                    : asked.group().level() == ReadLevel.SESSION ? asked.wroteAt() : 0;
+            audit.ran(id, node, position, needed, now());
+            runs.merge(node, 1, Integer::sum);
+        }
+    }
+
+    /** Work in seconds came to a cold node that does {@code capacity} a second. */
+    synchronized void worked(Node node, double work, double capacity) {
+        audit.worked(node, work, capacity, now());
+    }
+
+    // ---- the verdict ----
+
+    /** Commands that a router's clients got an answer with a value to. */
+    public synchronized int answered(String router) {
+        return answered.getOrDefault(router, 0);
+    }
+
+    /** Commands that a node ran. */
+    public synchronized int runs(Node node) {
+        return runs.getOrDefault(node, 0);
+    }
+
+    /** How often each rule was broken; empty where all are kept. For the end: all that was asked counts as over. */
+    public synchronized Map<Audit.RuleKept, Integer> broken() {
+        audit.end(Double.POSITIVE_INFINITY);
+        return audit.broken();
+    }
+
+    /** The first break, or null. */
+    public synchronized String firstBroken() {
+        return audit.first();
+    }
+}
--- /dev/null
+++ b/trials/src/test/java/clayhook/trials/RelayTest.java
@@ -0,0 +1,59 @@
+package clayhook.trials;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class RelayTest {
+    private static DatagramSocket socket() throws IOException {
+        var socket = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        socket.setSoTimeout(20_000);
+        return socket;
+    }
+
+    private static InetSocketAddress at(DatagramSocket socket) {
+        return (InetSocketAddress) socket.getLocalSocketAddress();
+    }
+
+    private static void send(DatagramSocket from, int what, InetSocketAddress to) throws IOException {
+        from.send(new DatagramPacket(new byte[] {(byte) what}, 1, to));
+    }
+
+    /** From where this one came. */
+    private static InetSocketAddress receive(DatagramSocket at, int what) throws IOException {
+        var packet = new DatagramPacket(new byte[8], 8);
+        at.receive(packet);
+        assertEquals(what, packet.getData()[0]);
+        return (InetSocketAddress) packet.getSocketAddress();
+    }
+
+    @Test
+    void answersComeBackThroughTheRelayAndEachDirectionHasItsOwnTrouble() throws Exception {
+        try (DatagramSocket a = socket(); DatagramSocket b = socket(); DatagramSocket stranger = socket();
+                var relay = new Relay(List.of(at(a), at(b)), 1)) {
+            send(a, 1, relay.address(1));
+            InetSocketAddress seen = receive(b, 1);
+            assertEquals(relay.address(0), seen);
+            send(b, 2, seen);
+            assertEquals(relay.address(1), receive(a, 2));
+
+            relay.link(0, 1).trouble(Trouble.CUT);
+            send(a, 3, relay.address(1));
+            send(stranger, 4, relay.address(1));
+            send(b, 5, relay.address(0));
+            receive(a, 5);
+            relay.link(0, 1).trouble(Trouble.NONE);
+            send(a, 6, relay.address(1));
+            receive(b, 6); // neither the one that was cut off nor the stranger's
+            assertEquals(1, relay.link(0, 1).count(Link.Fate.LOST));
+            assertEquals(0, relay.link(1, 0).count(Link.Fate.LOST));
+            assertEquals(1, relay.strangers());
+        }
+    }
+}
--- /dev/null
+++ b/trials/src/test/java/clayhook/trials/TrialTest.java
@@ -0,0 +1,70 @@
+package clayhook.trials;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import clayhook.Listing;
+import clayhook.trials.ClusterNode.Mood;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Five processes of the jar. */
+class TrialTest {
+    private static final Path JAR = Path.of(System.getProperty("clayhook.jar"));
+    private static final int ROUTERS = 5;
+    /** Commands with an answer that each router must give before the next thing happens. */
+    private static final int SOME = 20;
+
+    private static void verdict(Trial trial) throws InterruptedException {
+        trial.calm();
+        assertEquals(Map.of(), trial.witness().broken(), () -> trial.witness().firstBroken() + "\n" + trial.said());
+    }
+
+    /** Nothing new comes to what drains once routers know; and what is dead, deposed, behind or in doubt breaks no rule. */
+    private static void troubleNodes(Trial trial) throws InterruptedException {
+        Cluster cluster = trial.cluster();
+        ClusterNode old = cluster.nodes().get(0);
+        ClusterNode replica = cluster.nodes().get(1);
+        replica.state(Listing.State.DRAINING);
+        assertTrue(trial.serve(trial.up(), 5 * SOME), trial::said);
+        int before = trial.witness().runs(replica.node());
+        assertTrue(trial.serve(trial.up(), 2 * SOME), trial::said);
+        assertEquals(before, trial.witness().runs(replica.node()));
+        replica.state(Listing.State.READY);
+        for (Mood mood : Mood.values()) {
+            replica.mood(mood);
+            assertTrue(trial.serve(trial.up(), SOME), trial::said);
+            replica.mood(Mood.WELL);
+        }
+        old.mood(Mood.RESETTING);
+        assertTrue(trial.serve(trial.up(), SOME), trial::said);
+        old.mood(Mood.DEAD);
+        cluster.promote(cluster.nodes().get(2));
+        assertTrue(trial.serve(trial.up(), SOME), trial::said);
+        old.restart();
+        replica.stall(true);
+        assertTrue(trial.serve(trial.up(), 2 * SOME), trial::said);
+        replica.stall(false);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = 1)
+    void withoutSharingRoutersServeOnWhileOthersAreStoppedAndKilledAndTheRulesAreKept(long seed) throws Exception {
+        try (var trial = new Trial(JAR, ROUTERS, null, seed)) {
+            trial.load();
+            assertTrue(trial.serve(trial.up(), SOME), trial::said);
+            for (Fault fault : Plan.of(seed, ROUTERS)) {
+                if (fault instanceof Fault.Stopped || fault instanceof Fault.Killed) {
+                    trial.inflict(fault);
+                    assertTrue(trial.serve(trial.up(), SOME), trial::said);
+                    trial.heal(fault);
+                    assertTrue(trial.serve(trial.up(), SOME), trial::said);
+                }
+            }
+            troubleNodes(trial);
+            verdict(trial);
+        }
+    }
+}
--- /dev/null
+++ b/trials/src/test/java/clayhook/trials/WitnessTest.java
@@ -0,0 +1,53 @@
+package clayhook.trials;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import clayhook.CommandGroup;
+import clayhook.Node;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Each rule broken once is told, and what nobody could help is not. */
+class WitnessTest {
+    private static final Node FIRST = new Node("n0", "a", 1), SECOND = new Node("n1", "a", 1);
+
+    private static void ask(Witness witness, CommandGroup group) {
+        witness.asked("id", group, Witness.now(), "r0", 1);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"silence, ONE_ANSWER", "two answers, ONE_ANSWER", "killed, ''", "stopped, ''", "stopped before, ''",
+        "stopped and back before, ONE_ANSWER", "charged twice, NO_DOUBLE_EFFECT", "throttled after a charge, NO_DOUBLE_EFFECT",
+        "keyed twice, ''", "charged twice in a killed router, NO_DOUBLE_EFFECT", "older than the session, NO_STALE_READ",
+        "as new as the session, ''", "older than the bound, NO_STALE_READ", "within the bound, ''"})
+    void theVerdictIsThat(String what, String rule) {
+        var witness = new Witness(3, 1);
+        boolean writes = what.contains("charge") || what.contains("keyed");
+        if (what.startsWith("stopped")) {
+            witness.down("r0");
+        }
+        if (what.endsWith("back before")) {
+            witness.up("r0");
+        }
+        ask(witness, what.contains("keyed") ? Trial.WRITE : writes ? Trial.CHARGE : what.contains("session") ? Trial.SESSION
+                : Trial.BOUNDED);
+        if (what.endsWith("router") || what.equals("killed")) {
+            witness.down("r0");
+            witness.up("r0");
+        }
+        double age = what.startsWith("older") ? 1.1 : what.startsWith("within") ? 0.9 : 0;
+        witness.ran("id", FIRST, writes ? 0 : Witness.now() - age);
+        if (what.contains("twice")) {
+            witness.ran("id", SECOND, 0);
+        }
+        if (rule.equals("ONE_ANSWER") && !what.startsWith("two") || what.startsWith("killed") || what.startsWith("stopped")) {
+            witness.unanswered("id");
+        } else {
+            witness.answered("id", what.startsWith("throttled"), true);
+        }
+        if (what.startsWith("two")) {
+            witness.answered("id", false, true);
+        }
+        assertEquals(rule, String.join(",", witness.broken().keySet().stream().map(Enum::name).toList()));
+    }
+}
