Let the module weigh what other routers saw of nodes and sessions

Need: evidence is scarce at a hundred routers; what peers tell was counted only. Change: Decide.told takes the word of others beside probed, as old as it was there, of this life of the node only; failures elsewhere make doubt. A session's read covers the mark that peers told. The router and the laboratory's routers hand it on.

--- a/core/src/main/java/clayhook/Decide.java
+++ b/core/src/main/java/clayhook/Decide.java
@@ -482,11 +482,10 @@
     }
 
     private double sessionNeed(Command cmd, Team team) {
-        if (settings.marksCarried()) {
-            return cmd.wroteAt > 0 ? cmd.wroteAt + 0.001 : 0; // the mark is told to a part of a millisecond
-        }
-        Wrote last = cmd.session == null ? null : wrote.get(cmd.session);
-        return Math.max(team.forgotten, last == null ? 0 : last.position);
+        // The mark is told to a part of a millisecond, by the client or by other routers.
+        double carried = cmd.wroteAt > 0 ? cmd.wroteAt + 0.001 : 0;
+        Wrote last = cmd.session == null || settings.marksCarried() ? null : wrote.get(cmd.session);
+        return Math.max(carried, Math.max(team.forgotten, last == null ? 0 : last.position));
     }
 
     private boolean usableFor(Command cmd, Row row, double now) {
@@ -835,21 +834,21 @@
     /** Long beside the cost of a call; short beside what a router may miss on a silent watch. */
     private static final double WATCH_LEAST = 7, WATCH_MOST = 10;
 
-    /** What another router saw of a node. It never makes a claim younger than it was there. */
-    public void told(Node node, Hearsay said, double now) {
+    /** What other routers saw of a node. It never makes a claim younger than it was there. */
+    public void told(Node node, Told said, double now) {
         Row row = rows.get(node);
-        if (row == null || row.listing != null && row.listing.startedAt() > said.startedAt()) {
+        if (row == null || row.listing != null && row.listing.startedAt() > said.nodeStart()) {
             return; // of another life of the node
         }
         row.position = Math.max(row.position, said.position());
         row.primaryAt = Math.max(row.primaryAt, said.primaryAt());
         row.replicaAt = Math.max(row.replicaAt, said.replicaAt());
-        row.lag = said.toldAt() > row.toldAt ? said.lag() : row.lag;
-        row.toldAt = Math.max(row.toldAt, said.toldAt());
-        row.load = said.heardAt() > row.heardAt && said.load() >= 0 ? said.load() : row.load;
-        // Guards against one router's broken way to a node: what failed elsewhere makes doubt, no sentence.
+        row.lag = said.lagAt() > row.toldAt ? said.lag() : row.lag;
+        row.toldAt = Math.max(row.toldAt, said.lagAt());
+        row.load = said.heardAt() > row.heardAt && said.loadWeight() > 0 ? said.load() : row.load;
+        // Guards against one router's broken way to a node: what failed others makes doubt, no sentence.
         double heard = Math.max(row.heardAt, said.heardAt());
-        boolean failed = said.failedAt() > heard && now < said.failedAt() + TIME_GATE;
+        boolean failed = said.strikes() > 0 && said.failedAt() > heard && now < said.failedAt() + TIME_GATE;
         row.strikes = failed ? Math.max(1, row.strikes) : row.strikes;
         row.heardAt = heard;
         Team team = team(node.group());
--- a/daemon/src/main/java/clayhook/serve/Told.java
+++ b/core/src/main/java/clayhook/Told.java
@@ -1,4 +1,4 @@
-package clayhook.serve;
+package clayhook;
 
 /**
  * What other routers have seen of one life of a node, as this one may believe it. Times are seconds since 1970 on this
--- a/core/src/test/java/clayhook/DecideTest.java
+++ b/core/src/test/java/clayhook/DecideTest.java
@@ -636,28 +636,38 @@
         assertEquals(asks, asking.decide.pause(asking.now + later).watchList());
     }
 
-    /** Seconds before now at which a peer heard it, and at which it failed there; how many of two reads go to it at once. */
+    /** A replica's log covered all and it answered a peer {@code heard} seconds ago, and failed there {@code failed} ago. */
+    private static Told told(double startedAt, double now, double heard, double failed) {
+        double seen = now - heard;
+        return new Told(startedAt, seen, seen, 0, seen, Double.NEGATIVE_INFINITY, seen, seen, now - failed,
+                failed < heard ? 1 : 0, 0, 0, 0, 0);
+    }
+
+    /** How many of two reads go to it at once; without a word of peers none does. */
     @ParameterizedTest
     @CsvSource({"0.1, Infinity, 2", "0.1, 0.2, 2", "3, Infinity, 0", "0.2, 0.1, 1"})
-    void whatAPeerSawCountsAsOldAsItWasThere(double heard, double failed, int goes) {
-        Fleet alone = new Fleet();
-        alone.now += 30;
-        double seen = alone.now - heard;
-        var said = new Hearsay(0, seen, 0, seen, seen, Double.NEGATIVE_INFINITY, seen, 0,
-                alone.now - failed);
-        alone.decide.told(alone.replica, said, alone.now);
-        assertEquals(goes, alone.sentTo(alone.replica, alone.bounded, 2));
+    void whatPeersSawCountsAsOldAsItWasThere(double heard, double failed, int goes) {
+        fleet.now += 30;
+        fleet.decide.told(fleet.replica, told(0, fleet.now, heard, failed), fleet.now);
+        assertEquals(goes, fleet.sentTo(fleet.replica, fleet.bounded, 2));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 0", "1010, 2"})
+    void whatPeersSawOfAnEarlierLifeOfANodeTellsNothing(double life, int goes) {
+        fleet.now += 30;
+        fleet.list(fleet.replica, State.READY, 1010);
+        fleet.decide.told(fleet.replica, told(life, fleet.now, 0.1, Double.POSITIVE_INFINITY), fleet.now);
+        assertEquals(goes, fleet.sentTo(fleet.replica, fleet.bounded, 2));
     }
 
-    /** What was seen of an earlier life of a node says nothing of this one. */
+    /** Where clients carry no marks, other routers may tell what a session's read must cover. */
     @Test
-    void anEarlierLifeOfANodeTellsNothing() {
-        Fleet alone = new Fleet();
-        alone.now += 30;
-        alone.list(alone.replica, State.READY, alone.now - 20);
-        alone.decide.told(alone.replica, new Hearsay(0, alone.now, 0, alone.now, alone.now, Double.NEGATIVE_INFINITY,
-                alone.now, 0, Double.NEGATIVE_INFINITY), alone.now);
-        assertEquals(Verdict.NOT_YET, alone.decide.where(alone.command(alone.bounded, 0), alone.now).verdict());
+    void aMarkThatPeersToldBindsASessionsRead() {
+        Fleet unmarked = new Fleet(false, false);
+        Command marked = unmarked.command(unmarked.session, unmarked.now + 0.1);
+        assertEquals(unmarked.primary, unmarked.ask(marked).dispatch().node);
+        assertNotEquals(unmarked.primary, unmarked.send(unmarked.session).node);
     }
 
     @Test
--- a/daemon/src/main/java/clayhook/nodes/Nodes.java
+++ b/daemon/src/main/java/clayhook/nodes/Nodes.java
@@ -81,6 +81,12 @@
         return pool.node;
     }
 
+    /** The node of that id, or null for one that was not listed here. */
+    public Node named(String id) {
+        Pool pool = pools.get(id);
+        return pool == null ? null : pool.node;
+    }
+
     /** Whether any node of that group was ever listed. */
     public boolean listed(int group) {
         return pools.values().stream().anyMatch(pool -> pool.node.group() == group);
--- a/daemon/src/main/java/clayhook/peers/Exchange.java
+++ b/daemon/src/main/java/clayhook/peers/Exchange.java
@@ -1,6 +1,7 @@
 package clayhook.peers;
 
 import clayhook.Listing;
+import clayhook.Told;
 import clayhook.discovery.NodeList;
 import clayhook.fleet.Kind;
 import clayhook.fleet.Machine;
@@ -22,7 +23,6 @@
 import clayhook.fleet.kinds.Use;
 import clayhook.log.Log;
 import clayhook.serve.Sharing;
-import clayhook.serve.Told;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.EnumMap;
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -13,6 +13,7 @@
 import clayhook.Outcome;
 import clayhook.Reply;
 import clayhook.Settings;
+import clayhook.Told;
 import clayhook.config.Configuration;
 import clayhook.config.Operator;
 import clayhook.discovery.Discovery;
@@ -322,8 +323,14 @@
 
     /** What others have seen of nodes. */
     @Override
-    public void told(Map<String, Told> nodes) {
+    public void told(Map<String, Told> told) {
         Log.count("nodes told");
+        tell(rest, now -> told.forEach((id, what) -> {
+            Node node = nodes.named(id);
+            if (node != null) {
+                decide.told(node, what, now);
+            }
+        }));
     }
 
     @Override
--- a/daemon/src/main/java/clayhook/serve/Sharing.java
+++ b/daemon/src/main/java/clayhook/serve/Sharing.java
@@ -2,6 +2,7 @@
 
 import clayhook.Node;
 import clayhook.Reply;
+import clayhook.Told;
 import clayhook.config.SharingSettings;
 import clayhook.discovery.NodeList;
 import clayhook.front.ClientCommand;
@@ -18,7 +19,7 @@
     /** Hears on the router's loop what others told. */
     interface Listener {
         /** Others have seen that of nodes, by their ids. */
-        void told(Map<String, Told> nodes);
+        void told(Map<String, Told> told);
 
         /** The discovery that this router hears now said that, perhaps to others only; or another did, where it says nothing. */
         void told(Collection<NodeList> changes);
--- a/lab/src/main/java/clayhook/lab/model/Hearing.java
+++ b/lab/src/main/java/clayhook/lab/model/Hearing.java
@@ -1,7 +1,7 @@
 package clayhook.lab.model;
 
 import clayhook.Listing;
-import clayhook.serve.Told;
+import clayhook.Told;
 
 /** A router that can be told what its peers know. */
 public interface Hearing {
--- a/lab/src/main/java/clayhook/lab/model/RouterModel.java
+++ b/lab/src/main/java/clayhook/lab/model/RouterModel.java
@@ -1,7 +1,7 @@
 package clayhook.lab.model;
 
-import clayhook.Choice;
 import clayhook.Choice.Verdict;
+import clayhook.Choice;
 import clayhook.Command;
 import clayhook.CommandGroup.Effect;
 import clayhook.CommandGroup.ReadLevel;
@@ -13,8 +13,8 @@
 import clayhook.Reply;
 import clayhook.Role;
 import clayhook.Settings;
+import clayhook.Told;
 import clayhook.hand.Hand;
-import clayhook.serve.Told;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
@@ -30,6 +30,8 @@
     private final Settings settings;
     /** Idle connections by node, as the times since when; at most as many as were ever out at once. */
     private final Map<Node, ArrayDeque<Double>> idle = new HashMap<>();
+    /** By id; one a node of the fleet. */
+    private final Map<String, Node> listed = new HashMap<>();
     private final Map<Node, Double> drainingSince = new HashMap<>();
     /** Attempts whose outcome is awaited; each leaves with it. */
     private final Map<Dispatch, Attempt> attempts = new HashMap<>();
@@ -85,6 +87,9 @@
     @Override
     public void told(String node, Told what) {
         told++;
+        if (listed.containsKey(node)) {
+            decide.told(listed.get(node), what, timeline.now());
+        }
     }
 
     /** How often peers told something of a node. */
@@ -99,6 +104,7 @@
 
     private void listed(List<Listing> entries, boolean whole) {
         for (Listing entry : entries) {
+            listed.put(entry.node().id(), entry.node());
             if (entry.state() == Listing.State.DRAINING) {
                 drainingSince.putIfAbsent(entry.node(), timeline.now());
             } else {
--- a/lab/src/main/java/clayhook/lab/sharing/ModelPeer.java
+++ b/lab/src/main/java/clayhook/lab/sharing/ModelPeer.java
@@ -4,6 +4,7 @@
 import clayhook.Listing;
 import clayhook.Node;
 import clayhook.Reply;
+import clayhook.Told;
 import clayhook.discovery.NodeList;
 import clayhook.fleet.Address;
 import clayhook.fleet.Peer;
@@ -18,8 +19,8 @@
 import clayhook.peers.Exchange;
 import clayhook.peers.News;
 import clayhook.serve.Sharing;
-import clayhook.serve.Told;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -132,13 +133,13 @@
     // ---- to the router ----
 
     @Override
-    public void told(String node, Told told) {
-        router.told(node, told);
+    public void told(Map<String, Told> told) {
+        told.forEach(router::told);
     }
 
     @Override
-    public void told(NodeList change) {
-        change.entries().forEach(entry -> router.told(new Listing(new Node(entry.id(), entry.zone(), entry.group()), entry.state(),
-                entry.primary(), entry.startedAt()), change.version()));
+    public void told(Collection<NodeList> changes) {
+        changes.forEach(change -> change.entries().forEach(entry -> router.told(new Listing(new Node(entry.id(), entry.zone(),
+                entry.group()), entry.state(), entry.primary(), entry.startedAt()), change.version())));
     }
 }
