Carry datagrams by Netty, take settings as the platform writes them, one discovery for all

Routers share lists only where they have one discovery, so there is one again, which may fall silent or speak to a few. The witness names the first command that got no answer.

--- a/daemon/src/main/java/clayhook/rehearsal/StandInClient.java
+++ b/daemon/src/main/java/clayhook/rehearsal/StandInClient.java
@@ -79,8 +79,13 @@
 
     /** A statement whose comment holds these fields. */
     public static ByteBuf statement(boolean writes, String fields) {
-        String text = writes ? "INSERT INTO state (uid, val) VALUES ('k', '\\x9f03') RETURNING val"
-                : "SELECT val FROM state WHERE uid = 'k'";
+        return statement(writes, "k", fields);
+    }
+
+    /** The same on that key, which names the session. */
+    public static ByteBuf statement(boolean writes, String key, String fields) {
+        String text = writes ? "INSERT INTO state (uid, val) VALUES ('" + key + "', '\\x9f03') RETURNING val"
+                : "SELECT val FROM state WHERE uid = '" + key + "'";
         return Encoder.query((text + " /* " + fields + " */").getBytes(UTF_8));
     }
 
--- a/trials/src/main/java/clayhook/trials/Caller.java
+++ b/trials/src/main/java/clayhook/trials/Caller.java
@@ -24,19 +24,24 @@
     private final Witness witness;
     /** Connections that stand, by router. */
     private final Map<RouterProcess, StandInClient> connections = new HashMap<>();
+    private final boolean carries;
+    private final String name;
     private double wroteAt;
     /** The command that was answered last, or null. */
     private String last;
 
-    Caller(Transport transport, Witness witness) {
+    /** {@code carries}: its reads tell when it last wrote. */
+    Caller(Transport transport, Witness witness, boolean carries) {
         this.transport = transport;
         this.witness = witness;
+        this.carries = carries;
+        name = "s" + IDS.incrementAndGet();
     }
 
     /** A command's answer. */
     public enum Answer { WELL, THROTTLED, FAILED, NONE }
 
-    /** Asks and waits for the answer; its session's reads carry the position of its last write. */
+    /** Asks and waits for the answer. */
     public Answer ask(RouterProcess router, CommandGroup group) throws InterruptedException {
         return ask(router, group, "c" + IDS.incrementAndGet());
     }
@@ -44,17 +49,17 @@
     /** The same with the id of an earlier command, which for a keyed one names the same write. */
     public Answer ask(RouterProcess router, CommandGroup group, String id) throws InterruptedException {
         boolean writes = group.level() == ReadLevel.WRITE;
-        boolean carried = group.level() == ReadLevel.SESSION && wroteAt > 0;
+        boolean own = group.level() == ReadLevel.SESSION && wroteAt > 0;
         double patience = group.clientTimeout() + Witness.MACHINE;
-        witness.asked(id, group, carried ? wroteAt : 0, router.name(), patience);
-        ByteBuf statement = StandInClient.statement(writes, "id=" + id + ",c=" + group.name() + ",cluster=1,d="
+        witness.asked(id, group, own ? wroteAt : 0, router.name(), patience);
+        ByteBuf statement = StandInClient.statement(writes, name, "id=" + id + ",c=" + group.name() + ",cluster=1,d="
                 + Math.round(group.clientTimeout() * 1000) + (group.effect() == Effect.KEYED ? ",k=" + id : "")
-                + (carried ? ",after=" + (long) Math.ceil(wroteAt * 1000) : ""));
+                + (own && carries ? ",after=" + (long) Math.ceil(wroteAt * 1000) : ""));
         String word = word(router, statement, patience);
         boolean value = word != null && word.indexOf('.') > 0;
         if (word == null || word.equals(StandInClient.NO_CONNECTION) || word.equals("closed")
                 || value && word.endsWith("closed")) {
-            witness.unanswered(id);
+            witness.unanswered(id, word);
             leave(router);
             Thread.sleep(AGAIN_MS);
             return Answer.NONE;
--- a/trials/src/main/java/clayhook/trials/Cluster.java
+++ b/trials/src/main/java/clayhook/trials/Cluster.java
@@ -4,6 +4,7 @@
 import clayhook.CommandGroup;
 import clayhook.Listing;
 import clayhook.Node;
+import clayhook.Settings;
 import clayhook.transport.Transport;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -18,21 +19,22 @@
 
     final Witness witness;
     private final List<ClusterNode> nodes = new ArrayList<>();
+    final Settings settings;
     private final Map<String, CommandGroup> groups;
     /** Positions of writes by their key, whose repeats are dropped; a trial writes some thousand. */
     private final Map<String, Double> written = new HashMap<>();
-    private final List<Runnable> watchers = new ArrayList<>();
+    private volatile Runnable watcher = () -> { };
     private ClusterNode primary;
     private double head;
     private int version = 1;
 
     /** The first node is primary. All listen on one loop. */
-    Cluster(Transport transport, int id, int size, List<String> zones, List<CommandGroup> groups, Witness witness)
-            throws InterruptedException {
+    Cluster(Transport transport, int size, List<String> zones, Settings settings, Witness witness) throws InterruptedException {
         this.witness = witness;
-        this.groups = groups.stream().collect(Collectors.toMap(CommandGroup::name, group -> group));
+        this.settings = settings;
+        groups = settings.groups().stream().collect(Collectors.toMap(CommandGroup::name, group -> group));
         for (int i = 0; i < size; i++) {
-            nodes.add(new ClusterNode(this, new Node(id + "n" + i, zones.get(i % zones.size()), id), transport));
+            nodes.add(new ClusterNode(this, new Node("n" + i, zones.get(i % zones.size()), 1), transport));
         }
         primary = nodes.get(0);
     }
@@ -72,17 +74,15 @@
     // ---- the list ----
 
     /** Hears of each change of the list, on the thread that makes it. */
-    synchronized void watch(Runnable watcher) {
-        watchers.add(watcher);
+    void watch(Runnable hears) {
+        watcher = hears;
     }
 
     void listChanged() {
-        List<Runnable> all;
         synchronized (this) {
             version++;
-            all = List.copyOf(watchers);
         }
-        all.forEach(Runnable::run);
+        watcher.run();
     }
 
     synchronized int version() {
--- a/trials/src/main/java/clayhook/trials/ClusterNode.java
+++ b/trials/src/main/java/clayhook/trials/ClusterNode.java
@@ -38,8 +38,6 @@
 
     /** Seconds of work of a command, and of work that a warm node does in a second: far more than any trial asks for. */
     private static final double WORK = 0.001, CAPACITY = 2;
-    /** Its part of that when it starts, and seconds until it has all of it. */
-    static final double COLD_SHARE = 0.2, WARM_AFTER = 2;
 
     final Node node;
     private final Cluster cluster;
@@ -110,8 +108,9 @@
 
     private void reckonCold() {
         double age = Witness.now() - startedAt;
-        if (startedAt > 0 && age < WARM_AFTER) {
-            cluster.witness.worked(node, WORK, CAPACITY * (COLD_SHARE + (1 - COLD_SHARE) * age / WARM_AFTER));
+        double cold = cluster.settings.coldShare();
+        if (startedAt > 0 && age < cluster.settings.warmAfter()) {
+            cluster.witness.worked(node, WORK, CAPACITY * (cold + (1 - cold) * age / cluster.settings.warmAfter()));
         }
     }
 
--- a/trials/src/main/java/clayhook/trials/Directory.java
+++ b/trials/src/main/java/clayhook/trials/Directory.java
@@ -6,20 +6,24 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 
-/** Discovery as one router sees it: tells it each change of the list, or has fallen silent towards that router. */
+/** Discovery: tells routers each change of the list; or has fallen silent, or speaks to a few only. */
 public final class Directory {
     private final Cluster cluster;
-    private final String router;
+    private final IntSupplier routers;
     private final StandInDiscovery service;
     /** Calls that wait for something newer than they know; emptied by each change. One a router, and a few it gave up. */
     private List<Predicate<String>> waiting = new ArrayList<>();
-    private boolean silent;
+    /** Calls that will be answered. */
+    private int answers = Integer.MAX_VALUE;
+    private int answered;
 
-    Directory(Transport transport, Cluster cluster, String router) throws InterruptedException {
+    /** {@code routers} says how many are there to be told. */
+    Directory(Transport transport, Cluster cluster, IntSupplier routers) throws InterruptedException {
         this.cluster = cluster;
-        this.router = router;
+        this.routers = routers;
         service = new StandInDiscovery(transport, transport.spare(0), this::called);
         cluster.watch(this::changed);
     }
@@ -28,31 +32,37 @@
         return service.address();
     }
 
-    /** Silent: calls go unanswered until it speaks again. */
-    public synchronized void silent(boolean next) {
-        silent = next;
-        changed();
+    /** From now on it answers so many calls and leaves all further ones waiting. */
+    public synchronized void answers(int calls) {
+        answers = calls;
+        speak();
     }
 
     private synchronized void called(String call, Predicate<String> answer) {
-        if (silent || call.contains("after=" + cluster.version() + "&")) {
-            waiting.add(answer);
-        } else {
-            tell(answer);
+        waiting.add(answer);
+        if (!call.contains("after=" + cluster.version() + "&")) {
+            speak();
         }
     }
 
     private synchronized void changed() {
-        if (!silent) {
-            List<Predicate<String>> all = waiting;
-            waiting = new ArrayList<>();
-            all.forEach(this::tell);
-        }
+        answered = 0;
+        speak();
     }
 
-    private void tell(Predicate<String> answer) {
-        if (answer.test(cluster.list())) {
-            cluster.nodes().forEach(node -> cluster.witness.told(router, node.node, node.state() == Listing.State.DRAINING));
+    private void speak() {
+        List<Predicate<String>> all = waiting;
+        waiting = new ArrayList<>();
+        for (Predicate<String> answer : all) {
+            if (answers == 0) {
+                waiting.add(answer);
+            } else if (answer.test(cluster.list())) {
+                answers--;
+                answered++;
+            }
+        }
+        if (answered >= routers.getAsInt()) {
+            cluster.nodes().forEach(node -> cluster.witness.told(node.node, node.state() == Listing.State.DRAINING));
         }
     }
 }
--- a/trials/src/main/java/clayhook/trials/Relay.java
+++ b/trials/src/main/java/clayhook/trials/Relay.java
@@ -1,21 +1,24 @@
 package clayhook.trials;
 
+import clayhook.transport.Transport;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.SocketAddress;
-import java.nio.ByteBuffer;
-import java.nio.channels.DatagramChannel;
-import java.nio.channels.SelectionKey;
-import java.nio.channels.Selector;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 
@@ -24,49 +27,40 @@
  * sender, and with it the directed link; what comes through leaves from the sender's own socket here, so that the receiver sees
  * the address that it may answer to, and no datagram finds a way around.
  */
-public final class Relay implements AutoCloseable {
+public final class Relay {
     private static final int LONGEST = 1 << 16;
-    /** Datagrams under way at most, over all links; what comes beyond is lost. A second of a fleet far busier than any here. */
-    private static final int MOST_UNDER_WAY = 1 << 16;
+    /** Datagrams held back at most, over all links; what comes beyond is lost. A second of a fleet far busier than any here. */
+    private static final int MOST_HELD = 1 << 16;
 
-    private record UnderWay(double at, long number, int from, int to, byte[] bytes) {
-    }
-
-    private final List<DatagramChannel> sockets = new ArrayList<>();
+    private final List<Channel> sockets = new ArrayList<>();
     private final List<InetSocketAddress> routers;
-    private final Map<SocketAddress, Integer> byAddress = new HashMap<>();
+    private final Map<InetSocketAddress, Integer> byAddress = new HashMap<>();
     private final Link[][] links;
-    private final Selector selector = Selector.open();
     private final AtomicLong strangers = new AtomicLong();
-    /** Emptied as time passes. */
-    private final PriorityQueue<UnderWay> underWay =
-            new PriorityQueue<>(Comparator.comparingDouble(UnderWay::at).thenComparingLong(UnderWay::number));
-    private final ByteBuffer buffer = ByteBuffer.allocate(LONGEST);
-    private final Thread thread = new Thread(this::run, "relay");
-    private long number;
-    private volatile boolean closed;
+    /** Of the loop's thread alone. */
+    private int held;
 
-    /** {@code routers} are the addresses at which they really listen and from which they send. */
-    public Relay(List<InetSocketAddress> routers, long seed) throws IOException {
+    /** {@code routers} are the addresses at which they really listen and from which they send; it ends with the transport. */
+    public Relay(Transport transport, List<InetSocketAddress> routers, long seed) throws InterruptedException {
         this.routers = List.copyOf(routers);
         links = new Link[routers.size()][routers.size()];
         var random = new SplittableRandom(seed);
         for (int i = 0; i < routers.size(); i++) {
             byAddress.put(routers.get(i), i);
-            var socket = DatagramChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            socket.configureBlocking(false).register(selector, SelectionKey.OP_READ, i);
-            sockets.add(socket);
             for (int j = 0; j < routers.size(); j++) {
                 links[i][j] = new Link(random.split());
             }
         }
-        thread.setDaemon(true);
-        thread.start();
+        for (int i = 0; i < routers.size(); i++) {
+            sockets.add(new Bootstrap().group(transport.loop()).channelFactory(NioDatagramChannel::new).handler(new Socket(i))
+                    .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(LONGEST))
+                    .bind(transport.spare(0)).sync().channel());
+        }
     }
 
     /** Where the others reach that router. */
     public InetSocketAddress address(int router) {
-        return new InetSocketAddress(InetAddress.getLoopbackAddress(), sockets.get(router).socket().getLocalPort());
+        return (InetSocketAddress) sockets.get(router).localAddress();
     }
 
     /** Where it really listens; only the relay sends there. */
@@ -74,10 +68,6 @@
         return routers.get(router);
     }
 
-    int routers() {
-        return routers.size();
-    }
-
     public Link link(int from, int to) {
         return links[from][to];
     }
@@ -92,79 +82,45 @@
         return strangers.get();
     }
 
-    private static double now() {
-        return System.nanoTime() / 1e9;
-    }
+    /** Takes what is sent to one router. */
+    private final class Socket extends SimpleChannelInboundHandler<DatagramPacket> {
+        private final int to;
 
-    private void run() {
-        try {
-            while (!closed) {
-                UnderWay next = underWay.peek();
-                if (next == null) {
-                    selector.select(this::readable);
-                } else if (next.at() > now()) {
-                    selector.select(this::readable, Math.max(1, (long) ((next.at() - now()) * 1000)));
-                } else {
-                    selector.selectNow(this::readable);
-                }
-                while (!underWay.isEmpty() && underWay.peek().at() <= now()) {
-                    send(underWay.poll());
-                }
-            }
-        } catch (IOException e) {
-            if (!closed) {
-                throw new UncheckedIOException(e);
-            }
+        Socket(int to) {
+            this.to = to;
         }
-    }
 
-    private void readable(SelectionKey key) {
-        int to = (Integer) key.attachment();
-        try {
-            for (SocketAddress from = sockets.get(to).receive(buffer.clear()); from != null;
-                    from = sockets.get(to).receive(buffer.clear())) {
-                byte[] bytes = new byte[buffer.flip().remaining()];
-                buffer.get(bytes);
-                came(from, to, bytes);
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            Integer from = byAddress.get(packet.sender());
+            if (from == null) {
+                strangers.incrementAndGet();
+                return;
             }
-        } catch (IOException e) {
-            // Guards against a router that is not there: the machine tells of it at the socket that sent to it
-        }
-    }
-
-    private void came(SocketAddress source, int to, byte[] bytes) {
-        Integer from = byAddress.get(source);
-        if (from == null) {
-            strangers.incrementAndGet();
-            return;
-        }
-        for (Link.Departure departure : links[from][to].take(bytes, now())) {
-            if (underWay.size() < MOST_UNDER_WAY) {
-                underWay.add(new UnderWay(departure.at(), number++, from, to, departure.bytes()));
+            double now = System.nanoTime() / 1e9;
+            for (Link.Departure departure : links[from][to].take(ByteBufUtil.getBytes(packet.content()), now)) {
+                if (departure.at() <= now) {
+                    send(from, departure.bytes());
+                } else if (held < MOST_HELD) {
+                    held++;
+                    ctx.executor().schedule(() -> {
+                        held--;
+                        send(from, departure.bytes());
+                    }, (long) ((departure.at() - now) * 1e9), TimeUnit.NANOSECONDS);
+                }
             }
         }
-    }
 
-    private void send(UnderWay datagram) {
-        try {
-            sockets.get(datagram.from()).send(ByteBuffer.wrap(datagram.bytes()), routers.get(datagram.to()));
-        } catch (IOException e) {
-            // as above: lost, as a datagram may be
+        private void send(int from, byte[] bytes) {
+            sockets.get(from).writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), routers.get(to)));
         }
-    }
 
-    @Override
-    public void close() throws IOException {
-        closed = true;
-        selector.wakeup();
-        try {
-            thread.join();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        for (DatagramChannel socket : sockets) {
-            socket.close();
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // Guards against a router that is not there: the machine tells of it at the socket that sent to it
+            if (!(cause instanceof IOException)) {
+                ctx.fireExceptionCaught(cause);
+            }
         }
-        selector.close();
     }
 }
--- a/trials/src/main/java/clayhook/trials/RouterProcess.java
+++ b/trials/src/main/java/clayhook/trials/RouterProcess.java
@@ -9,7 +9,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Predicate;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** One router's process: {@code java -jar clayhook.jar serve}, its files and what it logs. It may come back after its end. */
 public final class RouterProcess {
@@ -102,12 +103,13 @@
         }
     }
 
-    /** The last line from a mark on that fits, or null. */
-    public String last(int mark, Predicate<String> fits) {
+    /** The last of that form in the lines from a mark on, or null. */
+    public String last(int mark, Pattern form) {
         List<String> all = since(mark);
         for (int i = all.size() - 1; i >= 0; i--) {
-            if (fits.test(all.get(i))) {
-                return all.get(i);
+            Matcher matcher = form.matcher(all.get(i));
+            if (matcher.find()) {
+                return matcher.group();
             }
         }
         return null;
@@ -119,6 +121,9 @@
 
     /** Sends it a signal by name: STOP, CONT, HUP to read its files again, TERM to leave. */
     public synchronized void signal(String which) throws IOException {
+        if (!process.isAlive()) {
+            throw new IOException(name + " has ended");
+        }
         try {
             int code = new ProcessBuilder("sh", "-c", "kill -" + which + " " + process.pid()).inheritIO().start().waitFor();
             if (code != 0) {
@@ -133,7 +138,7 @@
     /** Without notice; returns at once. */
     synchronized void kill() {
         if (process != null) {
-            process.destroyForcibly();
+            process.toHandle().destroyForcibly(); // its last lines are still read, unlike with the process's own
         }
     }
 
--- a/trials/src/main/java/clayhook/trials/Trial.java
+++ b/trials/src/main/java/clayhook/trials/Trial.java
@@ -1,9 +1,10 @@
 package clayhook.trials;
 
-import clayhook.CommandGroup.Effect;
-import clayhook.CommandGroup.ReadLevel;
-import clayhook.CommandGroup.Scope;
 import clayhook.CommandGroup;
+import clayhook.Settings;
+import clayhook.config.BadConfig;
+import clayhook.config.Configuration;
+import clayhook.config.Json;
 import clayhook.transport.Transport;
 import java.io.IOException;
 import java.net.DatagramSocket;
@@ -15,27 +16,42 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Locale;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /** A fleet of router processes with nodes, discovery, clients and the relay between routers: begun, troubled, judged. */
 public final class Trial implements AutoCloseable {
-    public static final CommandGroup ANY = group("any", Effect.REPLAYABLE, ReadLevel.ANY);
-    public static final CommandGroup BOUNDED = group("bounded", Effect.REPLAYABLE, ReadLevel.BOUNDED);
-    public static final CommandGroup SESSION = group("session", Effect.REPLAYABLE, ReadLevel.SESSION);
-    public static final CommandGroup WRITE = group("write", Effect.KEYED, ReadLevel.WRITE);
-    public static final CommandGroup CHARGE = group("charge", Effect.MUTATING, ReadLevel.WRITE);
-    public static final List<CommandGroup> GROUPS = List.of(ANY, BOUNDED, SESSION, WRITE, CHARGE);
+    /** As the platform's file says it; times far beyond what a busy machine takes, so that no verdict hangs on its speed. */
+    private static final String SETTINGS = """
+            {"balancers": 5, "zone": "%s", "domain": {"read_level": ["any", "bounded", "session", "write", "write"],
+            "max_age": [0, 1e9, 0, 0, 0], "when_behind": "off", "write_marks": "%s"}, "limits": {"most_tries": 3},
+            "rules": {"start_capacity": 0.2, "warm_after": 2e9, "overload_factor": 3, "overload_for": 1e9}, "grades": [
+            {"name": "any", "effect": "idempotent", "aim": 1e9, "hard_limit": 2e9},
+            {"name": "bounded", "effect": "idempotent", "aim": 1e9, "hard_limit": 2e9},
+            {"name": "session", "effect": "idempotent", "aim": 1e9, "hard_limit": 2e9},
+            {"name": "write", "effect": "deduplicated", "group": "cell", "repeat_window": 2e10, "aim": 1e9, "hard_limit": 2e9},
+            {"name": "charge", "effect": "at_most_once", "aim": 1e9, "hard_limit": 2e9}]}""";
+    private static final Settings READ = settings();
+    public static final CommandGroup BOUNDED = READ.groups().get(1);
+    public static final CommandGroup SESSION = READ.groups().get(2);
+    public static final CommandGroup WRITE = READ.groups().get(3);
+    public static final CommandGroup CHARGE = READ.groups().get(4);
     private static final List<String> ZONES = List.of("a", "b");
-    private static final double OVERLOAD = 3, OVERLOAD_FOR = 1;
     /** Longer than any start or answer takes, even where several such trials share a machine. */
     public static final double PATIENCE = 60;
     private static final long LOOK_MS = 10;
+    /** No session comes to another router sooner than this after its write: a little more than routers count on. */
+    public static final long ROAM_MS = 600;
+    /** Datagrams by which a trouble of links has shown. */
+    private static final int ENOUGH = 300;
+    /** What a router logs of its members and of each kind of what it shares: its hash and size. */
+    private static final Pattern FIGURES = Pattern.compile("members \\d+ alive \\d+, digests( \\S+=\\w+/\\d+)+");
     /** Below the ports that machines give to connections, so that a router that returns finds its own still free. */
     private static final int FIRST_PORT = 20_000, PORTS = 12_000;
     private static final AtomicInteger PORT = new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % PORTS));
@@ -43,40 +59,46 @@
     private final Path folder = Files.createTempDirectory("trial");
     private final Transport nodesLoop = Transport.tcp();
     private final Transport clientsLoop = Transport.tcp();
-    private final Witness witness = new Witness(OVERLOAD, OVERLOAD_FOR);
+    private final Witness witness = new Witness(READ);
     private final Cluster cluster;
     private final List<RouterProcess> routers = new ArrayList<>();
-    private final List<Directory> directories = new ArrayList<>();
+    private final Directory directory;
     private final Relay relay;
     private final long seed;
+    private final boolean carried;
     private final Thread atExit = new Thread(() -> routers.forEach(RouterProcess::kill));
     private final List<Thread> load = new ArrayList<>();
     private volatile boolean loaded;
 
-    private static CommandGroup group(String name, Effect effect, ReadLevel level) {
-        // Bounds and targets far beyond what a busy machine takes; the verdict must not hang on its speed.
-        return new CommandGroup(name, effect, level, 1, 2, 1, 1, Scope.GROUP, 20, 1);
+    static Settings settings() {
+        try {
+            return Configuration.of(Json.parse("{\"name\": \"any\", \"listen\": \"any:1\", \"discovery\": \"any:1\", \"seed\": \"1\","
+                    + " \"settings\": " + SETTINGS + "}"), Map.of()).settings();
+        } catch (BadConfig e) {
+            throw new IllegalStateException(e);
+        }
     }
 
     /**
      * Begins the processes, named r0, r1 and so on, and returns when all take commands.
      *
      * @param jar the program
-     * @param sharing tables and keys of the operator's file beside what says who and where; null leaves sharing off
+     * @param sharing keys of that table in the operator's file beside what says who and where; null leaves sharing off
+     * @param carried sessions tell when they last wrote; otherwise routers remember it
      * @param seed of the relay, the load and the routers
      */
-    public Trial(Path jar, int count, String sharing, long seed) throws IOException, InterruptedException {
+    public Trial(Path jar, int count, String sharing, boolean carried, long seed) throws IOException, InterruptedException {
         this.seed = seed;
+        this.carried = carried;
         Runtime.getRuntime().addShutdownHook(atExit);
-        cluster = new Cluster(nodesLoop, 1, 3, ZONES, GROUPS, witness);
+        cluster = new Cluster(nodesLoop, 3, ZONES, READ, witness);
         List<InetSocketAddress> addresses = IntStream.range(0, count).mapToObj(i -> spare()).toList();
-        relay = new Relay(addresses, seed);
+        relay = new Relay(clientsLoop, addresses, seed);
+        directory = new Directory(nodesLoop, cluster, () -> up().size());
         for (int i = 0; i < count; i++) {
             var router = new RouterProcess("r" + i, addresses.get(i), jar, folder.resolve("r" + i));
-            var directory = new Directory(nodesLoop, cluster, router.name());
-            router.configure(platform(router, directory), operator(i, sharing));
+            router.configure(platform(router, i), operator(i, count, sharing));
             routers.add(router);
-            directories.add(directory);
             router.start();
         }
         for (RouterProcess router : routers) {
@@ -102,38 +124,15 @@
         return '"' + address.getAddress().getHostAddress() + ':' + address.getPort() + '"';
     }
 
-    private String platform(RouterProcess router, Directory directory) {
-        String grades = GROUPS.stream().map(Trial::grade).collect(Collectors.joining(","));
-        String levels = GROUPS.stream().map(g -> '"' + g.level().name().toLowerCase(Locale.ROOT) + '"').collect(Collectors.joining(","));
-        String ages = GROUPS.stream().map(g -> nanos(g.bound())).collect(Collectors.joining(","));
-        return "{\"name\":\"" + router.name() + "\",\"listen\":" + text(router.address()) + ",\"discovery\":"
-                + text(directory.address()) + ",\"seed\":\"" + Long.toHexString(seed + directories.size()) + "\",\"limits\":{"
-                + "\"sockets\":512},\"known\":" + cluster.list() + ",\"settings\":{\"balancers\":" + relay.routers() + ",\"zone\":\""
-                + ZONES.get(directories.size() % ZONES.size()) + "\",\"grades\":[" + grades + "],\"domain\":{\"read_level\":["
-                + levels + "],\"max_age\":[" + ages + "],\"when_behind\":\"off\",\"write_marks\":\"carried\"},\"limits\":{"
-                + "\"most_tries\":3},\"rules\":{\"start_capacity\":" + ClusterNode.COLD_SHARE + ",\"warm_after\":"
-                + nanos(ClusterNode.WARM_AFTER) + ",\"overload_factor\":" + OVERLOAD + ",\"overload_for\":" + nanos(OVERLOAD_FOR)
-                + "}}}";
-    }
-
-    private static String grade(CommandGroup group) {
-        String effect = switch (group.effect()) {
-            case REPLAYABLE -> "idempotent";
-            case KEYED -> "deduplicated";
-            case MUTATING -> "at_most_once";
-        };
-        return "{\"name\":\"" + group.name() + "\",\"effect\":\"" + effect + "\",\"aim\":" + nanos(group.responseTarget())
-                + ",\"hard_limit\":" + nanos(group.clientTimeout()) + ",\"group\":\"cell\",\"repeat_window\":"
-                + nanos(group.repeatWindow()) + "}";
+    private String platform(RouterProcess router, int number) {
+        return "{\"name\": \"" + router.name() + "\", \"listen\": " + text(router.address()) + ", \"discovery\": "
+                + text(directory.address()) + ", \"seed\": \"" + Long.toHexString(seed + number) + "\", \"known\": " + cluster.list()
+                + ", \"settings\": " + SETTINGS.formatted(ZONES.get(number % ZONES.size()), carried ? "carried" : "remembered") + "}";
     }
 
-    private static String nanos(double seconds) {
-        return Long.toString((long) (seconds * 1e9));
-    }
-
-    private String operator(int router, String sharing) {
+    private String operator(int router, int count, String sharing) {
         String nodes = "[nodes]\nuser = \"r" + router + "\"\n";
-        String seeds = IntStream.of(router + 1, router + 2).mapToObj(i -> text(relay.address(i % relay.routers())))
+        String seeds = IntStream.of(router + 1, router + 2).mapToObj(i -> text(relay.address(i % count)))
                 .collect(Collectors.joining(", "));
         return sharing == null ? nodes : nodes + "[sharing]\nenabled = true\nlisten = " + text(relay.behind(router))
                 + "\nadvertise = " + text(relay.address(router)) + "\nseeds = [" + seeds + "]\n" + sharing;
@@ -141,17 +140,13 @@
 
     /** Waits until it takes commands. */
     private void greet(RouterProcess router) throws InterruptedException {
-        boolean greeted = false;
-        for (double until = Witness.now() + PATIENCE; !greeted && Witness.now() < until;) {
-            if (!router.runs()) {
-                break;
+        double until = Witness.now() + PATIENCE;
+        while (!Caller.greeted(clientsLoop, router.address(), PATIENCE)) {
+            if (!router.runs() || Witness.now() > until) {
+                throw new IllegalStateException(router.name() + " does not take commands: " + router.since(0));
             }
-            greeted = Caller.greeted(clientsLoop, router.address(), PATIENCE);
             Thread.sleep(LOOK_MS);
         }
-        if (!greeted) {
-            throw new IllegalStateException(router.name() + " does not take commands: " + router.since(0));
-        }
     }
 
     // ---- its parts ----
@@ -168,9 +163,8 @@
         return cluster;
     }
 
-    /** As that router sees it. */
-    public Directory directory(int router) {
-        return directories.get(router);
+    public Directory directory() {
+        return directory;
     }
 
     public Witness witness() {
@@ -179,7 +173,7 @@
 
     /** A new session. */
     public Caller caller() {
-        return new Caller(clientsLoop, witness);
+        return new Caller(clientsLoop, witness, carried);
     }
 
     // ---- faults ----
@@ -255,15 +249,18 @@
         }
     }
 
+    /** {@code home}: the number of its router; one beyond them all roams. */
     private void work(Caller caller, int home, Random random) {
         try {
+            RouterProcess router = routers.get(home % routers.size());
             while (loaded) {
-                RouterProcess router = routers.get(home < routers.size() ? home : random.nextInt(routers.size()));
-                // One that roams does not go where nobody is; one at home waits there.
-                if (home < routers.size() || !witness.isDown(router.name())) {
-                    caller.ask(router, GROUPS.get(random.nextInt(GROUPS.size())));
+                if (home >= routers.size() && (witness.isDown(router.name()) || random.nextInt(50) == 0)) {
+                    Thread.sleep(ROAM_MS);
+                    router = routers.get(random.nextInt(routers.size()));
+                } else {
+                    caller.ask(router, READ.groups().get(random.nextInt(READ.groups().size())));
+                    Thread.sleep(1 + random.nextInt(5)); // a client's own work, which leaves the machine to others
                 }
-                Thread.sleep(1 + random.nextInt(5)); // a client's own work, which leaves the machine to others
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -307,6 +304,31 @@
         return routers.stream().filter(router -> !witness.isDown(router.name())).toList();
     }
 
+    /** What a router said last of members and of its copies, of all lines or those from a mark on; empty for nothing. */
+    private static String figures(RouterProcess router, int mark) {
+        String figures = router.last(mark, FIGURES);
+        return figures == null ? "" : figures;
+    }
+
+    /** Waits until routers, or datagrams, have felt it; for trials with sharing. */
+    public boolean felt(Fault fault) throws InterruptedException {
+        boolean parts = !(fault instanceof Fault.Everywhere || fault instanceof Fault.OneWay);
+        long came = relay.count(Link.Fate.CAME) + ENOUGH;
+        String whole = "alive " + routers.size() + ",";
+        return await(() -> parts ? up().isEmpty() || up().stream().anyMatch(router -> !figures(router, 0).contains(whole))
+                : relay.count(Link.Fate.CAME) > came);
+    }
+
+    /** Waits until all routers see each other and have equal copies of all that they share. */
+    public boolean agree() throws InterruptedException {
+        int[] marks = routers.stream().mapToInt(RouterProcess::mark).toArray();
+        String whole = "members " + marks.length + " alive " + marks.length + ",";
+        return await(() -> {
+            List<String> all = IntStream.range(0, marks.length).mapToObj(i -> figures(routers.get(i), marks[i])).toList();
+            return all.get(0).startsWith(whole) && all.stream().distinct().count() == 1;
+        });
+    }
+
     /** What each router logged last, to explain a verdict. */
     public String said() {
         return routers.stream().map(router -> router.since(Math.max(0, router.mark() - 12)).toString())
@@ -324,7 +346,6 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        relay.close();
         nodesLoop.close();
         clientsLoop.close();
         Runtime.getRuntime().removeShutdownHook(atExit);
--- a/trials/src/main/java/clayhook/trials/Witness.java
+++ b/trials/src/main/java/clayhook/trials/Witness.java
@@ -3,7 +3,9 @@
 import clayhook.CommandGroup;
 import clayhook.CommandGroup.ReadLevel;
 import clayhook.Node;
+import clayhook.Settings;
 import clayhook.lab.model.Audit;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -23,6 +25,7 @@
     private static final class Up {
         int changes;
         boolean down;
+        double since;
     }
 
     private record Asked(CommandGroup group, double at, double wroteAt, String router, int changes) {
@@ -33,13 +36,14 @@
     private final Audit audit;
     private final Map<String, Asked> commands = new HashMap<>();
     private final Map<String, Up> routers = new HashMap<>();
-    /** Since when a router knows that a node drains. */
-    private final Map<String, Map<Node, Double>> told = new HashMap<>();
+    /** Since when routers know that a node drains; one that was down since it is up. */
+    private final Map<Node, Double> told = new HashMap<>();
     private final Map<Node, Integer> runs = new HashMap<>();
     private final Map<String, Integer> answered = new HashMap<>();
+    private String missing;
 
-    Witness(double overloadFactor, double overloadFor) {
-        audit = new Audit(GRACE + MACHINE, overloadFactor, overloadFor);
+    Witness(Settings settings) {
+        audit = new Audit(GRACE + MACHINE, settings.overloadFactor(), settings.overloadFor());
     }
 
     /** Seconds since 1970; never goes back. */
@@ -60,21 +64,19 @@
         Up up = routers.computeIfAbsent(router, any -> new Up());
         up.changes++;
         up.down = false;
-        // What it was told while it stood still it reads now; a new life is told anew.
-        told.computeIfAbsent(router, any -> new HashMap<>()).replaceAll((node, at) -> Math.max(at, now()));
+        up.since = now();
     }
 
     synchronized boolean isDown(String router) {
         return routers.computeIfAbsent(router, any -> new Up()).down;
     }
 
-    /** A list that a router was sent, or what a peer told it, says whether that node drains. */
-    public synchronized void told(String router, Node node, boolean drains) {
-        Map<Node, Double> of = told.computeIfAbsent(router, any -> new HashMap<>());
-        if (drains) {
-            of.putIfAbsent(node, now());
-        } else {
-            of.remove(node);
+    /** All routers that are up were told whether that node drains. */
+    synchronized void told(Node node, boolean drains) {
+        if (!drains) {
+            told.remove(node);
+        } else if (!told.containsKey(node)) {
+            told.put(node, now());
         }
     }
 
@@ -97,12 +99,15 @@
         }
     }
 
-    /** None came. Only where its router was down or stood still meanwhile is that no fault. */
-    synchronized void unanswered(String id) {
+    /** None came, but the end of the connection, or null for nothing. Only where its router was down or stood still meanwhile is that no fault. */
+    synchronized void unanswered(String id, String instead) {
         Asked asked = commands.get(id);
         Up up = routers.get(asked.router());
         if (up.down || up.changes != asked.changes()) {
             audit.excused(id);
+        } else if (missing == null) {
+            missing = id + " of " + asked.group().name() + " at " + asked.router() + ", asked at " + Instant.ofEpochMilli(
+                    (long) (asked.at() * 1000)) + ", got after " + (now() - asked.at()) + " s: " + instead;
         }
     }
 
@@ -110,9 +115,8 @@
 
     /** A statement came from a router to a node that drains. */
     synchronized void came(String router, Node node) {
-        Double since = told.getOrDefault(router, Map.of()).get(node);
-        if (since != null) {
-            audit.sentToDraining(node, since, now());
+        if (told.containsKey(node) && routers.containsKey(router)) {
+            audit.sentToDraining(node, Math.max(told.get(node), routers.get(router).since), now());
         }
     }
 
@@ -150,8 +154,8 @@
         return audit.broken();
     }
 
-    /** The first break, or null. */
+    /** The first break, and the first command that nobody answered, or null. */
     public synchronized String firstBroken() {
-        return audit.first();
+        return audit.first() + ", " + missing;
     }
 }
--- a/trials/src/test/java/clayhook/trials/RelayTest.java
+++ b/trials/src/test/java/clayhook/trials/RelayTest.java
@@ -1,12 +1,15 @@
 package clayhook.trials;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
+import clayhook.transport.Transport;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -35,8 +38,9 @@
 
     @Test
     void answersComeBackThroughTheRelayAndEachDirectionHasItsOwnTrouble() throws Exception {
-        try (DatagramSocket a = socket(); DatagramSocket b = socket(); DatagramSocket stranger = socket();
-                var relay = new Relay(List.of(at(a), at(b)), 1)) {
+        Transport transport = Transport.tcp();
+        try (DatagramSocket a = socket(); DatagramSocket b = socket(); DatagramSocket stranger = socket()) {
+            var relay = new Relay(transport, List.of(at(a), at(b)), 1);
             send(a, 1, relay.address(1));
             InetSocketAddress seen = receive(b, 1);
             assertEquals(relay.address(0), seen);
@@ -48,12 +52,19 @@
             send(stranger, 4, relay.address(1));
             send(b, 5, relay.address(0));
             receive(a, 5);
+            assertTimeoutPreemptively(Duration.ofSeconds(20), () -> {
+                while (relay.link(0, 1).count(Link.Fate.LOST) + relay.strangers() < 2) {
+                    Thread.sleep(1);
+                }
+            });
             relay.link(0, 1).trouble(Trouble.NONE);
             send(a, 6, relay.address(1));
             receive(b, 6); // neither the one that was cut off nor the stranger's
             assertEquals(1, relay.link(0, 1).count(Link.Fate.LOST));
             assertEquals(0, relay.link(1, 0).count(Link.Fate.LOST));
             assertEquals(1, relay.strangers());
+        } finally {
+            transport.close();
         }
     }
 }
--- a/trials/src/test/java/clayhook/trials/TrialTest.java
+++ b/trials/src/test/java/clayhook/trials/TrialTest.java
@@ -12,12 +12,12 @@
 
 /** Five processes of the jar. */
 class TrialTest {
-    private static final Path JAR = Path.of(System.getProperty("clayhook.jar"));
-    private static final int ROUTERS = 5;
+    static final Path JAR = Path.of(System.getProperty("clayhook.jar"));
+    static final int ROUTERS = 5;
     /** Commands with an answer that each router must give before the next thing happens. */
-    private static final int SOME = 20;
+    static final int SOME = 20;
 
-    private static void verdict(Trial trial) throws InterruptedException {
+    static void verdict(Trial trial) throws InterruptedException {
         trial.calm();
         assertEquals(Map.of(), trial.witness().broken(), () -> trial.witness().firstBroken() + "\n" + trial.said());
     }
@@ -52,7 +52,7 @@
     @ParameterizedTest
     @ValueSource(longs = 1)
     void withoutSharingRoutersServeOnWhileOthersAreStoppedAndKilledAndTheRulesAreKept(long seed) throws Exception {
-        try (var trial = new Trial(JAR, ROUTERS, null, seed)) {
+        try (var trial = new Trial(JAR, ROUTERS, null, true, seed)) {
             trial.load();
             assertTrue(trial.serve(trial.up(), SOME), trial::said);
             for (Fault fault : Plan.of(seed, ROUTERS)) {
--- a/trials/src/test/java/clayhook/trials/WitnessTest.java
+++ b/trials/src/test/java/clayhook/trials/WitnessTest.java
@@ -21,7 +21,7 @@
         "keyed twice, ''", "charged twice in a killed router, NO_DOUBLE_EFFECT", "older than the session, NO_STALE_READ",
         "as new as the session, ''", "older than the bound, NO_STALE_READ", "within the bound, ''"})
     void theVerdictIsThat(String what, String rule) {
-        var witness = new Witness(3, 1);
+        var witness = new Witness(Trial.settings());
         boolean writes = what.contains("charge") || what.contains("keyed");
         if (what.startsWith("stopped")) {
             witness.down("r0");
@@ -41,7 +41,7 @@
             witness.ran("id", SECOND, 0);
         }
         if (rule.equals("ONE_ANSWER") && !what.startsWith("two") || what.startsWith("killed") || what.startsWith("stopped")) {
-            witness.unanswered("id");
+            witness.unanswered("id", null);
         } else {
             witness.answered("id", what.startsWith("throttled"), true);
         }
