Send the floor with each answer of a walk, so that certainty never outruns it

Change: nodes and entries carry the floor of their moment. A gap is now and then closed with its very member, and a router that is not brought up turns to others than the one that knew no more.

--- a/fleet/src/main/java/clayhook/fleet/state/Answers.java
+++ b/fleet/src/main/java/clayhook/fleet/state/Answers.java
@@ -82,7 +82,7 @@
         for (Word.Root root : ask.roots()) {
             Table<?> table = copy.table(root.kind());
             if (table != null && copy.hears(from.member(), table)) {
-                copy.align(from.member(), root, now);
+                copy.align(from.member(), table, root.cutoff(), root.floor(), now);
                 out.add(Copy.root(table));
             }
         }
@@ -98,7 +98,7 @@
             sums[i] = table.tree.sum(level, ask.index() * Tree.FAN + i);
             sizes[i] = table.tree.count(level, ask.index() * Tree.FAN + i);
         }
-        return new Word.Node(ask.walk(), ask.ask(), table.cutoff(), sums, sizes);
+        return new Word.Node(ask.walk(), ask.ask(), table.cutoff(), table.floor(), sums, sizes);
     }
 
     /** All that the other lacks in the range, as far as it fits. */
@@ -127,7 +127,7 @@
                 }
             }
         }
-        return new Word.Entries(ask.walk(), ask.ask(), ask.kind(), upTo, had, entries);
+        return new Word.Entries(ask.walk(), ask.ask(), ask.kind(), table.floor(), upTo, had, entries);
     }
 
     private static int place(long[] briefs, int brief) {
--- a/fleet/src/main/java/clayhook/fleet/state/Copy.java
+++ b/fleet/src/main/java/clayhook/fleet/state/Copy.java
@@ -87,11 +87,10 @@
     }
 
     /** Takes over what another copy has dropped or left out already. */
-    void align(Member from, Word.Root root, double now) {
-        Table<?> table = tables.get(root.kind());
-        if (table != null && hears(from, table)) {
-            table.raise(root.floor(), now, settings.sweep());
-            table.align(root.cutoff(), now, settings.sweep());
+    void align(Member from, Table<?> table, double cutoff, double floor, double now) {
+        if (hears(from, table)) {
+            table.raise(floor, now, settings.sweep());
+            table.align(cutoff, now, settings.sweep());
         }
     }
 
--- a/fleet/src/main/java/clayhook/fleet/state/Origins.java
+++ b/fleet/src/main/java/clayhook/fleet/state/Origins.java
@@ -146,15 +146,8 @@
     }
 
     /** Those of whom something has been missing here for longer than that; with {@code all}, all. */
-    List<Long> lacking(boolean all, double longer, double now) {
-        var out = new ArrayList<Long>();
-        for (Member member : roster.mayServe(now)) {
-            Track track = of(member, now);
-            if (all || track.lacks(longer, now)) {
-                out.add(track.id);
-            }
-        }
-        return out;
+    List<Member> lacking(boolean all, double longer, double now) {
+        return roster.mayServe(now).stream().filter(member -> all || of(member, now).lacks(longer, now)).toList();
     }
 
     /** Up to when all is here that anyone put in who may serve, on this router's clock. */
--- a/fleet/src/main/java/clayhook/fleet/state/State.java
+++ b/fleet/src/main/java/clayhook/fleet/state/State.java
@@ -220,6 +220,7 @@
             counts.unknownKinds += entries.entries().size();
             return true;
         }
+        copy.align(from.member(), table, Double.NEGATIVE_INFINITY, entries.floor(), now);
         boolean settled = true;
         for (Word.Entry entry : entries.entries()) {
             long hash = Keys.hash(entry.key());
--- a/fleet/src/main/java/clayhook/fleet/state/Walk.java
+++ b/fleet/src/main/java/clayhook/fleet/state/Walk.java
@@ -1,5 +1,6 @@
 package clayhook.fleet.state;
 
+import clayhook.fleet.Member;
 import clayhook.fleet.Outbox;
 import clayhook.fleet.Packet;
 import clayhook.fleet.Peer;
@@ -77,7 +78,7 @@
     private double pushed;
     private double bytes;
 
-    Walk(Peer peer, long id, List<Long> lacking, Copy copy, StateSettings settings, StateCounts counts, Allowance allowance,
+    Walk(Peer peer, long id, List<Member> lacking, Copy copy, StateSettings settings, StateCounts counts, Allowance allowance,
             double now) {
         this.peer = peer;
         this.id = id;
@@ -87,8 +88,8 @@
         this.allowance = allowance;
         heardAt = now;
         for (int i = 0; i < lacking.size(); i += Word.MOST_IDS) {
-            List<Long> some = lacking.subList(i, Math.min(lacking.size(), i + Word.MOST_IDS));
-            steps.push(new Step.Numbers(some.stream().mapToLong(Long::longValue).toArray()));
+            List<Member> some = lacking.subList(i, Math.min(lacking.size(), i + Word.MOST_IDS));
+            steps.push(new Step.Numbers(some.stream().mapToLong(Keys::id).toArray()));
         }
     }
 
@@ -225,7 +226,7 @@
             Table<?> table = copy.table(root.kind());
             if (table != null && copy.hears(from.member(), table)) {
                 compared++;
-                copy.align(from.member(), root, now);
+                copy.align(from.member(), table, root.cutoff(), root.floor(), now);
                 if (table.tree.sum(0, 0) != root.sum()) {
                     steps.push(new Step.Node(table, 0, 0));
                 }
@@ -239,7 +240,7 @@
         if (question == null || !(question.step instanceof Step.Node node)) {
             return;
         }
-        node.table.align(answer.cutoff(), now, settings.sweep());
+        copy.align(from.member(), node.table, answer.cutoff(), answer.floor(), now);
         int level = node.level + 1;
         for (int i = 0; i < Tree.FAN; i++) {
             int index = node.index * Tree.FAN + i;
@@ -293,7 +294,7 @@
             pushed += size;
             spend(size);
             counts.walkBytes += size;
-            out.add(peer.address(), new Word.Entries(0, 0, table.kind.number(), 0, 0, List.copyOf(entries)));
+            out.add(peer.address(), new Word.Entries(0, 0, table.kind.number(), table.floor(), 0, 0, List.copyOf(entries)));
         }
     }
 }
--- a/fleet/src/main/java/clayhook/fleet/state/Walks.java
+++ b/fleet/src/main/java/clayhook/fleet/state/Walks.java
@@ -5,6 +5,7 @@
 import clayhook.fleet.Peer;
 import clayhook.fleet.Roster;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 
 /** When this copy is compared with whose, one at a time, and whether it was brought up since the start. */
@@ -13,7 +14,7 @@
     private static final double UNDER_WAY = 0.3;
     /** Seconds between two comparisons while this copy is not brought up. */
     private static final double HURRY = 0.1;
-    /** A costly comparison puts off the next one by that many intervals at most. */
+    /** A costly comparison puts off the next one by that many intervals at most, and until this copy is brought up by one. */
     private static final double LONGEST_REST = 4;
 
     private final Roster roster;
@@ -27,7 +28,7 @@
     /** Null between two comparisons. */
     private Walk walk;
     private double nextAt;
-    /** The one that fell silent last; another one is tried before it. */
+    /** The one that fell silent last or knew no more itself; another one is tried before it. */
     private Member shunned;
     private boolean broughtUp;
     /** Someone was compared with who knew no more either. */
@@ -83,14 +84,26 @@
             nextAt = now + HURRY;
             return;
         }
+        counts.walksBegun++;
+        List<Member> lacking = origins.lacking(!broughtUp, UNDER_WAY, now);
+        long id = random.nextLong() | 1; // never 0, which stands for none
+        walk = new Walk(peer(others, lacking), id, lacking, copy, settings, counts, allowance, now);
+    }
+
+    /** Anyone, or now and then one of whom something is missing: it has that for sure. */
+    private Peer peer(List<Peer> others, List<Member> lacking) {
+        if (broughtUp && !lacking.isEmpty() && random.nextBoolean()) {
+            Member wanted = lacking.get(random.nextInt(lacking.size()));
+            Optional<Peer> itself = others.stream().filter(peer -> peer.member().equals(wanted)).findFirst();
+            if (itself.isPresent() && !wanted.equals(shunned)) {
+                return itself.get();
+            }
+        }
         Peer peer = others.get(random.nextInt(others.size()));
         for (int i = 0; i < 3 && (peer.member().equals(shunned) || !roster.timely(peer.member())); i++) {
             peer = others.get(random.nextInt(others.size()));
         }
-        counts.walksBegun++;
-        List<Long> lacking = origins.lacking(!broughtUp, UNDER_WAY, now);
-        long id = random.nextLong() | 1; // never 0, which stands for none
-        walk = new Walk(peer, id, lacking, copy, settings, counts, allowance, now);
+        return peer;
     }
 
     private void go(double now, Outbox out) {
@@ -104,14 +117,15 @@
 
     private void finish(double now) {
         counts.walksDone++;
-        shunned = null;
+        shunned = walk.peerWhole() ? null : walk.peer.member();
         met = true;
         if (walk.complete() && roster.timely(walk.peer.member())) {
             walk.pairs().forEach(pair -> origins.has(pair, now));
             broughtUp |= walk.peerWhole() || now - start >= settings.aloneAfter();
         }
-        double rest = Math.min(LONGEST_REST * settings.digestEvery(),
-                Math.max(whole(now) ? settings.digestEvery() : HURRY, walk.bytes() / settings.digestBytes()));
+        double paid = walk.bytes() / settings.digestBytes();
+        double rest = whole(now) ? Math.min(LONGEST_REST * settings.digestEvery(), Math.max(settings.digestEvery(), paid))
+                : Math.min(settings.digestEvery(), Math.max(HURRY, paid / LONGEST_REST));
         // Uneven, so that routers that started together do not all compare together.
         nextAt = now + rest * (0.75 + random.nextDouble() / 2);
         walk = null;
--- a/fleet/src/main/java/clayhook/fleet/state/Word.java
+++ b/fleet/src/main/java/clayhook/fleet/state/Word.java
@@ -21,7 +21,7 @@
     /** Bytes that the root of a kind takes. */
     int ROOT = 31;
     /** Bytes of a part beside its entries, at most. */
-    int FRAME = 64;
+    int FRAME = 72;
     /** Entries in a part; more than fit. */
     int MOST = 256;
     /** Members asked about in one question; the answer fits whatever their numbers are. */
@@ -206,7 +206,8 @@
         }
     }
 
-    record Node(long walk, int ask, double cutoff, long[] sums, long[] counts) implements Word {
+    /** @param floor as of now: what is not among the entries any more is at or below it */
+    record Node(long walk, int ask, double cutoff, double floor, long[] sums, long[] counts) implements Word {
         static final int NUMBER = 26;
 
         @Override
@@ -216,13 +217,14 @@
 
         @Override
         public void write(Writer out) {
-            out.whole(walk).whole(ask).number(cutoff);
+            out.whole(walk).whole(ask).number(cutoff).number(floor);
             wholes(sums, out);
             wholes(counts, out);
         }
 
         private static Node read(Reader in) {
-            var node = new Node(in.whole(), in.small(Integer.MAX_VALUE), in.number(), in.wholes(Tree.FAN), in.wholes(Tree.FAN));
+            var node = new Node(in.whole(), in.small(Integer.MAX_VALUE), in.number(), in.number(), in.wholes(Tree.FAN),
+                    in.wholes(Tree.FAN));
             if (node.sums.length != Tree.FAN || node.counts.length != Tree.FAN) {
                 throw new IllegalArgumentException("a node of " + node.sums.length + " ranges");
             }
@@ -254,10 +256,11 @@
     /**
      * Entries; walk 0: what the other was seen to lack.
      *
+     * @param floor as in {@link Node}
      * @param upTo hash up to which these are all that were asked for
      * @param had a bit for each entry told in brief that is here too
      */
-    record Entries(long walk, int ask, int kind, long upTo, long had, List<Entry> entries) implements Word {
+    record Entries(long walk, int ask, int kind, double floor, long upTo, long had, List<Entry> entries) implements Word {
         static final int NUMBER = 28;
 
         @Override
@@ -267,13 +270,13 @@
 
         @Override
         public void write(Writer out) {
-            out.whole(walk).whole(ask).whole(kind).whole(upTo).whole(had).begin();
+            out.whole(walk).whole(ask).whole(kind).number(floor).whole(upTo).whole(had).begin();
             entries.forEach(entry -> out.begin().text(entry.key).bytes(entry.value).end());
             out.end();
         }
 
         private static Entries read(Reader in) {
-            return new Entries(in.whole(), in.small(Integer.MAX_VALUE), in.small(MOST_KINDS), in.whole(), in.whole(),
+            return new Entries(in.whole(), in.small(Integer.MAX_VALUE), in.small(MOST_KINDS), in.number(), in.whole(), in.whole(),
                     in.lists(MOST, each -> new Entry(each.name(), each.bytes())));
         }
     }
