Put marks in a round at a time, and sleep longer while the loop is busy

A session that writes all the time put its marks in faster than news of them goes round, and certainty fell seconds behind.

Marks are gathered for 50 ms, the farewell puts in what is left. The thread wakes fifty times a second at most.

--- a/daemon/src/main/java/clayhook/peers/Exchange.java
+++ b/daemon/src/main/java/clayhook/peers/Exchange.java
@@ -27,6 +27,7 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -41,7 +42,10 @@
  * thread, but for {@link #need} and {@link #left}.
  */
 final class Exchange implements Machine {
-    /** Seconds between two snapshots of marks: short beside the time in which a session comes to another router. */
+    /**
+     * Seconds between two snapshots of marks, and two puttings in: short beside the time in which a session comes to another
+     * router. Guards against a session that writes all the time, whose marks would come in faster than news of them goes round.
+     */
     private static final double PUBLISH = 0.05;
     /** Seconds between two reckonings of shares, and looks at what is to be put in again. */
     private static final double SELDOM = 0.25;
@@ -94,6 +98,8 @@
     private final Map<String, Known> nodes = new HashMap<>();
     /** Keys of nodes on which others have put in something; emptied each turn. */
     private final Set<String> changed = new LinkedHashSet<>();
+    /** Marks of this router's own writes; emptied with each snapshot, before which there are few. */
+    private final Map<String, Mark> marks = new LinkedHashMap<>();
     /** What this router itself puts in is no news to it. */
     private boolean putting;
     private double publishAt, seldomAt;
@@ -153,7 +159,7 @@
             }
         } else if (news instanceof News.Wrote wrote) {
             if (needs != null) {
-                shared.put(Mark.KIND, Mark.key(wrote.session()), new Mark(wrote.position(), wrote.group()), now);
+                marks.merge(Mark.key(wrote.session()), new Mark(wrote.position(), wrote.group()), Mark.KIND::join);
             }
         } else if (news instanceof News.Written written) {
             if (doubts != null) {
@@ -170,12 +176,11 @@
                 : Fate.unknown(first);
     }
 
-    private void listed(String source, NodeList list, double now) {
+    /** This router knows those nodes; what it only remembers of them is not put in as news of discovery. */
+    void know(NodeList list) {
         if (list.whole()) {
             nodes.clear();
         }
-        var entries = new ArrayList<ListMerge.Entry>();
-        boolean fits = true;
         for (NodeList.Entry entry : list.entries()) {
             String key = Evidence.key(entry.id());
             if (entry.state() == Listing.State.GONE) {
@@ -183,6 +188,20 @@
             } else {
                 nodes.put(key, new Known(entry.id(), entry.startedAt()));
             }
+        }
+        if (looks != null) {
+            looks.keep(nodes.keySet());
+        }
+    }
+
+    private void listed(String source, NodeList list, double now) {
+        know(list);
+        if (lists == null) {
+            return;
+        }
+        var entries = new ArrayList<ListMerge.Entry>();
+        boolean fits = true;
+        for (NodeList.Entry entry : list.entries()) {
             try {
                 entries.add(entry(entry, list.version(), now));
             } catch (IllegalArgumentException e) {
@@ -190,17 +209,12 @@
                 senseless++;
             }
         }
-        if (looks != null) {
-            looks.keep(nodes.keySet());
-        }
-        if (lists != null) {
-            // Guards against calling a node gone that only could not be told: what is left out of a whole list is gone.
-            lists.own(source, list.version(), list.whole() && fits, entries, now);
-            Set<String> heard = entries.stream().map(ListMerge.Entry::id).collect(Collectors.toSet());
-            // The loop has heard the same from discovery itself.
-            lists.changes().stream().filter(change -> change.word().revision() != list.version()
-                    || !(list.whole() || heard.contains(change.id()))).forEach(this::hand);
-        }
+        // Guards against calling a node gone that only could not be told: what is left out of a whole list is gone.
+        lists.own(source, list.version(), list.whole() && fits, entries, now);
+        Set<String> heard = entries.stream().map(ListMerge.Entry::id).collect(Collectors.toSet());
+        // The loop has heard the same from discovery itself.
+        lists.changes().stream().filter(change -> change.word().revision() != list.version()
+                || !(list.whole() || heard.contains(change.id()))).forEach(this::hand);
     }
 
     private static ListMerge.Entry entry(NodeList.Entry entry, long revision, double now) {
@@ -237,11 +251,18 @@
         }
         if (needs != null && now >= publishAt) {
             publishAt = now + PUBLISH;
+            marks.forEach((session, mark) -> shared.put(Mark.KIND, session, mark, now));
+            marks.clear();
             needs.publish(now);
         }
         return needs == null ? next : Math.min(next, publishAt);
     }
 
+    /** All that came is put in at the next turn. */
+    void hurry() {
+        publishAt = Double.NEGATIVE_INFINITY;
+    }
+
     private void seldom(double now) {
         if (lists != null) {
             lists.renew(now);
--- a/daemon/src/main/java/clayhook/peers/Peers.java
+++ b/daemon/src/main/java/clayhook/peers/Peers.java
@@ -35,8 +35,8 @@
  * comes in, stalls or fails here costs sharing and never a command.
  */
 public final class Peers implements Sharing {
-    /** Seconds that the thread sleeps where there was news or a flood, so that it wakes a hundred times a second at most. */
-    private static final double NAP = 0.01;
+    /** Seconds that the thread sleeps where there was news or a flood; whole rounds of gossip are longer. */
+    private static final double NAP = 0.02;
     /** Seconds in which farewells go out, more than once as packets get lost; a part of what is left to a router that ends. */
     private static final double FAREWELL = 0.1;
     private static final long LONGEST_END_MS = 150;
@@ -109,8 +109,9 @@
         var state = new State(members, kinds.all(), stateSettings(), chance.nextLong(), now);
         exchange = new Exchange(kinds, settings.roam(), configuration.settings().routers(), source(discovery), state, members,
                 chance.split(), loop, listener);
+        exchange.know(configuration.known());
         // The state last: what the exchange puts in goes out in the same turn.
-        fleet = new Fleet(self.member(), List.of(members, exchange, new Farewell(), state), datagrams::send);
+        fleet = new Fleet(self.member(), List.of(members, new Farewell(), exchange, state), datagrams::send);
         reportAt = now + settings.report();
         Log.info("sharing as " + name + " at " + address + ", seeds " + settings.seeds().size());
         thread = new Thread(this::run, "clayhook-peers");
@@ -211,6 +212,7 @@
         public double turn(double now, Outbox out) {
             if (leaving && !said) {
                 said = true;
+                exchange.hurry();
                 members.leave(now, out);
             }
             return Double.POSITIVE_INFINITY;
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -244,9 +244,8 @@
 
     /** It was given up: its client does not know whether it has run, and another router may. */
     private void shareDoubt(Command command) {
-        boolean doubt = command.group.level() == ReadLevel.WRITE && command.group.effect() != Effect.REPLAYABLE
-                && command.dispatches.stream().anyMatch(dispatch -> dispatch.outcome == null || !dispatch.outcome.neverRan);
-        if (sharing != null && doubt) {
+        if (sharing != null && command.group.level() == ReadLevel.WRITE && command.group.effect() != Effect.REPLAYABLE
+                && command.dispatches.stream().anyMatch(dispatch -> dispatch.outcome == null || !dispatch.outcome.neverRan)) {
             sharing.written((ClientCommand) command, null, clock.now());
         }
     }
--- a/daemon/src/main/java/clayhook/serve/Sharing.java
+++ b/daemon/src/main/java/clayhook/serve/Sharing.java
@@ -57,7 +57,7 @@
     /** The operator's file was read again; only its seeds count. */
     void reload(SharingSettings settings);
 
-    /** Tells the others that this router goes, and ends; waits for that a tenth of a second at most. For any thread. */
+    /** Tells the others that this router goes, and ends; waits for that a fifth of a second at most. For any thread. */
     void leave();
 
     /** Ends at once. For any thread. */
