--- a/daemon/src/main/java/clayhook/peers/Exchange.java
+++ b/daemon/src/main/java/clayhook/peers/Exchange.java
@@ -41,7 +41,7 @@
  * Puts what this router's loop tells into what routers share, and takes from there what the loop is to know. On the peers'
  * thread, but for {@link #need} and {@link #left}.
  */
-final class Exchange implements Machine {
+public final class Exchange implements Machine {
     /**
      * Seconds between two snapshots of marks, and two puttings in: short beside the time in which a session comes to another
      * router. Guards against a session that writes all the time, whose marks would come in faster than news of them goes round.
@@ -55,8 +55,8 @@
     private static final double REPEATS = 90, PROBES = 15, WINDOW = 10;
 
     /** What this router's copy holds; each is null where the operator has turned it off. */
-    record Kinds(boolean evidence, boolean lists, boolean marks, Kind<Fate> fates, boolean limits) {
-        List<Kind<?>> all() {
+    public record Kinds(boolean evidence, boolean lists, boolean marks, Kind<Fate> fates, boolean limits) {
+        public List<Kind<?>> all() {
             var kinds = new ArrayList<Kind<?>>();
             if (evidence) {
                 kinds.add(Evidence.KIND);
@@ -107,7 +107,7 @@
     private long senseless;
     private volatile Map<Sharing.Limit, Double> left = Map.of();
 
-    Exchange(Kinds kinds, double roam, int routers, String source, Shared shared, Roster roster, SplittableRandom chance,
+    public Exchange(Kinds kinds, double roam, int routers, String source, Shared shared, Roster roster, SplittableRandom chance,
             Executor loop, Sharing.Listener listener) {
         this.kinds = kinds;
         this.shared = shared;
@@ -138,7 +138,8 @@
 
     // ---- from the loop ----
 
-    void take(News news, double now) {
+    /** Takes what the loop tells; what no value may hold is counted and dropped. */
+    public void take(News news, double now) {
         try {
             carry(news, now);
         } catch (IllegalArgumentException e) {
@@ -177,7 +178,7 @@
     }
 
     /** This router knows those nodes; what it only remembers of them is not put in as news of discovery. */
-    void know(NodeList list) {
+    public void know(NodeList list) {
         if (list.whole()) {
             nodes.clear();
         }
@@ -300,7 +301,7 @@
     }
 
     /** The position that a read of that session must cover; 0 for none. For any thread. */
-    double need(String session, double now) {
+    public double need(String session, double now) {
         return needs == null || session == null ? 0 : Math.max(0, needs.need(Mark.key(session), now));
     }
 
--- a/daemon/src/main/java/clayhook/peers/News.java
+++ b/daemon/src/main/java/clayhook/peers/News.java
@@ -8,7 +8,7 @@
 import java.util.List;
 
 /** What the router's loop tells the peers' thread; times in seconds since 1970 on the loop's clock. */
-sealed interface News {
+public sealed interface News {
     /** A dispatch or a probe came back. The next one tells as much, so that one may be lost. */
     record Looked(Node node, Reply reply, double at) implements News {
     }
--- a/daemon/src/main/java/clayhook/peers/Peers.java
+++ b/daemon/src/main/java/clayhook/peers/Peers.java
@@ -113,7 +113,11 @@
         // The state last: what the exchange puts in goes out in the same turn.
         fleet = new Fleet(self.member(), List.of(members, new Farewell(), exchange, state), datagrams::send);
         reportAt = now + settings.report();
-        Log.info("sharing as " + name + " at " + address + ", seeds " + settings.seeds().size());
+    }
+
+    @Override
+    public void start() {
+        Log.info("sharing as " + members.self().member().name() + " at " + address + ", seeds " + settings.seeds().size());
         thread = new Thread(this::run, "clayhook-peers");
         thread.setDaemon(true);
         thread.start();
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -112,13 +112,16 @@
                 : new SqlCommands(operator.statements(), settings.groups(), configuration.seed());
         discovery = new Discovery(transport, configuration.discovery(), configuration.known().version(), this);
         decide.listed(listings(configuration.known()), true, clock.now());
-        front = new Front(transport, configuration.listen(), descriptors, configuration.memory(),
-                sql == null ? null : () -> sql.session(), clock::now, this);
         if (sharing != null) {
-            sharing.begin(loop, configuration.discovery(), this);
+            sharing.begin(loop, configuration.discovery(), this); // the first command may ask
         }
+        front = new Front(transport, configuration.listen(), descriptors, configuration.memory(),
+                sql == null ? null : () -> sql.session(), clock::now, this);
         turning = true;
         loop.execute(this::turn);
+        if (sharing != null) {
+            sharing.start();
+        }
     }
 
     private void tell(List<DoubleConsumer> inbox, DoubleConsumer news) {
--- a/daemon/src/main/java/clayhook/serve/Sharing.java
+++ b/daemon/src/main/java/clayhook/serve/Sharing.java
@@ -27,9 +27,12 @@
     /** What all routers together may use of, in units: probes, and dispatches beyond the first of a command. */
     enum Limit { PROBES, REPEATS }
 
-    /** Begins to tell and to hear. {@code discovery} is where the list of nodes comes from. */
+    /** From now on it can be asked. {@code discovery} is where the list of nodes comes from. */
     void begin(Executor loop, InetSocketAddress discovery, Listener listener);
 
+    /** From now on it tells and hears. */
+    void start();
+
     /** A dispatch or a probe came back from that node, at {@code now} in seconds since 1970. */
     void looked(Node node, Reply reply, double now);
 
--- a/daemon/src/test/java/clayhook/peers/PeersTest.java
+++ b/daemon/src/test/java/clayhook/peers/PeersTest.java
@@ -93,6 +93,8 @@
                 changes.forEach(change -> change.entries().forEach(entry -> listed.put(name + " " + entry.id(), entry)));
             }
         });
+        assertTrue(peers.need("s", now()) > now() - 1, "nothing is known before it starts");
+        peers.start();
         return peers;
     }
 
