--- a/fleet/src/main/java/clayhook/fleet/members/Members.java
+++ b/fleet/src/main/java/clayhook/fleet/members/Members.java
@@ -89,13 +89,13 @@
         this.self = self;
         this.listener = listener;
         var chance = new SplittableRandom(seed);
-        register = new Register(settings.mostNames(), chance.split());
+        register = new Register(self.member().name(), settings.mostNames(), chance.split());
         health = new Health(settings);
         voice = new Voice(self, settings, register, rumours, chance.split());
         prober = new Prober(settings, register, voice, health, chance.split(), now, (claim, at) -> take(claim, at, true, at));
         suspicions = new Suspicions(settings, register, health, (claim, at) -> take(claim, at, true, at));
         knocker = new Knocker(settings, seeds, register, voice, chance.split());
-        leveller = new Leveller(register);
+        leveller = new Leveller(register, now);
         startedAt = now;
         sweepAt = now + SWEEP;
         rumours.tell(voice.own(), now);
@@ -228,8 +228,13 @@
         boolean changes = known == null || claim.outdoes(known.claim) || claim.standing() == Standing.SUSPECTED;
         if (changes && known != null && known.lives() && claim.standing() == Standing.GONE
                 && known.peer().equals(claim.peer()) && (!fresh || now - known.heardAt < JUST_HEARD)) {
-            // The other side of a cut that is over: it would take half the fleet away for a moment. The accused can contradict.
+            // The other side of a cut that is over: it would take half the fleet away for a moment. The accused can contradict,
+            // and where this router only missed the news its own look finds the accused silent.
             voice.tell(known.peer().address(), claim, out);
+            if (known.claim.standing() == Standing.ALIVE) {
+                prober.look(known, now);
+                stirred = true;
+            }
         } else if (changes) {
             take(!fresh && claim.standing() == Standing.SUSPECTED ? Claim.alive(claim.peer(), claim.counter()) : claim,
                     since, fresh, now);
@@ -256,10 +261,11 @@
         if (known == null || known.claim.equals(held)) {
             return;
         }
-        if (fresh) {
+        if (fresh || leveller.settled()) {
             rumours.tell(known.claim, now);
             stirred = true;
-        } else {
+        }
+        if (!fresh) {
             leveller.more(now);
         }
         suspicions.changed(known, held, now);
--- a/fleet/src/main/java/clayhook/fleet/members/Prober.java
+++ b/fleet/src/main/java/clayhook/fleet/members/Prober.java
@@ -13,8 +13,8 @@
 final class Prober {
     /** Of one probe: directly, then twice directly and through helpers. At a fifth lost one in five hundred finds nobody. */
     private static final int TRIES = 3;
-    /** Members of the whole fleet that look at once when one is accused, on average; three that agree shorten its time. */
-    private static final double CHECKERS = 6;
+    /** Members of the whole fleet that look at once when one is accused, on average: three that agree are then nearly sure. */
+    private static final double CHECKERS = 10;
     /** Such looks at a time; the rest of a large cut is found by the rounds. */
     private static final int CHECKS = 4;
     /** Errands for others at a time; further ones are not run. */
@@ -78,6 +78,8 @@
     /** Emptied two periods after they began. */
     private final List<Run> runs = new ArrayList<>();
     private double nextAt;
+    /** Every other probe goes to the neighbour: by chance alone one of thirty would not be probed for two seconds. */
+    private boolean odd;
 
     Prober(MemberSettings settings, Register register, Voice voice, Health health, SplittableRandom chance, double now,
             ObjDoubleConsumer<Claim> accuse) {
@@ -92,9 +94,15 @@
 
     /** Another router has accused that one: now and then this one looks as well. */
     void check(Known accused, double now) {
-        long looks = probes.stream().filter(probe -> probe.target == accused).count();
-        if (looks == 0 && probes.size() < CHECKS && chance.nextDouble() * register.living() < CHECKERS) {
-            begin(accused, now);
+        if (chance.nextDouble() * register.living() < CHECKERS) {
+            look(accused, now);
+        }
+    }
+
+    /** Probes that one out of turn, where there is room for it. */
+    void look(Known target, double now) {
+        if (probes.size() < CHECKS && probes.stream().noneMatch(probe -> probe.target == target)) {
+            begin(target, now);
         }
     }
 
@@ -139,7 +147,8 @@
 
     double turn(double now, Outbox out) {
         if (now >= nextAt) {
-            Known next = register.next();
+            odd = !odd;
+            Known next = odd ? register.neighbour() : register.next();
             if (next != null) {
                 begin(next, now);
             }
