--- a/fleet/src/main/java/clayhook/fleet/state/Copy.java
+++ b/fleet/src/main/java/clayhook/fleet/state/Copy.java
@@ -4,6 +4,7 @@
 import clayhook.fleet.Member;
 import clayhook.fleet.Reader;
 import clayhook.fleet.Roster;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +37,12 @@
         return tables.values();
     }
 
+    List<Table<?>> tables(boolean urgent) {
+        var out = new ArrayList<Table<?>>(tables.values());
+        out.removeIf(table -> table.kind.urgent() != urgent);
+        return out;
+    }
+
     /** Null for a kind that is not known here. */
     Table<?> table(int kind) {
         return tables.get(kind);
@@ -80,11 +87,10 @@
     }
 
     /** Takes over what another copy has dropped or left out already. */
-    void align(Member from, Word.Root root, double now) {
-        Table<?> table = tables.get(root.kind());
-        if (table != null && hears(from, table)) {
-            table.raise(root.floor(), now, settings.sweep());
-            table.align(root.cutoff(), now, settings.sweep());
+    void align(Member from, Table<?> table, double cutoff, double floor, double now) {
+        if (hears(from, table)) {
+            table.raise(floor, now, settings.sweep());
+            table.align(cutoff, now, settings.sweep());
         }
     }
 
--- a/fleet/src/test/java/clayhook/fleet/state/Net.java
+++ b/fleet/src/test/java/clayhook/fleet/state/Net.java
@@ -150,8 +150,9 @@
         }
     }
 
+    /** Starts those that never were. */
     Net started() {
-        nodes.forEach(Node::start);
+        nodes.stream().filter(node -> node.self == null).forEach(Node::start);
         return this;
     }
 
@@ -202,7 +203,8 @@
     }
 
     boolean alike() {
-        return kinds.stream().allMatch(kind -> nodes.stream()
-                .mapToLong(node -> node.state.digest(kind, now)).distinct().count() == 1);
+        return kinds.stream().allMatch(kind ->
+                nodes.stream().mapToLong(node -> node.state.digest(kind, now)).distinct().count() == 1
+                && nodes.stream().mapToDouble(node -> node.state.floor(kind)).distinct().count() == 1);
     }
 }
