--- a/daemon/src/test/java/clayhook/peers/ThinningTest.java
+++ b/daemon/src/test/java/clayhook/peers/ThinningTest.java
@@ -25,8 +25,8 @@
 /** What of all that a router sees is told to others; in virtual time, at one router alone, so that no chance acts. */
 class ThinningTest {
     private static final double START = 1e9;
-    private final Members members = new Members(MemberSettings.DEFAULT, new Peer(new Member("r", 1), new Address("127.0.0.1", 1)),
-            List.of(), 1, START, new Members.Listener() { });
+    private final Members members = new Members(MemberSettings.DEFAULT, new Peer(new Member("r", 1),
+            new Address("127.0.0.1", 1)), List.of(), 1, START, new Members.Listener() { });
     private final State state = new State(members, List.of(Evidence.KIND, Fate.KIND), StateSettings.DEFAULT, 1, START);
     private final Looks looks = new Looks(members, new SplittableRandom(1));
     private final Doubts doubts = new Doubts(state, Fate.KIND);
