--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -113,13 +113,16 @@
                 : new SqlCommands(operator.statements(), settings.groups(), configuration.seed());
         discovery = new Discovery(transport, configuration.discovery(), configuration.known().version(), decide.watchFor(), this);
         decide.listed(listings(configuration.known()), true, clock.now());
-        front = new Front(transport, configuration.listen(), descriptors, configuration.memory(),
-                sql == null ? null : () -> sql.session(), clock::now, this);
         if (sharing != null) {
-            sharing.begin(loop, configuration.discovery(), this);
+            sharing.begin(loop, configuration.discovery(), this); // the first command may ask
         }
+        front = new Front(transport, configuration.listen(), descriptors, configuration.memory(),
+                sql == null ? null : () -> sql.session(), clock::now, this);
         turning = true;
         loop.execute(this::turn);
+        if (sharing != null) {
+            sharing.start();
+        }
     }
 
     private void tell(List<DoubleConsumer> inbox, DoubleConsumer news) {
@@ -245,9 +248,8 @@
 
     /** It was given up: its client does not know whether it has run, and another router may. */
     private void shareDoubt(Command command) {
-        boolean doubt = command.group.level() == ReadLevel.WRITE && command.group.effect() != Effect.REPLAYABLE
-                && command.dispatches.stream().anyMatch(dispatch -> dispatch.outcome == null || !dispatch.outcome.neverRan);
-        if (sharing != null && doubt) {
+        if (sharing != null && command.group.level() == ReadLevel.WRITE && command.group.effect() != Effect.REPLAYABLE
+                && command.dispatches.stream().anyMatch(dispatch -> dispatch.outcome == null || !dispatch.outcome.neverRan)) {
             sharing.written((ClientCommand) command, null, clock.now());
         }
     }
--- a/daemon/src/main/java/clayhook/serve/Sharing.java
+++ b/daemon/src/main/java/clayhook/serve/Sharing.java
@@ -28,9 +28,12 @@
     /** What all routers together may use of, in units: probes, and dispatches beyond the first of a command. */
     enum Limit { PROBES, REPEATS }
 
-    /** Begins to tell and to hear. {@code discovery} is where the list of nodes comes from. */
+    /** From now on it can be asked. {@code discovery} is where the list of nodes comes from. */
     void begin(Executor loop, InetSocketAddress discovery, Listener listener);
 
+    /** From now on it tells and hears. */
+    void start();
+
     /** A dispatch or a probe came back from that node, at {@code now} in seconds since 1970. */
     void looked(Node node, Reply reply, double now);
 
@@ -58,7 +61,7 @@
     /** The operator's file was read again; only its seeds count. */
     void reload(SharingSettings settings);
 
-    /** Tells the others that this router goes, and ends; waits for that a tenth of a second at most. For any thread. */
+    /** Tells the others that this router goes, and ends; waits for that a fifth of a second at most. For any thread. */
     void leave();
 
     /** Ends at once. For any thread. */
