--- a/fleet/src/test/java/clayhook/rollout/Net.java
+++ b/fleet/src/test/java/clayhook/rollout/Net.java
@@ -26,6 +26,7 @@
 final class Net {
     /** Seconds of silence after which a member counts as gone. */
     static final double GONE = 3;
+    private static final Set<Kind<?>> FIGURES = Set.of(Figure.COUNTS, Figure.OLD_TIMES, Figure.CANDIDATE_TIMES);
     /** A copy that is exchanged whole: slow, and easily seen to be right. */
     static final class Copy implements Shared {
         private final Map<Integer, TreeMap<String, Object>> values = new TreeMap<>();
@@ -221,7 +222,7 @@
     double now = 1_000_000;
     /** Parts on a link; the oldest gets lost. */
     int mostOnLink = 4;
-    /** Members hear each other, but nothing that is shared. */
+    /** Members hear each other, but no figures. */
     boolean mute;
     private final Map<String, Terms> terms = new HashMap<>();
     private long boots;
@@ -280,8 +281,10 @@
     void exchange(int from, int to) {
         if (up(from, to) && from != to) {
             nodes[to].heardAt[from] = now;
-            for (Kind<?> kind : mute ? List.<Kind<?>>of() : Rollouts.kinds()) {
-                nodes[to].shared.take(nodes[from].shared, kind, now);
+            for (Kind<?> kind : Rollouts.kinds()) {
+                if (!mute || !FIGURES.contains(kind)) {
+                    nodes[to].shared.take(nodes[from].shared, kind, now);
+                }
             }
             note();
         }
--- a/fleet/src/test/java/clayhook/rollout/RolloutsTest.java
+++ b/fleet/src/test/java/clayhook/rollout/RolloutsTest.java
@@ -131,6 +131,41 @@
         assertNotNull(net.nodes[0].rollouts.withdraw(net.now), "it has lost, and leaves the other alone");
     }
 
+    /**
+     * A router that runs one candidate is cut off with its whole lease ahead, and the others go for another one: because an
+     * earlier proposal came to them, or because they were started anew and know nothing of the first.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void noTwoRunAtOnce(boolean restarted) {
+        var three = new Net(3);
+        three.run(5);
+        three.split(1);
+        three.nodes[0].rollouts.propose(PLAN, "a", three.now);
+        three.turn(0);
+        three.now += 0.1;
+        three.nodes[2].rollouts.propose(PLAN, "b", three.now);
+        Net.Node last = three.nodes[2];
+        steps(three, () -> last.runs() && last.rollouts.split().until() - three.now > three.settings.lease() - 0.3);
+        three.split(2);
+        if (restarted) {
+            three.start(0);
+            three.start(1);
+            three.nodes[0].rollouts.propose(PLAN, "a", three.now);
+        }
+        steps(three, () -> three.nodes[0].runs() && three.nodes[1].runs());
+        assertFalse(last.runs());
+        assertEquals(RuleSet.of("a").hash(), three.nodes[1].rollouts.split().candidate());
+    }
+
+    private static void steps(Net net, BooleanSupplier done) {
+        for (double end = net.now + 20; !done.getAsBoolean(); ) {
+            assertTrue(net.now < end, "too late");
+            net.step();
+            assertNull(net.broken());
+        }
+    }
+
     @Test
     void allKilledAtOnceBeginsAnewFromTheFirstStage() {
         begun();
@@ -166,9 +201,12 @@
         begun();
         net.mute = true;
         until(20, 0, () -> all(node -> node.told(News.What.BLIND)));
-        assertTrue(all(node -> node.runs() && node.round().stage() == 1));
+        int stage = net.nodes[0].round().stage();
+        net.serve(200, 0);
+        net.run(20);
+        assertTrue(all(node -> node.runs() && node.round().stage() == stage));
         net.mute = false;
-        until(20, 0, () -> all(node -> node.told(News.What.SEEING) && node.round().stage() == 2));
+        until(20, 0, () -> all(node -> node.told(News.What.SEEING) && node.round().stage() > stage));
     }
 
     @Test
