Answer each command of the laboratory once, though a recalled dispatch ends later

Change: the modelled router remembers whose client waits, as the router on sockets does. Faults in files are tested as printed.

--- a/lab/src/main/java/clayhook/lab/model/RouterModel.java
+++ b/lab/src/main/java/clayhook/lab/model/RouterModel.java
@@ -17,8 +17,11 @@
 import clayhook.serve.Told;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 
 /** One router in virtual time: the real module and hand; connections and the way to nodes are modelled. */
@@ -32,8 +35,10 @@
     private final Map<Node, ArrayDeque<Double>> idle = new HashMap<>();
     private final Map<Node, Double> drainingSince = new HashMap<>();
     /** Attempts whose outcome is awaited; each leaves with it. */
-    private final Map<Dispatch, Attempt> attempts = new HashMap<>();
+    private final Map<Dispatch, Attempt> attempts = new LinkedHashMap<>();
     private final BiConsumer<Command, Verdict> answered;
+    /** Those whose client waits; each leaves with its final answer. */
+    private final Set<Command> waiting = new HashSet<>();
     /** The last write of each session that this router answered; a row a session. */
     private final Map<String, Double> wrote = new HashMap<>();
     private Peers peers = Peers.NONE;
@@ -110,6 +115,7 @@
     }
 
     void take(Command command) {
+        waiting.add(command);
         hand.taken(command, timeline.now());
         turn();
     }
@@ -154,7 +160,8 @@
         if (choice.verdict() == Verdict.SEND) {
             peers.used(0, command.dispatches.size() > 1 ? 1 : 0);
             send(choice.dispatch());
-        } else if (choice.verdict() != Verdict.NOT_YET) {
+        } else if (choice.verdict() != Verdict.NOT_YET && waiting.remove(command)) {
+            // A dispatch that was recalled says once more that all is done.
             if (choice.verdict() != Verdict.DONE && changes(command)
                     && command.dispatches.stream().anyMatch(sent -> sent.outcome == null || !sent.outcome.neverRan)) {
                 peers.written(command, fleet.mark(command), null);
--- a/lab/src/test/java/clayhook/lab/ExperimentTest.java
+++ b/lab/src/test/java/clayhook/lab/ExperimentTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import clayhook.config.BadConfig;
+import clayhook.lab.sharing.FaultPlan;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
@@ -36,12 +37,22 @@
         COMMAND + "effect = \"keyed\"|:3: command.effect: a read is replayable", COMMAND + "[fleet]\\ngroups = 0|:4: fleet.groups: 0 is",
         COMMAND + "[[failure]]\\nkind = \"crash\"\\ntarget = \"2p\"|:5: failure.target: there is no node '2p'",
         COMMAND + "[[failure]]\\nkind = \"zone_loss\"\\ntarget = \"z\"|:5: failure.target: there is no zone 'z'",
-        COMMAND + "[[failure]]\\ntarget = \"1p\"|:3: failure.kind: is missing"})
+        COMMAND + "[[failure]]\\ntarget = \"1p\"|:3: failure.kind: is missing",
+        COMMAND + "[[fault]]\\nkind = \"cut\"\\nwhom = [1]|:5: fault.whom: is no pair",
+        "[peers]\\nplay = \"none\"|:2: peers.play: 'none' is none of catch_up,", COMMAND + "[peers]\\nsettle = 3|:4: peers.settle: is no key"})
     void aFaultNamesFileLineAndKey(String text, String fault) {
         BadConfig told = assertThrows(BadConfig.class, () -> read(text));
         assertTrue(told.getMessage().startsWith(folder.resolve("e.toml") + fault), told.getMessage());
     }
 
+    @Test
+    void aPlanOfFaultsIsPrintedAsItIsRead() throws Exception {
+        for (int seed = 1; seed <= 50; seed++) {
+            String printed = FaultPlan.drawn(seed, 12, 12, 90).toString();
+            assertEquals(printed, read(printed + "\n" + COMMAND).peers().faults().toString());
+        }
+    }
+
     @Test
     void variantsArePairedOnTheSameSeeds() throws Exception {
         Experiment experiment = read("seeds = [1, 2, 3]\\n" + COMMAND + "work = 0.02\\n[load]\\nrate = 450.0\\nseconds = 5\\n"
