--- a/core/src/test/java/clayhook/DecideTest.java
+++ b/core/src/test/java/clayhook/DecideTest.java
@@ -636,6 +636,52 @@
         assertEquals(asks, asking.decide.pause(asking.now + later).watchList());
     }
 
+    /** A replica's log covered all and it answered a peer {@code heard} seconds ago, and failed there {@code failed} ago. */
+    private static Told told(double startedAt, double now, double heard, double failed) {
+        double seen = now - heard;
+        return new Told(startedAt, seen, seen, 0, seen, Double.NEGATIVE_INFINITY, seen, seen, now - failed,
+                failed < heard ? 1 : 0, 0, 0, 0, 0);
+    }
+
+    /** How many of two reads go to it at once; without a word of peers none does. */
+    @ParameterizedTest
+    @CsvSource({"0.1, Infinity, 2", "0.1, 0.2, 2", "3, Infinity, 0", "0.2, 0.1, 1"})
+    void whatPeersSawCountsAsOldAsItWasThere(double heard, double failed, int goes) {
+        fleet.now += 30;
+        fleet.decide.told(fleet.replica, told(0, fleet.now, heard, failed), fleet.now);
+        assertEquals(goes, fleet.sentTo(fleet.replica, fleet.bounded, 2));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 0", "1010, 2"})
+    void whatPeersSawOfAnEarlierLifeOfANodeTellsNothing(double life, int goes) {
+        fleet.now += 30;
+        fleet.list(fleet.replica, State.READY, 1010);
+        fleet.decide.told(fleet.replica, told(life, fleet.now, 0.1, Double.POSITIVE_INFINITY), fleet.now);
+        assertEquals(goes, fleet.sentTo(fleet.replica, fleet.bounded, 2));
+    }
+
+    /** Where clients carry no marks, other routers may tell what a session's read must cover. */
+    @Test
+    void aMarkThatPeersToldBindsASessionsRead() {
+        Fleet unmarked = new Fleet(false, false);
+        Command marked = unmarked.command(unmarked.session, unmarked.now + 0.1);
+        assertEquals(unmarked.primary, unmarked.ask(marked).dispatch().node);
+        assertNotEquals(unmarked.primary, unmarked.send(unmarked.session).node);
+    }
+
+    @Test
+    void aLateListIsAskedForAtOnceButNotOverAndOver() {
+        Fleet asking = new Fleet(true, false, true);
+        asking.decide.pause(asking.now);
+        asking.decide.listed(List.of(), false, asking.now);
+        assertFalse(asking.decide.pause(asking.now + 60).watchList());
+        asking.decide.listLate(asking.now + 61);
+        assertTrue(asking.decide.pause(asking.now + 61).watchList());
+        asking.decide.listLate(asking.now + 62);
+        assertFalse(asking.decide.pause(asking.now + 62).watchList());
+    }
+
     @ParameterizedTest
     @CsvSource({"READY, 0.05, false, true", "DRAINING, 0.05, false, false", "READY, 0.35, false, false",
         "READY, 0.41, false, false", "READY, 0.05, true, false"})
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -13,6 +13,7 @@
 import clayhook.Outcome;
 import clayhook.Reply;
 import clayhook.Settings;
+import clayhook.Told;
 import clayhook.config.Configuration;
 import clayhook.config.Operator;
 import clayhook.discovery.Discovery;
@@ -32,6 +33,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -109,7 +111,7 @@
                 settings.connectionIdle(), operator, this);
         sql = operator.statements() == null ? null
                 : new SqlCommands(operator.statements(), settings.groups(), configuration.seed());
-        discovery = new Discovery(transport, configuration.discovery(), configuration.known().version(), this);
+        discovery = new Discovery(transport, configuration.discovery(), configuration.known().version(), decide.watchFor(), this);
         decide.listed(listings(configuration.known()), true, clock.now());
         front = new Front(transport, configuration.listen(), descriptors, configuration.memory(),
                 sql == null ? null : () -> sql.session(), clock::now, this);
@@ -303,20 +305,32 @@
         tell(lists, now -> decide.listed(listings(list), list.whole(), now));
     }
 
-    /** Overtaken by what this router has heard itself, it counts only where it closes a node. */
+    /** What this router's own discovery has overtaken counts only where it closes a node. */
     @Override
-    public void told(NodeList change) {
-        boolean closes = change.entries().stream().allMatch(entry -> entry.state() != Listing.State.READY);
-        if (closes || change.version() >= ownRevision) {
-            Log.count("list told");
-            tell(lists, now -> decide.listed(listings(change), false, now));
-        }
+    public void told(Collection<NodeList> changes) {
+        Log.count("list told");
+        tell(lists, now -> {
+            var news = new ArrayList<Listing>();
+            for (NodeList change : changes) {
+                boolean closes = change.entries().stream().allMatch(entry -> entry.state() != Listing.State.READY);
+                news.addAll(closes || change.version() >= ownRevision ? listings(change) : List.of());
+            }
+            decide.listed(news, false, now);
+            // Guards against taking the word of others for a sign that this router's own watch stands.
+            decide.listFailed(now);
+        });
     }
 
-    /** What others have seen of a node. */
+    /** What others have seen of nodes. */
     @Override
-    public void told(String node, Told told) {
-        Log.count("node told");
+    public void told(Map<String, Told> told) {
+        Log.count("nodes told");
+        tell(rest, now -> told.forEach((id, what) -> {
+            Node node = nodes.named(id);
+            if (node != null) {
+                decide.told(node, what, now);
+            }
+        }));
     }
 
     @Override
@@ -324,6 +338,11 @@
         tell(lists, decide::listFailed);
     }
 
+    @Override
+    public void listLate() {
+        tell(lists, decide::listLate);
+    }
+
     private List<Listing> listings(NodeList list) {
         var listings = new ArrayList<Listing>();
         for (NodeList.Entry entry : list.entries()) {
--- /dev/null
+++ b/trials/src/main/java/clayhook/trials/Relay.java
@@ -0,0 +1,126 @@
+package clayhook.trials;
+
+import clayhook.transport.Transport;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
+
+/**
+ * Stands between routers: one socket for each, at which the others reach it. By the source of a datagram the relay knows the
+ * sender, and with it the directed link; what comes through leaves from the sender's own socket here, so that the receiver sees
+ * the address that it may answer to, and no datagram finds a way around.
+ */
+public final class Relay {
+    private static final int LONGEST = 1 << 16;
+    /** Datagrams held back at most, over all links; what comes beyond is lost. A second of a fleet far busier than any here. */
+    private static final int MOST_HELD = 1 << 16;
+
+    private final List<Channel> sockets = new ArrayList<>();
+    private final List<InetSocketAddress> routers;
+    private final Map<InetSocketAddress, Integer> byAddress = new HashMap<>();
+    private final Link[][] links;
+    private final AtomicLong strangers = new AtomicLong();
+    /** Of the loop's thread alone. */
+    private int held;
+
+    /** {@code routers} are the addresses at which they really listen and from which they send; it ends with the transport. */
+    public Relay(Transport transport, List<InetSocketAddress> routers, long seed) throws InterruptedException {
+        this.routers = List.copyOf(routers);
+        links = new Link[routers.size()][routers.size()];
+        var random = new SplittableRandom(seed);
+        for (int i = 0; i < routers.size(); i++) {
+            byAddress.put(routers.get(i), i);
+            for (int j = 0; j < routers.size(); j++) {
+                links[i][j] = new Link(random.split());
+            }
+        }
+        for (int i = 0; i < routers.size(); i++) {
+            sockets.add(new Bootstrap().group(transport.loop()).channelFactory(NioDatagramChannel::new).handler(new Socket(i))
+                    .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(LONGEST))
+                    .bind(transport.spare(0)).sync().channel());
+        }
+    }
+
+    /** Where the others reach that router. */
+    public InetSocketAddress address(int router) {
+        return (InetSocketAddress) sockets.get(router).localAddress();
+    }
+
+    /** Where it really listens; only the relay sends there. */
+    public InetSocketAddress behind(int router) {
+        return routers.get(router);
+    }
+
+    public Link link(int from, int to) {
+        return links[from][to];
+    }
+
+    /** Of the datagrams on all links. */
+    public long count(Link.Fate fate) {
+        return Stream.of(links).flatMap(Stream::of).mapToLong(link -> link.count(fate)).sum();
+    }
+
+    /** Datagrams that came from none of the routers; these go nowhere. */
+    public long strangers() {
+        return strangers.get();
+    }
+
+    /** Takes what is sent to one router. */
+    private final class Socket extends SimpleChannelInboundHandler<DatagramPacket> {
+        private final int to;
+
+        Socket(int to) {
+            this.to = to;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            Integer from = byAddress.get(packet.sender());
+            if (from == null) {
+                strangers.incrementAndGet();
+                return;
+            }
+            double now = System.nanoTime() / 1e9;
+            for (Link.Departure departure : links[from][to].take(ByteBufUtil.getBytes(packet.content()), now)) {
+                if (departure.at() <= now) {
+                    send(from, departure.bytes());
+                } else if (held < MOST_HELD) {
+                    held++;
+                    ctx.executor().schedule(() -> {
+                        held--;
+                        send(from, departure.bytes());
+                    }, (long) ((departure.at() - now) * 1e9), TimeUnit.NANOSECONDS);
+                }
+            }
+        }
+
+        private void send(int from, byte[] bytes) {
+            sockets.get(from).writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), routers.get(to)));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // Guards against a router that is not there: the machine tells of it at the socket that sent to it
+            if (!(cause instanceof IOException)) {
+                ctx.fireExceptionCaught(cause);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/trials/src/main/java/clayhook/trials/Trial.java
@@ -0,0 +1,358 @@
+package clayhook.trials;
+
+import clayhook.CommandGroup;
+import clayhook.Settings;
+import clayhook.config.BadConfig;
+import clayhook.config.Configuration;
+import clayhook.config.Json;
+import clayhook.transport.Transport;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/** A fleet of router processes with nodes, discovery, clients and the relay between routers: begun, troubled, judged. */
+public final class Trial implements AutoCloseable {
+    /** As the platform's file says it; times far beyond what a busy machine takes, so that no verdict hangs on its speed. */
+    private static final String SETTINGS = """
+            {"balancers": 5, "zone": "%s", "domain": {"read_level": ["any", "bounded", "session", "write", "write"],
+            "max_age": [0, 1e9, 0, 0, 0], "when_behind": "off", "write_marks": "%s"}, "limits": {"most_tries": 3},
+            "rules": {"start_capacity": 0.2, "warm_after": 2e9, "overload_factor": 3, "overload_for": 1e9}, "grades": [
+            {"name": "any", "effect": "idempotent", "aim": 1e9, "hard_limit": 2e9},
+            {"name": "bounded", "effect": "idempotent", "aim": 1e9, "hard_limit": 2e9},
+            {"name": "session", "effect": "idempotent", "aim": 1e9, "hard_limit": 2e9},
+            {"name": "write", "effect": "deduplicated", "group": "cell", "repeat_window": 2e10, "aim": 1e9, "hard_limit": 2e9},
+            {"name": "charge", "effect": "at_most_once", "aim": 1e9, "hard_limit": 2e9}]}""";
+    private static final Settings READ = settings();
+    public static final CommandGroup BOUNDED = READ.groups().get(1);
+    public static final CommandGroup SESSION = READ.groups().get(2);
+    public static final CommandGroup WRITE = READ.groups().get(3);
+    public static final CommandGroup CHARGE = READ.groups().get(4);
+    private static final List<String> ZONES = List.of("a", "b");
+    /** Longer than any start or answer takes, even where several such trials share a machine. */
+    public static final double PATIENCE = 60;
+    private static final long LOOK_MS = 10;
+    /** No session comes to another router sooner than this after its write: a little more than routers count on. */
+    public static final long ROAM_MS = 600;
+    /** Datagrams by which a trouble of links has shown. */
+    private static final int ENOUGH = 300;
+    /** What a router logs of its members and of each kind of what it shares: its hash and size. */
+    private static final Pattern FIGURES = Pattern.compile("members \\d+ alive \\d+, digests( \\S+=\\w+/\\d+)+");
+    /** Below the ports that machines give to connections, so that a router that returns finds its own still free. */
+    private static final int FIRST_PORT = 20_000, PORTS = 12_000;
+    private static final AtomicInteger PORT = new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % PORTS));
+
+    private final Path folder = Files.createTempDirectory("trial");
+    private final Transport nodesLoop = Transport.tcp();
+    private final Transport clientsLoop = Transport.tcp();
+    private final Witness witness = new Witness(READ);
+    private final Cluster cluster;
+    private final List<RouterProcess> routers = new ArrayList<>();
+    private final Directory directory;
+    private final Relay relay;
+    private final long seed;
+    private final boolean carried;
+    private final Thread atExit = new Thread(() -> routers.forEach(RouterProcess::kill));
+    private final List<Thread> load = new ArrayList<>();
+    private volatile boolean loaded;
+
+    static Settings settings() {
+        try {
+            return Configuration.of(Json.parse("{\"name\": \"any\", \"listen\": \"any:1\", \"discovery\": \"any:1\", \"seed\": \"1\","
+                    + " \"settings\": " + SETTINGS + "}"), Map.of()).settings();
+        } catch (BadConfig e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /**
+     * Begins the processes, named r0, r1 and so on, and returns when all take commands.
+     *
+     * @param jar the program
+     * @param sharing keys of that table in the operator's file beside what says who and where; null leaves sharing off
+     * @param carried sessions tell when they last wrote; otherwise routers remember it
+     * @param seed of the relay, the load and the routers
+     */
+    public Trial(Path jar, int count, String sharing, boolean carried, long seed) throws IOException, InterruptedException {
+        this.seed = seed;
+        this.carried = carried;
+        Runtime.getRuntime().addShutdownHook(atExit);
+        cluster = new Cluster(nodesLoop, 3, ZONES, READ, witness);
+        List<InetSocketAddress> addresses = IntStream.range(0, count).mapToObj(i -> spare()).toList();
+        relay = new Relay(clientsLoop, addresses, seed);
+        directory = new Directory(nodesLoop, cluster, () -> up().size());
+        for (int i = 0; i < count; i++) {
+            var router = new RouterProcess("r" + i, addresses.get(i), jar, folder.resolve("r" + i));
+            router.configure(platform(router, i), operator(i, count, sharing));
+            routers.add(router);
+            router.start();
+        }
+        for (RouterProcess router : routers) {
+            greet(router);
+        }
+    }
+
+    /** A port for both datagrams and connections that nobody uses now. */
+    private static InetSocketAddress spare() {
+        while (true) {
+            var address = new InetSocketAddress(InetAddress.getLoopbackAddress(),
+                    FIRST_PORT + PORT.getAndIncrement() % PORTS);
+            try (var datagrams = new DatagramSocket(address); var connections = new ServerSocket()) {
+                connections.bind(datagrams.getLocalSocketAddress());
+                return address;
+            } catch (IOException e) {
+                // taken; the next one
+            }
+        }
+    }
+
+    private static String text(InetSocketAddress address) {
+        return '"' + address.getAddress().getHostAddress() + ':' + address.getPort() + '"';
+    }
+
+    private String platform(RouterProcess router, int number) {
+        return "{\"name\": \"" + router.name() + "\", \"listen\": " + text(router.address()) + ", \"discovery\": "
+                + text(directory.address()) + ", \"seed\": \"" + Long.toHexString(seed + number) + "\", \"known\": " + cluster.list()
+                + ", \"settings\": " + SETTINGS.formatted(ZONES.get(number % ZONES.size()), carried ? "carried" : "remembered") + "}";
+    }
+
+    private String operator(int router, int count, String sharing) {
+        String nodes = "[nodes]\nuser = \"r" + router + "\"\n";
+        String seeds = IntStream.of(router + 1, router + 2).mapToObj(i -> text(relay.address(i % count)))
+                .collect(Collectors.joining(", "));
+        return sharing == null ? nodes : nodes + "[sharing]\nenabled = true\nlisten = " + text(relay.behind(router))
+                + "\nadvertise = " + text(relay.address(router)) + "\nseeds = [" + seeds + "]\n" + sharing;
+    }
+
+    /** Waits until it takes commands. */
+    private void greet(RouterProcess router) throws InterruptedException {
+        double until = Witness.now() + PATIENCE;
+        while (!Caller.greeted(clientsLoop, router.address(), PATIENCE)) {
+            if (!router.runs() || Witness.now() > until) {
+                throw new IllegalStateException(router.name() + " does not take commands: " + router.since(0));
+            }
+            Thread.sleep(LOOK_MS);
+        }
+    }
+
+    // ---- its parts ----
+
+    public List<RouterProcess> routers() {
+        return routers;
+    }
+
+    public Relay relay() {
+        return relay;
+    }
+
+    public Cluster cluster() {
+        return cluster;
+    }
+
+    public Directory directory() {
+        return directory;
+    }
+
+    public Witness witness() {
+        return witness;
+    }
+
+    /** A new session. */
+    public Caller caller() {
+        return new Caller(clientsLoop, witness, carried);
+    }
+
+    // ---- faults ----
+
+    public void inflict(Fault fault) throws IOException, InterruptedException {
+        if (fault instanceof Fault.Stopped stopped) {
+            witness.down(routers.get(stopped.router()).name());
+            routers.get(stopped.router()).signal("STOP");
+        } else if (fault instanceof Fault.Killed killed) {
+            killed.routers().forEach(i -> witness.down(routers.get(i).name()));
+            killed.routers().forEach(i -> routers.get(i).kill());
+            for (int router : killed.routers()) {
+                routers.get(router).ended();
+            }
+        } else {
+            links(fault, true);
+        }
+    }
+
+    /** Ends it; returns when those that had gone take commands again. */
+    public void heal(Fault fault) throws IOException, InterruptedException {
+        if (fault instanceof Fault.Stopped stopped) {
+            routers.get(stopped.router()).signal("CONT");
+            witness.up(routers.get(stopped.router()).name());
+        } else if (fault instanceof Fault.Killed killed) {
+            for (int router : killed.routers()) {
+                routers.get(router).start();
+            }
+            for (int router : killed.routers()) {
+                greet(routers.get(router));
+                witness.up(routers.get(router).name());
+            }
+        } else {
+            links(fault, false);
+        }
+    }
+
+    private void links(Fault fault, boolean begins) {
+        for (int from = 0; from < routers.size(); from++) {
+            for (int to = 0; to < routers.size(); to++) {
+                Trouble trouble = trouble(fault, from, to);
+                if (trouble != null) {
+                    relay.link(from, to).trouble(begins ? trouble : Trouble.NONE);
+                }
+            }
+        }
+    }
+
+    /** What it does to that link; null for nothing. */
+    private static Trouble trouble(Fault fault, int from, int to) {
+        if (fault instanceof Fault.Everywhere everywhere) {
+            return everywhere.trouble();
+        } else if (fault instanceof Fault.Split split) {
+            return split.side().contains(from) != split.side().contains(to) ? Trouble.CUT : null;
+        } else if (fault instanceof Fault.OneWay way) {
+            return way.from() == from && way.to() == to ? Trouble.CUT : null;
+        }
+        return null;
+    }
+
+    // ---- load ----
+
+    /** Clients that ask all kinds of commands without a break: two at each router, and two that roam. */
+    public void load() {
+        loaded = true;
+        for (int i = 0; i < 2 * routers.size() + 2; i++) {
+            int home = i / 2;
+            var random = new Random(seed * 31 + i);
+            var thread = new Thread(() -> work(caller(), home, random), "client " + i);
+            thread.setDaemon(true);
+            thread.start();
+            load.add(thread);
+        }
+    }
+
+    /** {@code home}: the number of its router; one beyond them all roams. */
+    private void work(Caller caller, int home, Random random) {
+        try {
+            RouterProcess router = routers.get(home % routers.size());
+            while (loaded) {
+                if (home >= routers.size() && (witness.isDown(router.name()) || random.nextInt(50) == 0)) {
+                    Thread.sleep(ROAM_MS);
+                    router = routers.get(random.nextInt(routers.size()));
+                } else {
+                    caller.ask(router, READ.groups().get(random.nextInt(READ.groups().size())));
+                    Thread.sleep(1 + random.nextInt(5)); // a client's own work, which leaves the machine to others
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            caller.close();
+        }
+    }
+
+    /** Ends the load; returns when the last command is over. */
+    public void calm() throws InterruptedException {
+        loaded = false;
+        for (Thread client : load) {
+            client.join();
+        }
+        load.clear();
+    }
+
+    // ---- conditions ----
+
+    /** Waits until that holds; false where it did not within {@link #PATIENCE}. */
+    public boolean await(BooleanSupplier condition) throws InterruptedException {
+        double until = Witness.now() + PATIENCE;
+        while (!condition.getAsBoolean()) {
+            if (Witness.now() > until) {
+                return false;
+            }
+            Thread.sleep(LOOK_MS);
+        }
+        return true;
+    }
+
+    /** Waits until each of those routers has answered that many more commands of the load with a value. */
+    public boolean serve(List<RouterProcess> those, int more) throws InterruptedException {
+        List<Integer> before = those.stream().map(router -> witness.answered(router.name())).toList();
+        return await(() -> IntStream.range(0, those.size())
+                .allMatch(i -> witness.answered(those.get(i).name()) >= before.get(i) + more));
+    }
+
+    /** The routers that neither stand still nor are gone. */
+    public List<RouterProcess> up() {
+        return routers.stream().filter(router -> !witness.isDown(router.name())).toList();
+    }
+
+    /** What a router said last of members and of its copies, of all lines or those from a mark on; empty for nothing. */
+    private static String figures(RouterProcess router, int mark) {
+        String figures = router.last(mark, FIGURES);
+        return figures == null ? "" : figures;
+    }
+
+    /** Waits until routers, or datagrams, have felt it; for trials with sharing. */
+    public boolean felt(Fault fault) throws InterruptedException {
+        boolean parts = !(fault instanceof Fault.Everywhere || fault instanceof Fault.OneWay);
+        long came = relay.count(Link.Fate.CAME) + ENOUGH;
+        String whole = "alive " + routers.size() + ",";
+        return await(() -> parts ? up().isEmpty() || up().stream().anyMatch(router -> !figures(router, 0).contains(whole))
+                : relay.count(Link.Fate.CAME) > came);
+    }
+
+    /** Waits until all routers see each other and have equal copies of all that they share. */
+    public boolean agree() throws InterruptedException {
+        int[] marks = routers.stream().mapToInt(RouterProcess::mark).toArray();
+        String whole = "members " + marks.length + " alive " + marks.length + ",";
+        return await(() -> {
+            List<String> all = IntStream.range(0, marks.length).mapToObj(i -> figures(routers.get(i), marks[i])).toList();
+            return all.get(0).startsWith(whole) && all.stream().distinct().count() == 1;
+        });
+    }
+
+    /** What each router logged last, to explain a verdict. */
+    public String said() {
+        return routers.stream().map(router -> router.since(Math.max(0, router.mark() - 12)).toString())
+                .collect(Collectors.joining("\n"));
+    }
+
+    @Override
+    public void close() throws IOException {
+        try {
+            routers.forEach(RouterProcess::kill);
+            calm();
+            for (RouterProcess router : routers) {
+                router.ended();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        nodesLoop.close();
+        clientsLoop.close();
+        Runtime.getRuntime().removeShutdownHook(atExit);
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(path);
+            }
+        }
+    }
+}
