--- a/trials/src/test/java/clayhook/trials/SharedTrialTest.java
+++ b/trials/src/test/java/clayhook/trials/SharedTrialTest.java
@@ -16,11 +16,13 @@
 import java.util.List;
 import java.util.Set;
 import java.util.regex.Pattern;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Five processes that share what they know, all datagrams between them through the relay. */
+@Tag("processes")
 class SharedTrialTest {
     private static final String SHARING = "report = 0.2\n";
     private static final Pattern GONE = Pattern.compile("sharing: .* is gone");
--- a/trials/src/test/java/clayhook/trials/TrialTest.java
+++ b/trials/src/test/java/clayhook/trials/TrialTest.java
@@ -7,10 +7,12 @@
 import clayhook.trials.ClusterNode.Mood;
 import java.nio.file.Path;
 import java.util.Map;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Five processes of the jar. */
+@Tag("processes")
 class TrialTest {
     static final Path JAR = Path.of(System.getProperty("clayhook.jar"));
     static final int ROUTERS = 5;
