Answer commands that come while sharing begins, as if all were unknown

Seen by the process trials under load: 'a turn failed, java.lang.NullPointerException ... Peers.need ... Router.need', and the command was never answered. The router listens before sharing has begun. Wrong line: Peers.need used the exchange before begin. Change: until then a session's read must cover all up to the time in which sessions roam. PeersTest asks before it begins and fails without it.

--- a/daemon/src/main/java/clayhook/peers/Peers.java
+++ b/daemon/src/main/java/clayhook/peers/Peers.java
@@ -51,7 +51,8 @@
     private final Clock clock = new Clock();
     private final Outbound outbound;
     private Members members;
-    private Exchange exchange;
+    /** Null until sharing has begun; commands may come before. */
+    private volatile Exchange exchange;
     private Fleet fleet;
     private Thread thread;
     private double reportAt;
@@ -254,7 +255,9 @@
 
     @Override
     public double need(String session, double now) {
-        return exchange.need(session, now);
+        Exchange begun = exchange;
+        // Guards against commands that come while sharing begins: what others know is not known yet, so all may be needed.
+        return begun == null ? now - settings.roam() : begun.need(session, now);
     }
 
     @Override
@@ -281,7 +284,8 @@
 
     @Override
     public double left(Limit limit) {
-        return exchange.left(limit);
+        Exchange begun = exchange;
+        return begun == null ? 0 : begun.left(limit);
     }
 
     @Override
--- a/daemon/src/test/java/clayhook/peers/PeersTest.java
+++ b/daemon/src/test/java/clayhook/peers/PeersTest.java
@@ -82,6 +82,7 @@
                         usual.window(), usual.catchUpBytes(), usual.pushBytes(), usual.pairsEvery(), usual.clockBound(),
                         usual.margin(), ALONE_AFTER, usual.stood(), usual.sweep()));
         open.add(peers);
+        assertEquals(999.5, peers.need("s", 1000), "a command may come before it begins");
         peers.begin(Runnable::run, DISCOVERY, new Sharing.Listener() {
             @Override
             public void told(Map<String, Told> nodes) {
