See every client's close, and end every session by one orderly close

Seen: a client that sends more than 32 commands ahead and closes was never heard to close. Flooding and every end set auto-read off, NIO sees a close only by reading, and up to 32 commands ahead went on being sent for a client that had gone. A close behind its commands was read a round later than these, after they had been dispatched. Ends closed 100 ms after they were decided whatever was not written out yet, Terminate at once; busy() and idle() knew neither answers not yet flushed nor part of a command; clients without room were closed over their unread command, which resets the connection.

Changed: a session always reads. A read goes on until nothing is left, so the close is known in the same round, and a command of a session that is gone is neither taken nor written. Nothing that is read after the sending side ended is taken. A session with an answer not flushed or part of a command is busy. A client is called silent only after another round of reads. What came before a Terminate is answered, as servers do, unless the client closes.

A half-closed connection stays a closed one: the two cannot be told apart.

--- a/daemon/src/main/java/clayhook/front/Front.java
+++ b/daemon/src/main/java/clayhook/front/Front.java
@@ -7,6 +7,7 @@
 import clayhook.statements.SessionSettings;
 import clayhook.transport.Descriptors;
 import clayhook.transport.Transport;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
@@ -27,7 +28,11 @@
     private static final int MEMORY_PART = 8;
     /** Of what clients may hold here: whoever deals their connections out may grant them less. */
     private static final double CROWDED = 0.5;
+    /** Clients turned away that are waited for at once, so that they get their answer; from the reserve of descriptors. */
+    private static final int MOST_REFUSALS = 16;
     private final Set<Session> sessions = new LinkedHashSet<>();
+    /** Connections of clients that were turned away and have not closed yet. */
+    private int refusals;
     private final Descriptors descriptors;
     private final InetSocketAddress asked;
     private final Channel listening;
@@ -52,11 +57,19 @@
     }
 
     /** Takes no commands, as there are no descriptors for more. */
-    private static final class Refusal extends ChannelInboundHandlerAdapter {
+    private final class Refusal extends ChannelInboundHandlerAdapter {
+        private boolean counted;
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            ctx.writeAndFlush(Encoder.error(true, "53300", "no descriptors are left for more clients", null))
-                    .addListener(ChannelFutureListener.CLOSE);
+            ByteBuf error = Encoder.error(true, "53300", "no descriptors are left for more clients", null);
+            if (refusals < MOST_REFUSALS) {
+                refusals++;
+                counted = true;
+                OrderlyClose.begin(ctx.channel()).end(error, () -> { });
+            } else {
+                ctx.writeAndFlush(error).addListener(ChannelFutureListener.CLOSE);
+            }
         }
 
         @Override
@@ -64,6 +77,11 @@
             ReferenceCountUtil.release(message);
         }
 
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            refusals -= counted ? 1 : 0;
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             ctx.close();
--- a/daemon/src/main/java/clayhook/front/Session.java
+++ b/daemon/src/main/java/clayhook/front/Session.java
@@ -8,9 +8,12 @@
 import clayhook.statements.SessionSettings;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.DuplexChannel;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.util.concurrent.EventExecutor;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
@@ -30,8 +33,14 @@
     private static final double UNREAD = 10;
     /** A client that has asked is spared so much longer; one that asked once and stays must not bar those that come. */
     private static final double SPARED = 2;
-    /** The sending side is ended for so long before the rest: the client reads the error, and nothing more is read. */
-    private static final int LINGER_MS = 100;
+    /** Reads of a session in one turn: a long statement in two, and one that looks for the client's end behind it. */
+    private static final int READS = 3;
+    /**
+     * Reads on until nothing is left. Guards against work for clients that left while the process stood still: their
+     * end is read together with their commands, before any of these goes on.
+     */
+    private static final RecvByteBufAllocator TO_THE_LAST =
+            new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS);
 
     /** Hears what sessions want. */
     public interface Listener {
@@ -59,15 +68,18 @@
     private boolean waiting;
     private boolean skipping;
     private boolean ending;
-    /** It sent more than may be ahead. */
-    private boolean flooding;
+    /** Null as long as what comes is taken. */
+    private OrderlyClose close;
+    /** Writes that the system has not taken whole yet. */
+    private int unflushed;
     /** It has sent a command that was taken. */
     private boolean proven;
     /** When it connected or got its last answer, and since when part of a message has been there; 0 for none. */
     private double quietSince;
     private double partSince;
-    /** It ends as soon as what it has taken is answered. */
+    /** It ends as soon as what it has taken is answered; and what had come by then was looked for once more. */
     private boolean endSoon;
+    private boolean lookedOnce;
 
     Session(Listener listener, ClientDecoder decoder, SessionSettings settings, DoubleSupplier clock,
             Consumer<Session> ended) {
@@ -82,25 +94,34 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
+        ctx.channel().config().setRecvByteBufAllocator(TO_THE_LAST);
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        if (ending || flooding) {
+        if (close != null) {
             return;
         }
         partSince = 0;
-        flooding = ahead.size() >= MOST_AHEAD;
+        boolean flooding = ahead.size() >= MOST_AHEAD;
         ahead.add(flooding ? new ClientMessage.Malformed("54000", "too many commands ahead") : message);
         if (flooding) {
-            ctx.channel().config().setAutoRead(false);
+            takeNoMore();
         }
         next();
     }
 
+    private void takeNoMore() {
+        if (close == null) {
+            close = OrderlyClose.begin(context.channel());
+            decoder.discard();
+        }
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         partSince = !decoder.holdsPart() ? 0 : partSince > 0 ? partSince : clock.getAsDouble();
+        endIfDone();
     }
 
     private void next() {
@@ -114,10 +135,28 @@
         }
         if (idle()) {
             decoder.release();
-            if (endSoon) {
-                end(Unpooled.EMPTY_BUFFER);
-            }
         }
+        endIfDone();
+    }
+
+    /** A command that came before the sending side ends is answered; what comes later its client sends once more. */
+    private void endIfDone() {
+        if (!endSoon || !rests()) {
+            return;
+        } else if (lookedOnce) {
+            end(Unpooled.EMPTY_BUFFER);
+            return;
+        }
+        afterNextReads(() -> {
+            lookedOnce = true;
+            endIfDone();
+        });
+    }
+
+    /** Runs it once all that has come by now is read: what a task of the loop schedules runs after a round of reads. */
+    private void afterNextReads(Runnable step) {
+        EventExecutor loop = context.executor();
+        loop.execute(() -> loop.schedule(step, 0, TimeUnit.NANOSECONDS));
     }
 
     /** A client that does not read its answers gets no more of them. */
@@ -135,7 +174,7 @@
         } else if (message instanceof ClientMessage.Malformed malformed) {
             malformed(malformed);
         } else {
-            context.close(); // a request to cancel: dispatches are not known to clients
+            end(Unpooled.EMPTY_BUFFER); // a request to cancel: dispatches are not known to clients
         }
     }
 
@@ -176,6 +215,11 @@
         }
     }
 
+    /** The client has closed, though that may not have been told yet. */
+    public boolean gone() {
+        return !context.channel().isActive();
+    }
+
     /** Its own among all sessions of this router. */
     public String name() {
         return context.channel().id().asLongText();
@@ -221,7 +265,7 @@
         } else if (message instanceof ClientMessage.FunctionCall) {
             write(Encoder.error(false, "0A000", "there are no functions to call", null));
         } else if (message instanceof ClientMessage.Terminate) {
-            context.close();
+            end(Unpooled.EMPTY_BUFFER); // as servers do: what was sent before it is answered before it counts
         } else if (message instanceof ClientMessage.Malformed malformed) {
             malformed(malformed);
         }
@@ -233,9 +277,15 @@
     }
 
     private void write(ByteBuf bytes) {
-        context.writeAndFlush(bytes);
+        unflushed++;
+        context.writeAndFlush(bytes).addListener(flushed);
     }
 
+    private final ChannelFutureListener flushed = done -> {
+        unflushed--;
+        endIfDone();
+    };
+
     /** The messages of the answer as the node gave them. */
     public void answered(List<byte[]> messages) {
         conclude(Encoder.answer(messages));
@@ -268,18 +318,23 @@
         }
     }
 
-    boolean idle() {
+    private boolean idle() {
         return !waiting && !ending && ahead.isEmpty();
     }
 
+    /** Between commands: all answers have gone out, and no part of the next command has come. */
+    private boolean rests() {
+        return idle() && unflushed == 0 && !decoder.holdsPart();
+    }
+
     /** It has asked and got its answer. */
     boolean atRest() {
-        return proven && idle();
+        return proven && rests();
     }
 
-    /** Something it sent is owed an answer. */
+    /** It is owed an answer or the rest of one, or is in the middle of a command. */
     boolean busy() {
-        return waiting || !ahead.isEmpty();
+        return unflushed > 0 || !ending && !rests();
     }
 
     /** Which of those without a command goes first: what has ended, then what has been quiet longest. */
@@ -289,48 +344,59 @@
 
     /** Ends it if it has been silent for too long. */
     void sweep(double now) {
-        if (!waiting && !context.channel().isWritable() && now > quietSince + UNREAD) {
+        if (!waiting && unflushed > 0 && now > quietSince + UNREAD) {
             context.close();
+        } else if (tooSlow(now) != null) {
+            // Guards against taking this router's own stand for the client's silence.
+            afterNextReads(() -> {
+                String why = tooSlow(now);
+                if (why != null) {
+                    Log.warn("client", why);
+                    end(Encoder.error(true, "57P05", "no whole command came in time", null));
+                }
+            });
         }
-        boolean half = partSince > 0 && now > partSince + SILENT;
-        if (idle() && (half || !proven && now > quietSince + SILENT)) {
-            Log.warn("client", half ? "half a message" : "a client that says nothing");
-            end(Encoder.error(true, "57P05", "no whole command came in time", null));
-        }
     }
 
-    /** Answers what it has taken, then ends. */
+    /** In what it has been so, or null. */
+    private String tooSlow(double now) {
+        return !idle() ? null : partSince > 0 && now > partSince + SILENT ? "half a message"
+                : !proven && now > quietSince + SILENT ? "a client that says nothing" : null;
+    }
+
+    /** Answers what it has taken and what has come by now, then ends. */
     void end() {
         endSoon = true;
-        next();
+        endIfDone();
     }
 
-    /** Ends it at once; only without a command. */
+    /** Ends it at once, to make room; only when it is not busy. */
     void close() {
-        context.close();
+        if (!ending) {
+            end(Unpooled.EMPTY_BUFFER);
+        }
+        // Guards against a reset over a command that has just come, which may overtake the last answer.
+        afterNextReads(context::close);
     }
 
     private void end(ByteBuf last) {
         ending = true;
         ahead.clear();
+        quietSince = clock.getAsDouble();
+        takeNoMore();
         decoder.release();
-        ChannelHandlerContext ctx = context;
-        ctx.channel().config().setAutoRead(false);
-        ctx.writeAndFlush(last).addListener(done -> {
-            if (ctx.channel() instanceof DuplexChannel socket) {
-                socket.shutdownOutput();
-            }
-        });
-        ctx.executor().schedule(() -> ctx.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+        unflushed++;
+        close.end(last, () -> unflushed--);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        ending = true;
+        ahead.clear();
         if (waiting) {
             waiting = false;
             listener.left(this);
         }
-        ending = true;
         ended.accept(this);
     }
 
--- a/daemon/src/main/java/clayhook/protocol/FrameDecoder.java
+++ b/daemon/src/main/java/clayhook/protocol/FrameDecoder.java
@@ -60,6 +60,11 @@
         }
     }
 
+    /** Nothing that comes is to be understood any more. */
+    public final void discard() {
+        broken = true;
+    }
+
     /** Part of a message has come. */
     public final boolean holdsPart() {
         return actualReadableBytes() > 0;
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -154,6 +154,12 @@
     }
 
     private void take(ClientCommand command, double now) {
+        // Guards against work for a client whose close was read together with its command.
+        if (command.session.gone()) {
+            open.remove(command.id);
+            Log.count("left");
+            return;
+        }
         waiting.put(command.session, command);
         hand.taken(command, now);
     }
@@ -205,6 +211,10 @@
         });
     }
 
+    private static boolean mayHaveRun(Command command) {
+        return command.dispatches.stream().anyMatch(dispatch -> dispatch.outcome == null || !dispatch.outcome.neverRan);
+    }
+
     @Override
     public void ended(Dispatch dispatch, Reply reply, List<byte[]> answer, String error) {
         Log.count(reply.outcome().toString());
@@ -249,7 +259,7 @@
     /** It was given up: its client does not know whether it has run, and another router may. */
     private void shareDoubt(Command command) {
         if (sharing != null && command.group.level() == ReadLevel.WRITE && command.group.effect() != Effect.REPLAYABLE
-                && command.dispatches.stream().anyMatch(dispatch -> dispatch.outcome == null || !dispatch.outcome.neverRan)) {
+                && mayHaveRun(command)) {
             sharing.written((ClientCommand) command, null, clock.now());
         }
     }
@@ -290,7 +300,7 @@
 
     @Override
     public boolean mayGo(Dispatch dispatch) {
-        return decide.mayStillGo(dispatch, clock.now());
+        return !((ClientCommand) dispatch.command).session.gone() && decide.mayStillGo(dispatch, clock.now());
     }
 
     @Override
--- /dev/null
+++ b/daemon/src/test/java/clayhook/serve/ClientGoneTest.java
@@ -0,0 +1,253 @@
+package clayhook.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import clayhook.CommandGroup.Effect;
+import clayhook.CommandGroup.ReadLevel;
+import clayhook.CommandGroup.Scope;
+import clayhook.CommandGroup;
+import clayhook.Settings;
+import clayhook.config.Configuration;
+import clayhook.discovery.NodeList;
+import clayhook.front.RawClient;
+import clayhook.protocol.Encoder;
+import clayhook.protocol.Statement;
+import clayhook.rehearsal.StandInClient;
+import clayhook.rehearsal.StandInDiscovery;
+import clayhook.rehearsal.StandInNode.Deed;
+import clayhook.rehearsal.StandInNode;
+import clayhook.transport.Transport;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
+import java.util.function.Function;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** No attempt begins for a client that has closed: the whole router on loopback, between stand-ins. */
+class ClientGoneTest {
+    private final Transport transport = Transport.tcp();
+    private final Transport own = Transport.tcp();
+    private final LinkedBlockingQueue<Statement> sent = new LinkedBlockingQueue<>();
+    private Server server;
+    private SlowNode slow;
+
+    /** A node whose connections come up when they are let; it answers statement 1 with an error when let, others at once. */
+    private final class SlowNode implements Runnable {
+        private final ServerSocket listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final Semaphore connected = new Semaphore(0);
+        private final CountDownLatch up = new CountDownLatch(1);
+        private final Semaphore errors = new Semaphore(0);
+        private final Semaphore failed = new Semaphore(0);
+
+        private SlowNode() throws IOException {
+            begin(this);
+        }
+
+        private static void begin(Runnable step) {
+            var thread = new Thread(step);
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        @Override
+        public void run() {
+            try {
+                while (true) {
+                    Socket socket = listening.accept();
+                    begin(() -> serve(socket));
+                }
+            } catch (IOException e) {
+                // closed
+            }
+        }
+
+        private void serve(Socket socket) {
+            try (socket) {
+                var in = new DataInputStream(socket.getInputStream());
+                in.skipNBytes(in.readInt() - 4);
+                connected.release();
+                up.await();
+                write(socket, Encoder.welcome(0, Map.of()));
+                while (in.readByte() == 'Q') {
+                    byte[] text = in.readNBytes(in.readInt() - 4);
+                    Statement statement = Statement.parse(Arrays.copyOf(text, text.length - 1));
+                    sent.add(statement);
+                    if (statement.id.equals("1")) {
+                        errors.acquire();
+                        write(socket, Encoder.error(false, "53300", "as told", null));
+                        failed.release();
+                    } else {
+                        write(socket, StandInNode.row("s", "primary", System.currentTimeMillis(), "inflight=1"));
+                    }
+                }
+            } catch (IOException | InterruptedException e) {
+                // the router has closed
+            }
+        }
+
+        private void write(Socket socket, ByteBuf bytes) throws IOException {
+            bytes.readBytes(socket.getOutputStream(), bytes.readableBytes());
+        }
+    }
+
+    private static CommandGroup group(String name, Effect effect, ReadLevel level) {
+        return new CommandGroup(name, effect, level, 20, 60, 1, 0, Scope.GROUP, 60, 0);
+    }
+
+    private void start(InetSocketAddress primary) throws InterruptedException {
+        String list = "{\"rev\":2,\"all\":true,\"targets\":[{\"uid\":\"p\",\"endpoint\":\"127.0.0.1:" + primary.getPort()
+                + "\",\"az\":\"a\",\"pod_group\":1,\"state\":\"up\",\"role\":\"primary\",\"boot_ms\":0}]}";
+        var discovery = new StandInDiscovery(transport, transport.spare(0), call -> null);
+        var settings = new Settings(1, "a", List.of(group("any", Effect.REPLAYABLE, ReadLevel.ANY),
+                group("mutating", Effect.MUTATING, ReadLevel.WRITE)),
+                true, true, false, true, false, true, true, true, 1, 3, 0.2, 10, 3, 3, 1, 15);
+        server = new Server(own, new Configuration("test", transport.spare(0), discovery.address(), 1, 1 << 24, 1024,
+                NodeList.parse(list), settings, 60));
+    }
+
+    private void start(Function<Statement, Deed> deeds) throws InterruptedException {
+        start(new StandInNode(transport, transport.spare(0), "primary", statement -> {
+            sent.add(statement);
+            return deeds.apply(statement);
+        }).address());
+    }
+
+    private void startSlow() throws Exception {
+        slow = new SlowNode();
+        start((InetSocketAddress) slow.listening.getLocalSocketAddress());
+    }
+
+    private RawClient client() throws IOException {
+        return new RawClient(server.address());
+    }
+
+    private static ByteBuf read(int id) {
+        return StandInClient.statement(false, "id=" + id + ",c=any,d=30000,cluster=1");
+    }
+
+    private static ByteBuf write(int id) {
+        return StandInClient.statement(true, "id=" + id + ",c=mutating,d=30000,cluster=1");
+    }
+
+    private List<String> ids() {
+        return sent.stream().map(statement -> statement.id).toList();
+    }
+
+    /** Ends a client's sending, by which it has gone, and waits until the router has seen that. */
+    private static void leave(RawClient client) throws IOException {
+        if (!client.socket.isOutputShutdown()) {
+            client.socket.shutdownOutput();
+        }
+        String word = client.next();
+        assertEquals("closed", word.equals("ready") ? client.next() : word);
+    }
+
+    /** The router stands still while this is done. */
+    private void meanwhile(Callable<?> step) throws Exception {
+        var standing = new CountDownLatch(1);
+        var done = new CountDownLatch(1);
+        own.loop().submit(() -> {
+            standing.countDown();
+            done.await();
+            return null;
+        });
+        standing.await();
+        try {
+            step.call();
+        } finally {
+            done.countDown();
+        }
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        server.close();
+        transport.close();
+        if (slow != null) {
+            slow.up.countDown();
+            slow.listening.close();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 30})
+    void aCloseThatIsReadWithItsCommandsIsHeardBeforeTheseGoOn(int commands) throws Exception {
+        start(any -> Deed.answer("v"));
+        RawClient other = client().hello(read(1));
+        assertEquals("ready", other.next());
+        assertEquals("v", other.next());
+        RawClient client = client().hello();
+        assertEquals("ready", client.next());
+        meanwhile(() -> {
+            for (int i = 0; i < commands; i++) {
+                client.send(read(10 + i));
+            }
+            client.socket.close();
+            return null;
+        });
+        other.send(read(2));
+        assertEquals("v", other.next());
+        assertEquals(List.of("1", "2"), ids());
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 40})
+    void noneIsBegunForAClientThatLeftWhileItsFirstWaitedForAConnection(int commands) throws Exception {
+        startSlow();
+        RawClient client = client().hello();
+        for (int i = 0; i < commands; i++) {
+            client.send(write(10 + i));
+        }
+        slow.connected.acquire();
+        leave(client);
+        slow.up.countDown();
+        RawClient other = client().hello(read(2));
+        assertEquals("ready", other.next());
+        assertEquals("s", other.next());
+        assertEquals(List.of("2"), ids());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"false, false", "true, false", "true, true"})
+    void noFurtherOneIsBegunForAClientThatLeft(boolean together, boolean errorFirst) throws Exception {
+        startSlow();
+        slow.up.countDown();
+        RawClient client = client().hello(write(1));
+        assertEquals("1", sent.take().id);
+        if (together) {
+            meanwhile(() -> {
+                if (!errorFirst) {
+                    client.socket.shutdownOutput();
+                }
+                slow.errors.release(9);
+                slow.failed.acquire();
+                if (errorFirst) {
+                    client.socket.shutdownOutput();
+                }
+                return null;
+            });
+        }
+        leave(client);
+        slow.errors.release(9);
+        RawClient other = client().hello(write(2));
+        assertEquals("ready", other.next());
+        assertEquals("s", other.next());
+        assertEquals(List.of("2"), ids());
+    }
+}
