Let a client cancel its command by a key of its session, answered 57014

Seen: every session was given the key 0, 0, and a request to cancel only closed its own connection, so attempts went on and further ones began for a client that had given its command up.

Changed: each session gets 64 random bits for its process id and secret; the table of keys empties as sessions end. A request with the right key ends the command in hand: nothing further goes out, what is out is recalled, and once it is known how that ended the client gets one 57014 that says whether the statement may have run. Unknown keys are passed over without a word. A request that connected before the command in hand was begun does not hit it: it was meant for one whose answer crossed it. The answer that was decided before the request was read stands. Router and Hand decide nothing here; what may be recalled is Decide's giveUp.

--- a/core/src/main/java/clayhook/hand/Hand.java
+++ b/core/src/main/java/clayhook/hand/Hand.java
@@ -65,6 +65,11 @@
         release(command);
     }
 
+    /** What is out of a command that nobody waits for, as far as it may be recalled. */
+    public List<Dispatch> unwanted(Command command) {
+        return decide.giveUp(command).recall();
+    }
+
     /** All that is in hand gets its final answer now. */
     public void giveUp() {
         for (Command command : List.copyOf(held)) {
--- a/daemon/src/main/java/clayhook/front/Front.java
+++ b/daemon/src/main/java/clayhook/front/Front.java
@@ -31,6 +31,7 @@
     /** Clients turned away that are waited for at once, so that they get their answer; from the reserve of descriptors. */
     private static final int MOST_REFUSALS = 16;
     private final Set<Session> sessions = new LinkedHashSet<>();
+    private final CancelKeys keys = new CancelKeys();
     /** Connections of clients that were turned away and have not closed yet. */
     private int refusals;
     private final Descriptors descriptors;
@@ -50,7 +51,8 @@
                 return new ChannelHandler[] {new Refusal()};
             }
             var decoder = new ClientDecoder(allowance, settings != null);
-            var session = new Session(listener, decoder, settings == null ? null : settings.get(), clock, this::ended);
+            var session = new Session(listener, decoder, settings == null ? null : settings.get(), keys, clock,
+                    this::ended);
             sessions.add(session);
             return new ChannelHandler[] {decoder, session};
         });
@@ -132,4 +134,9 @@
     public int size() {
         return sessions.size();
     }
+
+    /** How many sessions could be asked to cancel. */
+    int cancelKeys() {
+        return keys.size();
+    }
 }
--- a/daemon/src/main/java/clayhook/front/Session.java
+++ b/daemon/src/main/java/clayhook/front/Session.java
@@ -52,11 +52,15 @@
 
         /** The client has gone before it got its answer. */
         void left(Session session);
+
+        /** The client wants its command stopped; that gets {@link #cancelled(boolean)} unless its answer is on its way. */
+        void cancelled(Session session);
     }
 
     private final Listener listener;
     private final Consumer<Session> ended;
     private final ClientDecoder decoder;
+    private final CancelKeys keys;
     private final DoubleSupplier clock;
     /** Null where only the two forms of statement are taken. */
     private final SessionSettings settings;
@@ -72,6 +76,11 @@
     private OrderlyClose close;
     /** Writes that the system has not taken whole yet. */
     private int unflushed;
+    /** By which its commands are cancelled. */
+    private long cancelKey = ClientDecoder.NO_KEY;
+    private final double connectedAt;
+    /** When the command in hand was begun. */
+    private double begunAt;
     /** It has sent a command that was taken. */
     private boolean proven;
     /** When it connected or got its last answer, and since when part of a message has been there; 0 for none. */
@@ -81,14 +90,16 @@
     private boolean endSoon;
     private boolean lookedOnce;
 
-    Session(Listener listener, ClientDecoder decoder, SessionSettings settings, DoubleSupplier clock,
+    Session(Listener listener, ClientDecoder decoder, SessionSettings settings, CancelKeys keys, DoubleSupplier clock,
             Consumer<Session> ended) {
+        this.keys = keys;
         this.settings = settings;
         this.listener = listener;
         this.decoder = decoder;
         this.clock = clock;
         this.ended = ended;
-        quietSince = clock.getAsDouble();
+        connectedAt = clock.getAsDouble();
+        quietSince = connectedAt;
     }
 
     @Override
@@ -173,8 +184,12 @@
             welcome(startup);
         } else if (message instanceof ClientMessage.Malformed malformed) {
             malformed(malformed);
-        } else {
-            end(Unpooled.EMPTY_BUFFER); // a request to cancel: dispatches are not known to clients
+        } else if (message instanceof ClientMessage.CancelRequest request) {
+            Session session = keys.of(request.key());
+            if (session != null) {
+                session.cancel(connectedAt);
+            }
+            end(Unpooled.EMPTY_BUFFER); // no answer tells whether the key was right
         }
     }
 
@@ -196,7 +211,15 @@
                 }
             });
         }
-        write(Encoder.welcome(startup.minor(), told));
+        cancelKey = keys.give(this);
+        write(Encoder.welcome(startup.minor(), cancelKey, told));
+    }
+
+    /** Guards against stopping the next command for one whose answer crossed the request to cancel it. */
+    private void cancel(double requestedAt) {
+        if (waiting && begunAt <= requestedAt) {
+            listener.cancelled(this);
+        }
     }
 
     /** Settings whose values servers tell, as they write them. */
@@ -210,11 +233,16 @@
             String told = TOLD.stream().filter(name -> name.equalsIgnoreCase(done.name())).findFirst().orElse(null);
             write(Encoder.completed(done.tag(), told, done.value()));
         } else {
-            waiting = true;
+            await();
             listener.asked(this, text);
         }
     }
 
+    private void await() {
+        waiting = true;
+        begunAt = clock.getAsDouble();
+    }
+
     /** The client has closed, though that may not have been told yet. */
     public boolean gone() {
         return !context.channel().isActive();
@@ -245,7 +273,7 @@
             return;
         }
         if (message instanceof ClientMessage.Query query) {
-            waiting = true;
+            await();
             proven = true;
             listener.taken(this, query.statement());
         } else if (message instanceof ClientMessage.Sql query) {
@@ -302,6 +330,12 @@
         conclude(Encoder.error(false, "40003", "it is not known whether the statement has run", null));
     }
 
+    /** The client wanted it stopped. */
+    public void cancelled(boolean mayHaveRun) {
+        conclude(Encoder.error(false, "57014", mayHaveRun ? "cancelled; it is not known whether the statement has run"
+                : "cancelled; the statement has not run", null));
+    }
+
     /** The statement could not be taken. */
     public void rejected(String code, String why) {
         conclude(Encoder.error(false, code, why, null));
@@ -393,6 +427,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         ending = true;
         ahead.clear();
+        keys.take(cancelKey);
         if (waiting) {
             waiting = false;
             listener.left(this);
--- a/daemon/src/main/java/clayhook/protocol/ClientDecoder.java
+++ b/daemon/src/main/java/clayhook/protocol/ClientDecoder.java
@@ -9,6 +9,8 @@
     private static final int CANCEL = 80877102;
     private static final int SSL = 80877103;
     private static final int GSS = 80877104;
+    /** No session is given this one. */
+    public static final long NO_KEY = 0;
     /** Values hold 64 KiB, and twice that in hex digits; the rest is for the statement around them. */
     private static final int LONGEST = 160 * 1024;
     /** As long as the reference server takes it. */
@@ -69,7 +71,7 @@
         if (version == SSL || version == GSS) {
             return new ClientMessage.EncryptionRequest();
         } else if (version == CANCEL) {
-            return new ClientMessage.CancelRequest();
+            return new ClientMessage.CancelRequest(body.readableBytes() < Long.BYTES ? NO_KEY : body.readLong());
         } else if (version >>> 16 != 3) {
             return new ClientMessage.Malformed("0A000", "protocol version " + (version >>> 16) + " is not supported");
         }
--- a/daemon/src/main/java/clayhook/protocol/ClientMessage.java
+++ b/daemon/src/main/java/clayhook/protocol/ClientMessage.java
@@ -12,7 +12,8 @@
     record EncryptionRequest() implements ClientMessage {
     }
 
-    record CancelRequest() implements ClientMessage {
+    /** Cancels the command in hand of the session that was given this key: its process id, then its secret. */
+    record CancelRequest(long key) implements ClientMessage {
     }
 
     record EmptyQuery() implements ClientMessage {
--- a/daemon/src/main/java/clayhook/protocol/Encoder.java
+++ b/daemon/src/main/java/clayhook/protocol/Encoder.java
@@ -15,8 +15,16 @@
     private Encoder() {
     }
 
-    /** The session stands; {@code minor} is the version of the protocol that the client asked for. */
+    /** Of a server that cancels nothing. */
     public static ByteBuf welcome(int minor, Map<String, String> more) {
+        return welcome(minor, 0, more);
+    }
+
+    /**
+     * The session stands; {@code minor} is the version of the protocol that the client asked for, {@code cancelKey} what
+     * it cancels by.
+     */
+    public static ByteBuf welcome(int minor, long cancelKey, Map<String, String> more) {
         ByteBuf out = Unpooled.buffer(128);
         if (minor > 0) {
             out.writeByte('v').writeInt(12).writeInt(3 << 16).writeInt(0);
@@ -26,7 +34,7 @@
         parameter(out, "client_encoding", "UTF8");
         parameter(out, "standard_conforming_strings", "on");
         more.forEach((name, value) -> parameter(out, name, value));
-        out.writeByte('K').writeInt(12).writeInt(0).writeInt(0);
+        out.writeByte('K').writeInt(12).writeLong(cancelKey);
         return out.writeBytes(READY);
     }
 
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -211,6 +211,29 @@
         });
     }
 
+    /** Nothing more goes out and what is out is recalled; once it is known how that ended, the client is told. */
+    @Override
+    public void cancelled(Session session) {
+        tell(rest, now -> {
+            ClientCommand command = waiting.get(session);
+            if (command == null || command.over) {
+                return;
+            }
+            waiting.remove(session);
+            open.remove(command.id);
+            Log.count("cancelled");
+            hand.left(command);
+            // What was decided in this turn is carried out before, and what is recalled then ends before the answer.
+            tell(rest, next -> {
+                hand.unwanted(command).forEach(nodes::recall);
+                tell(rest, last -> {
+                    shareDoubt(command);
+                    session.cancelled(mayHaveRun(command));
+                });
+            });
+        });
+    }
+
     private static boolean mayHaveRun(Command command) {
         return command.dispatches.stream().anyMatch(dispatch -> dispatch.outcome == null || !dispatch.outcome.neverRan);
     }
--- a/daemon/src/test/java/clayhook/front/FrontTest.java
+++ b/daemon/src/test/java/clayhook/front/FrontTest.java
@@ -38,6 +38,10 @@
     public void left(Session session) {
     }
 
+    @Override
+    public void cancelled(Session session) {
+    }
+
     @AfterEach
     void close() {
         transport.close();
--- a/daemon/src/test/java/clayhook/front/RawClient.java
+++ b/daemon/src/test/java/clayhook/front/RawClient.java
@@ -33,6 +33,10 @@
         return this;
     }
 
+    public static ByteBuf cancelRequest(long key) {
+        return Unpooled.buffer().writeInt(16).writeInt(80877102).writeLong(key);
+    }
+
     public RawClient hello(ByteBuf... after) throws IOException {
         return send(Encoder.startup("client", "core")).send(after);
     }
--- a/daemon/src/test/java/clayhook/front/SessionCrossingTest.java
+++ b/daemon/src/test/java/clayhook/front/SessionCrossingTest.java
@@ -1,7 +1,9 @@
 package clayhook.front;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 
 import clayhook.protocol.Encoder;
 import clayhook.protocol.Statement;
@@ -30,6 +32,7 @@
     private final Transport transport = Transport.tcp();
     private final LinkedBlockingQueue<Session> taken = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<Session> left = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<Session> cancelled = new LinkedBlockingQueue<>();
     private volatile double now = 1000;
     private Front front;
 
@@ -48,6 +51,11 @@
         left.add(session);
     }
 
+    @Override
+    public void cancelled(Session session) {
+        cancelled.add(session);
+    }
+
     @AfterEach
     void close() {
         transport.close();
@@ -317,4 +325,68 @@
         assertEquals("40003", other[0].next());
         assertEquals(0, taken.size());
     }
+
+    // ---- cancelling ----
+
+    private void cancel(long key) throws Exception {
+        RawClient client = client().send(RawClient.cancelRequest(key));
+        assertEquals("closed", client.next());
+        client.socket.close();
+    }
+
+    @Test
+    void onlyTheKeyOfASessionCancelsWhatThatWaitsFor() throws Exception {
+        start(9);
+        RawClient client = client().hello(command());
+        Session session = next(taken);
+        assertEquals("ready", client.next());
+        RawClient other = client().hello(command());
+        Session second = next(taken);
+        assertEquals("ready", other.next());
+        assertNotEquals(client.key, other.key);
+        assertNotEquals(client.key >>> 32, other.key >>> 32);
+        assertNotEquals((int) client.key, (int) other.key);
+        for (long wrong : new long[] {0, client.key + 1, client.key & 0xffffffffL, client.key & ~0xffffffffL}) {
+            cancel(wrong);
+        }
+        assertNull(cancelled.poll());
+        cancel(other.key);
+        assertEquals(second, next(cancelled));
+        run(() -> second.cancelled(true));
+        assertEquals("57014", other.next());
+        cancel(client.key);
+        assertEquals(session, next(cancelled));
+        client.socket.close();
+        other.socket.close();
+        await(0);
+        assertEquals(0, onLoop(front::cancelKeys));
+    }
+
+    @Test
+    void aSessionThatWaitsForNothingHasNothingToCancel() throws Exception {
+        start(9);
+        RawClient client = usual();
+        cancel(client.key);
+        assertNull(cancelled.poll());
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aCancelThatCrossesTheAnswerDoesNotHitTheNextCommand(boolean ahead) throws Exception {
+        start(9);
+        RawClient client = client().hello(commands(ahead ? 2 : 1));
+        Session session = next(taken);
+        assertEquals("ready", client.next());
+        RawClient cancelling = client();
+        await(2);
+        now += 0.001;
+        run(session::failed);
+        assertEquals("40003", client.next());
+        if (!ahead) {
+            client.send(command());
+        }
+        next(taken);
+        assertEquals("closed", cancelling.send(RawClient.cancelRequest(client.key)).next());
+        assertNull(cancelled.poll());
+    }
 }
--- a/daemon/src/test/java/clayhook/serve/ClientGoneTest.java
+++ b/daemon/src/test/java/clayhook/serve/ClientGoneTest.java
@@ -39,7 +39,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** No attempt begins for a client that has closed: the whole router on loopback, between stand-ins. */
+/** No attempt begins for a client that has closed or cancelled: the whole router on loopback, between stand-ins. */
 class ClientGoneTest {
     private final Transport transport = Transport.tcp();
     private final Transport own = Transport.tcp();
@@ -250,4 +250,31 @@
         assertEquals("s", other.next());
         assertEquals(List.of("2"), ids());
     }
+
+    @ParameterizedTest
+    @CsvSource({"false, it is not known whether the statement has run", "true, the statement has not run"})
+    void aCancelledCommandGetsOneAnswerThatSaysWhetherItMayHaveRun(boolean waits, String text) throws Exception {
+        if (waits) {
+            startSlow();
+        } else {
+            start(statement -> statement.id.equals("1") ? Deed.silence() : Deed.answer("s"));
+        }
+        RawClient client = client().hello(write(1));
+        assertEquals("ready", client.next());
+        if (waits) {
+            slow.connected.acquire();
+        } else {
+            assertEquals("1", sent.take().id);
+        }
+        assertEquals("closed", client().send(RawClient.cancelRequest(client.key)).next());
+        assertEquals("57014", client.next());
+        assertEquals("cancelled; " + text, client.text);
+        if (waits) {
+            slow.up.countDown();
+        }
+        client.send(write(2), write(3));
+        assertEquals("s", client.next());
+        assertEquals("s", client.next());
+        assertEquals(List.of("2", "3"), ids());
+    }
 }
