Withdraw what waits for a connection when its client leaves

Seen: the attempt of a client that left stayed in its pool until the connection came up or failed. It was never written, since mayStillGo asks, but it stood in its node's window, and a failing connection could count against it.

Changed: it ends as not sent at once. One that was written is heard out, as before: to give it up costs its connection.

--- a/daemon/src/main/java/clayhook/nodes/Nodes.java
+++ b/daemon/src/main/java/clayhook/nodes/Nodes.java
@@ -117,6 +117,14 @@
         }
     }
 
+    /** Its client has gone: it goes no more if it waits for its connection; once written it keeps its connection. */
+    public void withdraw(Dispatch dispatch) {
+        Attempt attempt = attempts.get(dispatch);
+        if (attempt != null && attempt.connection == null) {
+            recall(dispatch);
+        }
+    }
+
     /** Closes what has been opening, probing or idle for too long. */
     public void sweep() {
         double now = clock.now();
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -207,6 +207,7 @@
                 Log.count("left");
                 shareDoubt(command);
                 hand.left(command);
+                command.dispatches.forEach(nodes::withdraw);
             }
         });
     }
--- a/daemon/src/test/java/clayhook/nodes/NodesTest.java
+++ b/daemon/src/test/java/clayhook/nodes/NodesTest.java
@@ -18,9 +18,13 @@
 import clayhook.transport.Transport;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -152,6 +156,22 @@
         assertEquals(2, statements.get());
     }
 
+    @ParameterizedTest
+    @CsvSource({"false, NOT_SENT", "true, ANSWERED"})
+    void whatIsWithdrawnEndsAtOnceWhereItWaitsForItsConnectionAndElseIsHeardOut(boolean written, Outcome outcome) throws Exception {
+        Nodes nodes = nodes(60, 60);
+        try (var silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Node node = written ? node(nodes, "replica", Deed.answer("a"), null) : transport.loop().submit(() -> nodes.at(
+                    "n", "a", 1, (InetSocketAddress) silent.getLocalSocketAddress())).get();
+            Dispatch dispatch = send(nodes, node);
+            while (written && statements.get() == 0) {
+                Thread.onSpinWait();
+            }
+            transport.loop().submit(() -> nodes.withdraw(dispatch)).get();
+            assertEquals(outcome, outcomes.poll(20, TimeUnit.SECONDS));
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"XX000, ERROR", "72000, TURNED_AWAY", "53300, FULL"})
     void aConnectionIsUsedAgainAfterAnError(String code, Outcome outcome) throws Exception {
