--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -156,6 +156,12 @@
     }
 
     private void take(ClientCommand command, double now) {
+        // Guards against work for a client whose close was read together with its command.
+        if (command.session.gone()) {
+            open.remove(command.id);
+            Log.count("left");
+            return;
+        }
         waiting.put(command.session, command);
         hand.taken(command, now);
     }
@@ -203,10 +209,38 @@
                 Log.count("left");
                 shareDoubt(command);
                 hand.left(command);
+                command.dispatches.forEach(nodes::withdraw);
             }
         });
     }
 
+    /** Nothing more goes out and what is out is recalled; once it is known how that ended, the client is told. */
+    @Override
+    public void cancelled(Session session) {
+        tell(rest, now -> {
+            ClientCommand command = waiting.get(session);
+            if (command == null || command.over) {
+                return;
+            }
+            waiting.remove(session);
+            open.remove(command.id);
+            Log.count("cancelled");
+            hand.left(command);
+            // What was decided in this turn is carried out before, and what is recalled then ends before the answer.
+            tell(rest, next -> {
+                hand.unwanted(command).forEach(nodes::recall);
+                tell(rest, last -> {
+                    shareDoubt(command);
+                    session.cancelled(mayHaveRun(command));
+                });
+            });
+        });
+    }
+
+    private static boolean mayHaveRun(Command command) {
+        return command.dispatches.stream().anyMatch(dispatch -> dispatch.outcome == null || !dispatch.outcome.neverRan);
+    }
+
     @Override
     public void ended(Dispatch dispatch, Reply reply, List<byte[]> answer, String error) {
         Log.count(reply.outcome().toString());
@@ -251,7 +285,7 @@
     /** It was given up: its client does not know whether it has run, and another router may. */
     private void shareDoubt(Command command) {
         if (sharing != null && command.group.level() == ReadLevel.WRITE && command.group.effect() != Effect.REPLAYABLE
-                && command.dispatches.stream().anyMatch(dispatch -> dispatch.outcome == null || !dispatch.outcome.neverRan)) {
+                && mayHaveRun(command)) {
             sharing.written((ClientCommand) command, null, clock.now());
         }
     }
@@ -292,7 +326,7 @@
 
     @Override
     public boolean mayGo(Dispatch dispatch) {
-        return decide.mayStillGo(dispatch, clock.now());
+        return !((ClientCommand) dispatch.command).session.gone() && decide.mayStillGo(dispatch, clock.now());
     }
 
     @Override
