Tell on the loop that a socket could not be made

Cause: where a socket cannot be made at all (no descriptor left), Netty fails the connect's future on its global executor's thread, and Transport.connect ran the caller's `failed` there: the closing of a connection to a node then changed the pool's lists, the count of descriptors and the router's inbox beside the loop; likewise discovery's. Found by reading; a failure after the socket was made comes on the loop.

Change: `failed` runs on the loop, whoever tells of it. The sockets' factory is given at the start, so that a test can let it fail. TransportTest.aSocketThatCannotBeMadeIsToldOnTheLoop.

--- a/daemon/src/main/java/clayhook/transport/Transport.java
+++ b/daemon/src/main/java/clayhook/transport/Transport.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -47,25 +48,33 @@
     private final Path folder;
     private final int number = TRANSPORTS.incrementAndGet();
     private final MultiThreadIoEventLoopGroup group;
+    /** Makes the sockets that connect. */
+    private final ChannelFactory<? extends Channel> sockets;
 
-    private Transport(Kind kind, Path folder, IoHandlerFactory handlers) {
+    private Transport(Kind kind, Path folder, IoHandlerFactory handlers, ChannelFactory<? extends Channel> sockets) {
         this.kind = kind;
         this.folder = folder;
+        this.sockets = sockets;
         group = new MultiThreadIoEventLoopGroup(1, handlers);
     }
 
     public static Transport tcp() {
-        return new Transport(Kind.TCP, null, NioIoHandler.newFactory());
+        return tcp(NioSocketChannel::new);
+    }
+
+    static Transport tcp(ChannelFactory<? extends Channel> sockets) {
+        return new Transport(Kind.TCP, null, NioIoHandler.newFactory(), sockets);
     }
 
     /** Ports are but names here; the same code runs as for TCP. */
     public static Transport rehearsal() throws IOException {
-        return new Transport(Kind.FOLDER, Files.createTempDirectory("clayhook"), NioIoHandler.newFactory());
+        return new Transport(Kind.FOLDER, Files.createTempDirectory("clayhook"), NioIoHandler.newFactory(),
+                NioDomainSocketChannel::new);
     }
 
     /** For a platform that lets no process connect to itself: all but the sockets runs as for TCP. */
     public static Transport withinProcess() {
-        return new Transport(Kind.PROCESS, null, LocalIoHandler.newFactory());
+        return new Transport(Kind.PROCESS, null, LocalIoHandler.newFactory(), LocalChannel::new);
     }
 
     /** An address to listen at: a free port, or in a rehearsal that name. */
@@ -90,20 +99,21 @@
         return bootstrap.bind(at(address)).sync().channel();
     }
 
-    /** Connects; {@code failed} runs if that does not come about within so many seconds. */
+    /** Connects; {@code failed} runs on the loop if that does not come about within so many seconds. */
     public Channel connect(InetSocketAddress address, double seconds, Supplier<ChannelHandler[]> handlers,
             Runnable failed) {
-        var bootstrap = new Bootstrap().group(group).handler(initializer(handlers))
+        var bootstrap = new Bootstrap().group(group).channelFactory(sockets).handler(initializer(handlers))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(seconds * 1000));
-        switch (kind) {
-            case TCP -> bootstrap.channelFactory(NioSocketChannel::new).option(ChannelOption.TCP_NODELAY, true);
-            case FOLDER -> bootstrap.channelFactory(NioDomainSocketChannel::new);
-            case PROCESS -> bootstrap.channelFactory(LocalChannel::new);
+        if (kind == Kind.TCP) {
+            bootstrap.option(ChannelOption.TCP_NODELAY, true);
         }
         var connecting = bootstrap.connect(at(address));
         connecting.addListener(done -> {
-            if (!done.isSuccess()) {
+            if (!done.isSuccess() && loop().inEventLoop()) {
                 failed.run();
+            } else if (!done.isSuccess()) {
+                // Guards against lists changed by two threads: a socket that cannot be made fails on another one.
+                loop().execute(failed);
             }
         });
         return connecting.channel();
