Look at idle connections before writing, and end attempts that are called off while they wait

Now the age is looked at when an attempt comes, and the socket is read (one byte, without waiting) before a write. - The welcome's last message handed the connection out at once, within the same reading: what stood behind it was taken for the answer. It is handed out once all that was read has been looked at, as after answers; one that has ended by then counts as a connection that failed, not as one to be replaced at once. - An answer to a request whose last byte had not gone out was taken, and the rest went out afterwards, counted as answered. Now that is no answer, and the connection is closed. - Attempts that wait were asked about only when a connection came up. They are dropped. - An attempt at a node that was forgotten threw, and its limit threw again in each turn. It ends unsent. Not seen to happen: a row stays known while a dispatch is out, and lists go before the rest of a turn. - An attempt now ends once by construction, and serve skips what has ended.

--- a/daemon/src/main/java/clayhook/nodes/Attempt.java
+++ b/daemon/src/main/java/clayhook/nodes/Attempt.java
@@ -12,6 +12,8 @@
     final Outgoing outgoing;
     final double startedAt;
     Stage stage = Stage.NOT_CONNECTED;
+    /** Its ending was told; there is no other, and it goes nowhere any more. */
+    boolean ended;
     /** The connection that it was written to. */
     NodeConnection connection;
 
--- a/daemon/src/main/java/clayhook/nodes/NodeConnection.java
+++ b/daemon/src/main/java/clayhook/nodes/NodeConnection.java
@@ -10,7 +10,11 @@
 import clayhook.statements.SessionSettings;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -37,11 +41,13 @@
     private Next next = Next.WELCOME;
     private boolean up;
     private boolean closed;
-    /** Its answer is whole and it waits to be free. */
-    private boolean settling;
+    /** What is due once all that was read together has been looked at, or null: it got ready or its answer is whole. */
+    private Runnable afterReading;
     /** What it ran may have left something behind in its session. */
     private boolean retiring;
     private Attempt attempt;
+    /** The last byte of the request in hand has gone out. */
+    private boolean written;
     /** What this connection was given, and what it is being given. */
     private Map<String, String> settings = Map.of();
     private Map<String, String> wanted = Map.of();
@@ -93,6 +99,7 @@
         attempt = started;
         started.connection = this;
         started.stage = Stage.PARTLY_WRITTEN;
+        written = false;
         boolean free = started.outgoing != null && started.outgoing.free();
         decoder.free(free);
         next = free ? Next.RESULTS : Next.DESCRIPTION;
@@ -106,12 +113,27 @@
         position = 0;
         report = LoadReport.NONE;
         context.writeAndFlush(Encoder.query(query)).addListener(done -> {
+            written |= done.isSuccess() && attempt == started;
             if (done.isSuccess() && started.stage == Stage.PARTLY_WRITTEN) {
                 started.stage = Stage.WRITTEN;
             }
         });
     }
 
+    /** Whether neither an end nor a byte has come to this idle connection, also since the loop last looked. */
+    boolean quiet() {
+        if (!context.channel().isActive()) {
+            return false;
+        }
+        try {
+            // Guards against a request whose fate nobody can tell, and against what was there before as its answer.
+            return !(context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe
+                    && unsafe.ch() instanceof SocketChannel socket && socket.read(ByteBuffer.allocate(1)) != 0);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         if (closed) {
@@ -124,6 +146,9 @@
             welcome(message);
         } else if (next == Next.TUNING) {
             tuning(message);
+        } else if (!written && (message instanceof NodeMessage.Part || message instanceof NodeMessage.ReadyForQuery)) {
+            // Guards against a request whose rest goes out after it was counted as answered.
+            spoilt("an answer to what it was not sent whole");
         } else {
             collect(message);
         }
@@ -133,7 +158,7 @@
         if (message instanceof NodeMessage.ReadyForQuery) {
             up = true;
             next = Next.NOTHING;
-            pool.opened(this);
+            afterReading = () -> pool.opened(this);
         } else if (message instanceof NodeMessage.ErrorResponse error) {
             refusal = error.code();
         } else if (message instanceof NodeMessage.ParameterStatus told && !pool.agrees(told)) {
@@ -153,7 +178,8 @@
             next = Next.NOTHING;
             Map<String, String> asked = wanted;
             settings = refusal == null ? asked : settings;
-            pool.tuned(this, refusal == null ? null : new Ending.Concluded(parts), asked);
+            Ending.Concluded refused = refusal == null ? null : new Ending.Concluded(parts);
+            afterReading = () -> pool.tuned(this, refused, asked);
         } else if (!(message instanceof NodeMessage.Part part && part.type() == 'C'
                 || message instanceof NodeMessage.Notice || message instanceof NodeMessage.ParameterStatus)) {
             spoilt("an answer out of order");
@@ -270,31 +296,37 @@
             status("load", probed);
         }
         next = Next.NOTHING;
-        settling = true;
+        afterReading = this::settle;
         boolean free = attempt.outgoing != null && attempt.outgoing.free();
         retiring = free && attempt.outgoing.opaque();
         decoder.free(false);
         end(Ending.of(refusal, free, retiring));
     }
 
-    /** What was read together with an answer has been looked at; what is left of it belongs to no one. */
+    /** What was read together with an answer or a welcome has been looked at; what is left of it belongs to no one. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (!closed && next == Next.NOTHING && decoder.holdsPart()) {
             spoilt("part of what it was not asked");
-        } else if (!closed && settling) {
-            settling = false;
-            ctx.executor().schedule(() -> {
-                if (!closed && retiring) {
-                    close();
-                } else if (!closed) {
-                    pool.freed(this);
-                }
-            }, QUIET_MS, TimeUnit.MILLISECONDS);
+        } else if (!closed && afterReading != null) {
+            Runnable due = afterReading;
+            afterReading = null;
+            due.run();
         }
         ctx.fireChannelReadComplete();
     }
 
+    /** Waits a little before it is free. */
+    private void settle() {
+        context.executor().schedule(() -> {
+            if (!closed && retiring) {
+                close();
+            } else if (!closed) {
+                pool.freed(this);
+            }
+        }, QUIET_MS, TimeUnit.MILLISECONDS);
+    }
+
     private void end(Ending ending) {
         Attempt ended = attempt;
         attempt = null;
--- a/daemon/src/main/java/clayhook/nodes/Nodes.java
+++ b/daemon/src/main/java/clayhook/nodes/Nodes.java
@@ -38,7 +38,7 @@
 
         void probed(Node node, Reply reply);
 
-        /** Whether a dispatch that waited for its connection may still go out. */
+        /** Whether a dispatch that waited for its connection may still go out; asked also while it goes on waiting. */
         boolean mayGo(Dispatch dispatch);
 
         /** Whether anything may be sent to that node yet. */
@@ -95,11 +95,20 @@
     public void send(Dispatch dispatch, Outgoing outgoing) {
         var attempt = new Attempt(dispatch.node, dispatch, outgoing, clock.now());
         attempts.put(dispatch, attempt);
-        pools.get(dispatch.node.id()).add(attempt);
+        Pool pool = pools.get(dispatch.node.id());
+        if (pool == null) {
+            // Guards against an attempt without an ending, at a node that was forgotten.
+            ended(attempt, new Ending.CalledOff(attempt.stage), null);
+        } else {
+            pool.add(attempt);
+        }
     }
 
     public void probe(Node node) {
-        pools.get(node.id()).probe();
+        Pool pool = pools.get(node.id());
+        if (pool != null) {
+            pool.probe();
+        }
     }
 
     /** The time to wait for a dispatch is over. */
@@ -119,23 +128,31 @@
 
     /** Closes what has been opening, probing or idle for too long. */
     public void sweep() {
-        double now = clock.now();
+        double begunBefore = clock.now() - connectTimeout;
         for (Pool pool : pools.values()) {
-            pool.sweep(now - connectTimeout, now - idle);
+            pool.sweep(begunBefore, idleBefore());
         }
         pools.values().removeIf(pool -> pool.unused() && !listener.knows(pool.node));
     }
 
-    /** What to write for an attempt now, or null if it may not go out any more and has ended. */
+    /** What has been idle since before then is not written to. */
+    double idleBefore() {
+        return clock.now() - idle;
+    }
+
+    /** Whether an attempt that waited may still go out. */
+    boolean mayGo(Attempt attempt) {
+        return attempt.dispatch == null || listener.mayGo(attempt.dispatch);
+    }
+
+    /** One that waits may not go out any more, and not for its time limit, which is an ending of its own. */
+    boolean calledOff(Attempt attempt) {
+        return !mayGo(attempt) && clock.now() < attempt.dispatch.limit;
+    }
+
+    /** What to write for an attempt now. */
     byte[] query(Attempt attempt) {
-        if (attempt.dispatch == null) {
-            return PROBE;
-        }
-        if (!listener.mayGo(attempt.dispatch)) {
-            ended(attempt, new Ending.CalledOff(attempt.stage), null);
-            return null;
-        }
-        return attempt.outgoing.withWait(attempt.dispatch.limit - clock.now());
+        return attempt.dispatch == null ? PROBE : attempt.outgoing.withWait(attempt.dispatch.limit - clock.now());
     }
 
     /** Gives the longest idle connection of any node back, if there is one. */
--- a/daemon/src/main/java/clayhook/nodes/Pool.java
+++ b/daemon/src/main/java/clayhook/nodes/Pool.java
@@ -33,10 +33,16 @@
 
     /** Another address: the old connections carry on what they have and get nothing new. */
     void moved(InetSocketAddress to) {
-        if (!to.equals(address)) {
-            address = to;
-            closeIdle(Double.POSITIVE_INFINITY);
+        if (to.equals(address)) {
+            return;
         }
+        address = to;
+        closeIdle(Double.POSITIVE_INFINITY);
+        // Guards against failing attempts, and judging the node, by connections to where it is no more.
+        List<NodeConnection> old = List.copyOf(opening);
+        opening.clear();
+        old.forEach(NodeConnection::close);
+        serve();
     }
 
     void probe() {
@@ -47,24 +53,32 @@
     }
 
     void add(Attempt attempt) {
+        // Guards against a sweep that is rarer than connections are closed by their node: nothing else was in hand.
+        closeIdle(nodes.idleBefore());
         waiting.add(attempt);
         serve();
     }
 
     private void serve() {
         for (Attempt next : List.copyOf(waiting)) {
-            NodeConnection fitting = idle.stream().filter(next::fits).findFirst().orElse(null);
-            if (fitting != null) {
-                waiting.remove(next);
-                byte[] query = nodes.query(next);
-                if (query != null) {
-                    idle.remove(fitting);
-                    fitting.start(next, query);
-                }
-            } else if (!idle.isEmpty() && opening.size() < waiting.size()) {
+            if (next.ended) {
+                continue;
+            } else if (!idle.isEmpty() && !nodes.mayGo(next)) {
+                abandon(next, new Ending.CalledOff(next.stage));
+                continue;
+            }
+            NodeConnection fitting = idleFor(next);
+            if (fitting != null && waiting.remove(next)) {
+                idle.remove(fitting);
+                fitting.start(next, nodes.query(next));
+            } else if (fitting == null && !idle.isEmpty() && opening.size() < waiting.size()) {
                 NodeConnection other = idle.pollLast();
-                opening.add(other);
-                other.tune(next.outgoing.settings(), nodes.now());
+                if (other.quiet()) {
+                    opening.add(other);
+                    other.tune(next.outgoing.settings(), nodes.now());
+                } else {
+                    other.close();
+                }
             }
         }
         while (opening.size() < waiting.size()) {
@@ -80,10 +94,31 @@
         }
     }
 
+    /** An idle connection that it may be written to, or null; ones found ended or spoilt on the way are closed. */
+    private NodeConnection idleFor(Attempt attempt) {
+        for (NodeConnection connection : List.copyOf(idle)) {
+            if (attempt.fits(connection) && connection.quiet()) {
+                return connection;
+            } else if (attempt.fits(connection)) {
+                connection.close();
+            }
+        }
+        return null;
+    }
+
     void opened(NodeConnection connection) {
-        opening.remove(connection);
         nodes.opened();
-        freed(connection);
+        gotReady(connection);
+    }
+
+    /** Guards against opening one after the other to a node that ends each at once: that is a connection that failed. */
+    private void gotReady(NodeConnection connection) {
+        if (connection.quiet()) {
+            opening.remove(connection);
+            freed(connection);
+        } else {
+            connection.close();
+        }
     }
 
     void freed(NodeConnection connection) {
@@ -99,14 +134,13 @@
 
     /** A connection was given other settings, or its node refused them: then so is a statement that asks for them. */
     void tuned(NodeConnection connection, Ending.Concluded refusal, Map<String, String> asked) {
-        opening.remove(connection);
         Attempt refused = refusal == null ? null : waiting.stream()
                 .filter(attempt -> attempt.outgoing != null && attempt.outgoing.settings().equals(asked)).findFirst().orElse(null);
         if (refused != null) {
             waiting.remove(refused);
             ended(refused, refusal, null);
         }
-        freed(connection);
+        gotReady(connection);
     }
 
     /** A connection ended; one that never came up takes the attempt that has waited longest with it. */
@@ -121,6 +155,10 @@
     }
 
     void ended(Attempt attempt, Ending ending, NodeConnection by) {
+        if (attempt.ended) {
+            return;
+        }
+        attempt.ended = true;
         probe = attempt == probe ? null : probe;
         nodes.ended(attempt, ending, by);
     }
@@ -129,13 +167,20 @@
     void abandon(Attempt attempt, Ending ending) {
         if (attempt.connection != null) {
             attempt.connection.abandon(ending);
-        } else if (waiting.remove(attempt)) {
+        } else {
+            waiting.remove(attempt);
             ended(attempt, ending, null);
         }
     }
 
     /** Ends connections that have been opening and the probe that has been out since before then; and idle ones. */
     void sweep(double begunBefore, double idleBefore) {
+        // Guards against holding for a connection what its client, the node or the limits of repeats have called off.
+        for (Attempt next : List.copyOf(waiting)) {
+            if (nodes.calledOff(next)) {
+                abandon(next, new Ending.CalledOff(next.stage));
+            }
+        }
         List.copyOf(opening).stream().filter(c -> c.gettingReadySince < begunBefore).forEach(NodeConnection::close);
         if (probe != null && probe.startedAt < begunBefore) {
             abandon(probe, new Ending.Silent(probe.stage));
