Close what a transport holds, and keep the loop when no descriptor is left

Seen: a started process kept 59 to 68 sockets of its rehearsal for its whole life (listed under /proc, where sockets in a folder work), above the reserve of 48 that the budget of descriptors rests on; under a flood of idle clients with a limit of 128 the process ran out, and then its loop ended and nobody was served any more. Cause: Transport.close asked Netty to end without a quiet period. Netty closes connections only in a turn that begins after that request; one that comes between two steps of a turn ends the loop there, and the selector's end closes no connection. The loop died of Netty's line about the failed accept: the runtime's formatter opens a file for the time zone, found no descriptor, and its Error went through the loop. Ruled out: waiting for collection (a forced one freed none), an unfinished thread (the rehearsal's loop had ended). Change: the end is asked for on the loop, with a quiet period; Netty's lines go through our own; four connections are accepted in a turn instead of sixteen, as each may be over the budget until the next turn. A connection for which there is no descriptor now fails on the loop: Netty ran its listeners on a thread of its own, beside the turn. A listener can be stopped after what the machine had accepted was taken.

--- a/daemon/src/main/java/clayhook/transport/Transport.java
+++ b/daemon/src/main/java/clayhook/transport/Transport.java
@@ -1,15 +1,19 @@
 package clayhook.transport;
 
+import clayhook.log.LibraryLines;
+import clayhook.log.Log;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalIoHandler;
@@ -26,7 +30,9 @@
 import java.net.UnixDomainSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
@@ -34,38 +40,56 @@
 public final class Transport {
     /** Connections that the machine may accept before the process does. */
     private static final int BACKLOG = 1024;
+    /** Accepted in one turn: each may be over the budget, and what made room for it holds its own until the next turn. */
+    private static final int ACCEPTS = 4;
     /** Of one connection in one turn, so that none holds up the others. */
     private static final int READS = 2;
+    /** Without a task for so long, and after so long at the latest, a loop that is to end does. */
+    private static final int QUIET_MS = 50;
+    private static final int CLOSING_MS = 1000;
     /** Over what connections go: the network, sockets in a folder, or queues within the process. */
     private enum Kind { TCP, FOLDER, PROCESS }
 
     /** Tells the addresses within this process apart that several transports listen at. */
     private static final AtomicInteger TRANSPORTS = new AtomicInteger();
 
+    static {
+        LibraryLines.install();
+    }
+
     private final Kind kind;
     /** Where the sockets of a rehearsal lie; null without. */
     private final Path folder;
     private final int number = TRANSPORTS.incrementAndGet();
     private final MultiThreadIoEventLoopGroup group;
+    private final AtomicBoolean closed = new AtomicBoolean();
+    /** Makes what connects; throws ChannelException where no descriptor is left. */
+    private final Supplier<Channel> sockets;
 
-    private Transport(Kind kind, Path folder, IoHandlerFactory handlers) {
+    private Transport(Kind kind, Path folder, IoHandlerFactory handlers, Supplier<Channel> sockets) {
+        this.sockets = sockets;
         this.kind = kind;
         this.folder = folder;
         group = new MultiThreadIoEventLoopGroup(1, handlers);
     }
 
     public static Transport tcp() {
-        return new Transport(Kind.TCP, null, NioIoHandler.newFactory());
+        return tcp(NioSocketChannel::new);
+    }
+
+    static Transport tcp(Supplier<Channel> sockets) {
+        return new Transport(Kind.TCP, null, NioIoHandler.newFactory(), sockets);
     }
 
     /** Ports are but names here; the same code runs as for TCP. */
     public static Transport rehearsal() throws IOException {
-        return new Transport(Kind.FOLDER, Files.createTempDirectory("clayhook"), NioIoHandler.newFactory());
+        return new Transport(Kind.FOLDER, Files.createTempDirectory("clayhook"), NioIoHandler.newFactory(),
+                NioDomainSocketChannel::new);
     }
 
     /** For a platform that lets no process connect to itself: all but the sockets runs as for TCP. */
     public static Transport withinProcess() {
-        return new Transport(Kind.PROCESS, null, LocalIoHandler.newFactory());
+        return new Transport(Kind.PROCESS, null, LocalIoHandler.newFactory(), LocalChannel::new);
     }
 
     /** An address to listen at: a free port, or in a rehearsal that name. */
@@ -82,7 +106,8 @@
         var bootstrap = new ServerBootstrap().group(group).childHandler(initializer(handlers))
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(READS));
         switch (kind) {
-            case TCP -> bootstrap.channelFactory(NioServerSocketChannel::new).option(ChannelOption.SO_BACKLOG, BACKLOG)
+            case TCP -> bootstrap.channelFactory(Listening::new).option(ChannelOption.SO_BACKLOG, BACKLOG)
+                    .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS))
                     .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true);
             case FOLDER -> bootstrap.channelFactory(NioServerDomainSocketChannel::new);
             case PROCESS -> bootstrap.channelFactory(LocalServerChannel::new);
@@ -90,23 +115,57 @@
         return bootstrap.bind(at(address)).sync().channel();
     }
 
-    /** Connects; {@code failed} runs if that does not come about within so many seconds. */
+    private static final class Listening extends NioServerSocketChannel {
+        /** Hands on some of what the machine has accepted and the process has not; false where that is no more. */
+        private boolean accept() {
+            var accepted = new ArrayList<Object>();
+            try {
+                while (accepted.size() < ACCEPTS && doReadMessages(accepted) > 0) {
+                    // the next one
+                }
+            } catch (Exception e) {
+                Log.warn("accept", "accepts no more before it closes: " + e);
+            }
+            accepted.forEach(pipeline()::fireChannelRead);
+            return accepted.size() == ACCEPTS;
+        }
+    }
+
+    /** Listens no more. A listening socket resets what waits to be accepted as it closes: that is accepted first. */
+    public void stop(Channel listening) {
+        if (listening instanceof Listening own && own.isOpen() && own.accept()) {
+            loop().schedule(() -> stop(listening), 1, TimeUnit.MILLISECONDS); // once descriptors are free again
+        } else {
+            listening.close();
+        }
+    }
+
+    /**
+     * Connects; {@code failed} runs, on the loop and after this returns, if that does not come about within so many
+     * seconds. Null where there is no descriptor for it.
+     */
     public Channel connect(InetSocketAddress address, double seconds, Supplier<ChannelHandler[]> handlers,
             Runnable failed) {
-        var bootstrap = new Bootstrap().group(group).handler(initializer(handlers))
+        Channel channel;
+        try {
+            channel = sockets.get();
+        } catch (ChannelException e) {
+            // Guards against Netty's answer to that: it runs listeners on a thread of its own.
+            Log.warn("connect", "no socket to connect with: " + e.getCause());
+            loop().execute(failed);
+            return null;
+        }
+        var bootstrap = new Bootstrap().group(group).channelFactory(() -> channel).handler(initializer(handlers))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(seconds * 1000));
-        switch (kind) {
-            case TCP -> bootstrap.channelFactory(NioSocketChannel::new).option(ChannelOption.TCP_NODELAY, true);
-            case FOLDER -> bootstrap.channelFactory(NioDomainSocketChannel::new);
-            case PROCESS -> bootstrap.channelFactory(LocalChannel::new);
+        if (kind == Kind.TCP) {
+            bootstrap.option(ChannelOption.TCP_NODELAY, true);
         }
-        var connecting = bootstrap.connect(at(address));
-        connecting.addListener(done -> {
+        bootstrap.connect(at(address)).addListener(done -> {
             if (!done.isSuccess()) {
                 failed.run();
             }
         });
-        return connecting.channel();
+        return channel;
     }
 
     private SocketAddress at(InetSocketAddress address) {
@@ -126,15 +185,23 @@
         };
     }
 
-    /** Ends the loop and all that is on it. */
+    /**
+     * Ends the loop and all that is on it. Netty closes connections only in a turn that begins after the request to
+     * end; without a quiet period a loop that is asked between two steps of a turn ends there, and they stay open.
+     */
     public void close() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(done -> {
-            if (folder != null) {
-                for (File left : folder.toFile().listFiles()) {
-                    Files.deleteIfExists(left.toPath());
-                }
-                Files.delete(folder);
+        if (!closed.getAndSet(true)) {
+            loop().execute(() -> group.shutdownGracefully(QUIET_MS, CLOSING_MS, TimeUnit.MILLISECONDS)
+                    .addListener(done -> removeFolder()));
+        }
+    }
+
+    private void removeFolder() throws IOException {
+        if (folder != null) {
+            for (File left : folder.toFile().listFiles()) {
+                Files.deleteIfExists(left.toPath());
             }
-        });
+            Files.delete(folder);
+        }
     }
 }
--- /dev/null
+++ b/daemon/src/test/java/clayhook/transport/TransportTest.java
@@ -0,0 +1,61 @@
+package clayhook.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class TransportTest {
+    private final LinkedBlockingQueue<String> heard = new LinkedBlockingQueue<>();
+    private final Transport transport = Transport.tcp(() -> {
+        throw new ChannelException(new IOException("Too many open files"));
+    });
+
+    @AfterEach
+    void close() {
+        transport.close();
+    }
+
+    /** All that hears of a failure belongs to the loop; on another thread it crosses what the loop does just then. */
+    @Test
+    void aConnectionForWhichNoDescriptorIsLeftFailsOnTheLoopOnceItsCallerIsDone() throws Exception {
+        transport.loop().submit(() -> {
+            transport.connect(new InetSocketAddress("127.0.0.1", 1), 1, () -> new ChannelHandler[0],
+                    () -> heard.add(transport.loop().inEventLoop() ? "on the loop" : "on " + Thread.currentThread().getName()));
+            heard.add("called");
+        }).get();
+        assertEquals("called", heard.take());
+        assertEquals("on the loop", heard.take());
+        assertTrue(heard.isEmpty());
+    }
+
+    /** A rehearsal's sockets would count against the process that serves. */
+    @Test
+    void closingFromWithinATurnLeavesNothingOpen() throws Exception {
+        Transport asked = Transport.tcp();
+        var accepted = new LinkedBlockingQueue<Channel>();
+        Channel listening = asked.listen(asked.spare(0), () -> new ChannelHandler[] {new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelActive(ChannelHandlerContext ctx) {
+                accepted.add(ctx.channel());
+            }
+        }});
+        Channel connected = asked.connect((InetSocketAddress) listening.localAddress(), 20, () -> new ChannelHandler[0],
+                () -> heard.add("failed"));
+        Channel other = accepted.take();
+        asked.loop().submit(asked::close).get();
+        assertTrue(asked.loop().awaitTermination(20, TimeUnit.SECONDS));
+        assertEquals(List.of(false, false, false), List.of(listening.isOpen(), connected.isOpen(), other.isOpen()));
+    }
+}
