Answer what comes after all is given up, and accept the backlog before the listener closes

Cause: Router.giveUp answered only what was in hand. A command that its client had sent ahead was begun afterwards, sent to a node, and left without an answer at the end. Front.end closed the listener over connections that the machine had accepted: these were reset with their first command; one that had just been accepted was ended before its command was read. Server.end reckoned both times from the kill alone: with client timeouts of 0.1 s what was taken last was given up at once, as the listener stays for 0.5 s. Change: after giveUp each command gets its final answer at once (Hand.takenTooLate); the backlog is accepted first, and a client that has asked nothing yet is given 50 ms; GracePeriod holds the three times, which leave room for each step. A turn outlives an Error too (want of memory): in a timed turn it was swallowed, and the next turn was never asked for. The guard against an Error has no test.

--- a/core/src/main/java/clayhook/hand/Hand.java
+++ b/core/src/main/java/clayhook/hand/Hand.java
@@ -52,6 +52,12 @@
         order(command, () -> decide.where(command, now));
     }
 
+    /** The same when nothing is sent any more: the final answer is due at once. */
+    public void takenTooLate(Command command) {
+        held.add(command);
+        order(command, () -> decide.giveUp(command));
+    }
+
     /** A dispatch ended; {@code over} tells that this gave the command its final answer. */
     public void ended(Dispatch dispatch, Reply reply, boolean over, double now) {
         Command command = dispatch.command;
--- a/daemon/src/main/java/clayhook/front/Front.java
+++ b/daemon/src/main/java/clayhook/front/Front.java
@@ -18,6 +18,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 
@@ -27,14 +28,20 @@
     private static final int MEMORY_PART = 8;
     /** Of what clients may hold here: whoever deals their connections out may grant them less. */
     private static final double CROWDED = 0.5;
+    /** At the end, for the first command of a client that has just connected; short beside what is left then. */
+    private static final int FIRST_MS = 50;
     private final Set<Session> sessions = new LinkedHashSet<>();
     private final Descriptors descriptors;
     private final InetSocketAddress asked;
+    private final Transport transport;
     private final Channel listening;
+    /** No more connections are taken. */
+    private boolean ending;
 
     /** {@code settings} makes those of a new session; null where only the two forms of statement are taken. */
     public Front(Transport transport, InetSocketAddress address, Descriptors descriptors, long memory,
             Supplier<SessionSettings> settings, DoubleSupplier clock, Session.Listener listener) throws InterruptedException {
+        this.transport = transport;
         this.descriptors = descriptors;
         asked = address;
         descriptors.clientsGiveBackBy(this::giveBack);
@@ -47,6 +54,9 @@
             var decoder = new ClientDecoder(allowance, settings != null);
             var session = new Session(listener, decoder, settings == null ? null : settings.get(), clock, this::ended);
             sessions.add(session);
+            if (ending) {
+                end(session);
+            }
             return new ChannelHandler[] {decoder, session};
         });
     }
@@ -83,8 +93,18 @@
 
     /** Takes no more connections and ends each session once what it has taken is answered. */
     public void end() {
-        listening.close();
-        List.copyOf(sessions).forEach(Session::end);
+        ending = true;
+        transport.stop(listening);
+        List.copyOf(sessions).forEach(this::end);
+    }
+
+    /** One that has asked nothing yet may have its first command on the way, and is given a moment for that. */
+    private void end(Session session) {
+        if (session.atRest() || session.busy()) {
+            session.end();
+        } else {
+            transport.loop().schedule(session::end, FIRST_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Ends those that have been silent for too long; where they are many, also those that asked once and stay. */
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -88,6 +88,8 @@
     /** Answers to be passed on at the end of the turn. */
     private final Map<ClientCommand, List<byte[]>> answers = new HashMap<>();
     private boolean turning;
+    /** All is given up, also what is yet to come. */
+    private boolean over;
     private ScheduledFuture<?> wake;
     private double sweepAt;
     private double wakeAt = Double.POSITIVE_INFINITY;
@@ -155,7 +157,11 @@
 
     private void take(ClientCommand command, double now) {
         waiting.put(command.session, command);
-        hand.taken(command, now);
+        if (over) {
+            hand.takenTooLate(command);
+        } else {
+            hand.taken(command, now);
+        }
     }
 
     @Override
@@ -410,11 +416,11 @@
         }
     }
 
-    /** A failure costs one piece of news or one command, not the loop. */
+    /** A failure costs one piece of news or one command, not the loop; nor does a want of memory, which is an error. */
     private static void guarded(Runnable step) {
         try {
             step.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             Log.fault("a turn failed", e);
         }
     }
@@ -500,9 +506,12 @@
         front.end();
     }
 
-    /** Nothing can be waited for any more. */
+    /** Nothing can be waited for any more, not for what still comes either: sessions go on to what they held ahead. */
     void giveUp() {
-        tell(rest, now -> hand.giveUp());
+        tell(rest, now -> {
+            over = true;
+            hand.giveUp();
+        });
     }
 
     boolean ended() {
--- a/daemon/src/main/java/clayhook/serve/Server.java
+++ b/daemon/src/main/java/clayhook/serve/Server.java
@@ -13,24 +13,13 @@
 
 /** One router from its start to its end. */
 public final class Server {
-    /** After a request to end, new connections keep coming for up to 0.4 s. */
-    private static final long STILL_OPEN_MS = 500;
-    /** The platform kills no sooner than this after the longest client timeout, or after three seconds if that is less. */
-    private static final double KILLED_AFTER = 0.7;
-    private static final double LONGEST_COUNTED = 3;
-    /** The rest is for clients to come to another router, which may be the next to end, and for what they sent last. */
-    private static final double TAKING = 0.75;
-    /** To write the last answers and end. */
-    private static final double AT_LAST = 0.4;
     private static final long LOOK_MS = 20;
 
     private final Transport transport;
     private final Router router;
     /** Null where nothing is shared with other routers. */
     private final Sharing sharing;
-    /** Seconds after a request to end: until no more commands are taken, and until what is left is given up. */
-    private final double takesUntil;
-    private final double givesUpAt;
+    private final GracePeriod grace;
     private boolean closed;
 
     /** Without a file of the operator's. */
@@ -51,9 +40,8 @@
         this.sharing = sharing;
         router = new Router(transport, configuration, operator, sharing);
         List<CommandGroup> groups = configuration.settings().groups();
-        double longest = groups.stream().mapToDouble(CommandGroup::clientTimeout).max().orElse(LONGEST_COUNTED);
-        givesUpAt = Math.min(longest, LONGEST_COUNTED) + KILLED_AFTER - AT_LAST;
-        takesUntil = givesUpAt * TAKING;
+        double longest = groups.stream().mapToDouble(CommandGroup::clientTimeout).max().orElse(Double.POSITIVE_INFINITY);
+        grace = GracePeriod.of(longest);
     }
 
     public InetSocketAddress address() {
@@ -69,14 +57,14 @@
 
     /** Serves on while the platform waits, answers what it has taken, then closes; returns when all is over. */
     public void end() throws Exception {
-        Log.info("ending: takes commands for " + Math.round(takesUntil * 1000) + " ms");
+        Log.info("ending: takes commands for " + Math.round(grace.takesUntil() * 1000) + " ms");
         long start = System.nanoTime();
-        Thread.sleep(STILL_OPEN_MS);
-        await(start, takesUntil);
+        Thread.sleep(Math.round(GracePeriod.STILL_OPEN * 1000));
+        await(start, grace.takesUntil());
         transport.loop().submit(router::end).get();
-        await(start, givesUpAt);
+        await(start, grace.givesUpAt());
         transport.loop().submit(router::giveUp).get();
-        await(start, givesUpAt + AT_LAST / 2);
+        await(start, grace.leavesAt());
         if (sharing != null) {
             sharing.leave();
         }
--- /dev/null
+++ b/daemon/src/test/java/clayhook/serve/ShutdownTest.java
@@ -0,0 +1,129 @@
+package clayhook.serve;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import clayhook.CommandGroup;
+import clayhook.CommandGroup.Effect;
+import clayhook.CommandGroup.ReadLevel;
+import clayhook.CommandGroup.Scope;
+import clayhook.Settings;
+import clayhook.config.Configuration;
+import clayhook.config.Operator;
+import clayhook.discovery.NodeList;
+import clayhook.protocol.Statement;
+import clayhook.rehearsal.StandInClient;
+import clayhook.rehearsal.StandInDiscovery;
+import clayhook.rehearsal.StandInNode;
+import clayhook.transport.Transport;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Function;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** The steps of an end, each at a moment that the test chooses. */
+class ShutdownTest {
+    private final Transport transport = Transport.tcp();
+    private final Transport own = Transport.tcp();
+    private final LinkedBlockingQueue<Statement> sent = new LinkedBlockingQueue<>();
+    private Router router;
+
+    private void start(Function<Statement, StandInNode.Deed> deeds) throws InterruptedException {
+        var node = new StandInNode(transport, transport.spare(0), "primary", statement -> {
+            sent.add(statement);
+            return deeds.apply(statement);
+        });
+        var discovery = new StandInDiscovery(transport, transport.spare(0), call -> null);
+        var settings = new Settings(1, "a", List.of(
+                new CommandGroup("any", Effect.REPLAYABLE, ReadLevel.ANY, 20, 60, 1, 0, Scope.GROUP, 60, 0),
+                new CommandGroup("mutating", Effect.MUTATING, ReadLevel.WRITE, 20, 60, 1, 0, Scope.GROUP, 60, 0)),
+                true, true, false, true, true, true, true, true, 1, 3, 0.2, 10, 3, 3, 1, 15);
+        String list = "{\"rev\":2,\"all\":true,\"targets\":[{\"uid\":\"p\",\"endpoint\":\"127.0.0.1:" + node.address().getPort()
+                + "\",\"az\":\"a\",\"pod_group\":1,\"state\":\"up\",\"role\":\"primary\",\"boot_ms\":0}]}";
+        router = new Router(own, new Configuration("test", transport.spare(0), discovery.address(), 1, 1 << 24, 1024,
+                NodeList.parse(list), settings, 2), Operator.OFF, null);
+    }
+
+    private static ByteBuf statement(int id, String group) {
+        return StandInClient.statement(!group.equals("any"), "id=" + id + ",c=" + group + ",d=30000,cluster=1");
+    }
+
+    private StandInClient client(ByteBuf... statements) throws InterruptedException {
+        var client = new StandInClient(transport, router.address());
+        client.send(StandInClient.hello(Unpooled.wrappedBuffer(statements)));
+        return client;
+    }
+
+    @AfterEach
+    void close() {
+        own.close();
+        transport.close();
+    }
+
+    @Test
+    void whatWasSentAheadOfAnAnswerIsAnsweredToWhenAllIsGivenUp() throws Exception {
+        start(any -> StandInNode.Deed.silence());
+        StandInClient client = client(statement(1, "mutating"), statement(2, "any"), statement(3, "mutating"));
+        sent.take();
+        own.loop().submit(router::end).get();
+        own.loop().submit(router::giveUp).get();
+        assertEquals(List.of("ready", "40003", "53300", "53300"),
+                List.of(client.next(), client.next(), client.next(), client.next()));
+        assertEquals("closed", client.next());
+        assertEquals(0, sent.size(), "what was given up went to a node");
+    }
+
+    @Test
+    void aCommandThatComesAfterAllIsGivenUpIsRefusedAndGoesToNoNode() throws Exception {
+        start(any -> StandInNode.Deed.answer("served"));
+        StandInClient client = client(statement(1, "any"));
+        assertEquals(List.of("ready", "served"), List.of(client.next(), client.next()));
+        own.loop().submit(router::giveUp).get();
+        client.send(statement(2, "any"));
+        assertEquals("53300", client.next());
+        assertEquals(1, sent.size());
+    }
+
+    /** The order is forced: the loop stands until the machine has accepted all and the end is next to be done. */
+    @Test
+    void connectionsThatTheMachineAcceptedButNotTheProcessAreServedBeforeTheListenerCloses() throws Exception {
+        start(any -> StandInNode.Deed.answer("served"));
+        var stands = new CountDownLatch(1);
+        var goesOn = new CountDownLatch(1);
+        own.loop().execute(() -> {
+            stands.countDown();
+            await(goesOn);
+        });
+        stands.await();
+        own.loop().execute(router::end);
+        var sockets = new ArrayList<Socket>();
+        for (int i = 0; i < 40; i++) {
+            var socket = new Socket(router.address().getAddress(), router.address().getPort());
+            socket.setSoTimeout(20_000);
+            ByteBuf hello = StandInClient.hello(statement(i, "any"));
+            hello.readBytes(socket.getOutputStream(), hello.readableBytes());
+            sockets.add(socket);
+        }
+        goesOn.countDown();
+        for (Socket socket : sockets) {
+            String all = new String(socket.getInputStream().readAllBytes(), ISO_8859_1);
+            assertTrue(all.contains("served"), "closed without an answer");
+            socket.close();
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
