Let no failure or hang of the rehearsal hold up or end the start

Cause: the waits for answers were bounded by the clock, the five binds were not; and what a bind throws (a name in use, no such sockets) left Rehearsal.run and ended the start with "cannot start". Change: it runs on a thread of its own for at most half a second more than its time; a failure is logged and counts as nothing carried, so that it is played within the process instead.

--- a/daemon/src/main/java/clayhook/rehearsal/Rehearsal.java
+++ b/daemon/src/main/java/clayhook/rehearsal/Rehearsal.java
@@ -12,6 +12,10 @@
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
@@ -30,6 +34,9 @@
     /** A router that comes back is awaited, and its clients come back one by one. */
     private static final double LONGEST_AWAITED_S = 1.4;
 
+    /** It ends by itself as soon as its time is over; what stands then does not go on. */
+    private static final double OVERTIME_S = 0.5;
+
     private Rehearsal() {
     }
 
@@ -40,7 +47,29 @@
 
     static boolean run(Settings settings, Transport transport, Transport outside, boolean awaited)
             throws InterruptedException {
-        double until = System.nanoTime() / 1e9 + (awaited ? LONGEST_AWAITED_S : LONGEST_S);
+        double longest = awaited ? LONGEST_AWAITED_S : LONGEST_S;
+        double until = System.nanoTime() / 1e9 + longest;
+        var play = new FutureTask<>(() -> play(settings, transport, outside, until));
+        var thread = new Thread(play, "rehearsal");
+        thread.setDaemon(true);
+        thread.start();
+        try {
+            return play.get((long) ((longest + OVERTIME_S) * 1e9), TimeUnit.NANOSECONDS);
+        } catch (TimeoutException e) {
+            // Guards against a start that waits for a loop that hangs.
+            Log.warn("rehearsal", "the rehearsal was broken off");
+            return true;
+        } catch (ExecutionException e) {
+            // Guards against a start that fails, as the rehearsal may in ways in which serving does not.
+            Log.warn("rehearsal", "no rehearsal: " + e.getCause());
+            return false;
+        } finally {
+            transport.close();
+        }
+    }
+
+    private static boolean play(Settings settings, Transport transport, Transport outside, double until)
+            throws InterruptedException {
         var primary = new StandInNode(transport, transport.spare(1), "primary", any -> StandInNode.Deed.answer("p"));
         var replica = new StandInNode(transport, transport.spare(2), "replica",
                 any -> StandInNode.Deed.answer("r"));
--- a/daemon/src/test/java/clayhook/rehearsal/RehearsalTest.java
+++ b/daemon/src/test/java/clayhook/rehearsal/RehearsalTest.java
@@ -1,14 +1,21 @@
 package clayhook.rehearsal;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import clayhook.CommandGroup;
 import clayhook.Settings;
 import clayhook.transport.Transport;
+import io.netty.channel.ChannelHandler;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class RehearsalTest {
     /** Where sockets carry nothing, waiting for each answer took minutes before serving. */
@@ -26,4 +33,42 @@
             outside.close();
         }
     }
+
+    /** Nothing is done on the loop from the start on, so that it never listens. */
+    @Test
+    void aLoopThatHangsDoesNotHoldUpTheStart() throws Exception {
+        Transport transport = Transport.withinProcess();
+        var hangs = new CountDownLatch(1);
+        transport.loop().execute(() -> {
+            try {
+                hangs.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        var rehearsal = CompletableFuture.supplyAsync(() -> run(transport));
+        try {
+            rehearsal.get(20, TimeUnit.SECONDS);
+        } finally {
+            hangs.countDown();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void whereItsSocketsCannotBeMadeItIsLeftOut(boolean process) throws Exception {
+        Transport transport = process ? Transport.withinProcess() : Transport.rehearsal();
+        transport.listen(transport.spare(5), () -> new ChannelHandler[0]);
+        assertFalse(run(transport));
+    }
+
+    private static boolean run(Transport transport) {
+        var any = new CommandGroup("any", CommandGroup.Effect.REPLAYABLE, CommandGroup.ReadLevel.ANY, 1, 2, 1, 0, null, 0, 0);
+        try {
+            return Rehearsal.run(new Settings(1, "a", List.of(any), true, true, true, true, true, true, true, true, 1, 3, 1, 0, 1,
+                    0, 1, 15), transport, true);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
 }
