Find no server or a whole one at a request to end, and rehearse without a folder

Cause: the hook for SIGTERM was added after the server listened. A request in between ended the process at once over what had been accepted, or made addShutdownHook throw. Where no folder could be made for sockets nothing was rehearsed. Change: the hook comes first; Lifecycle lets it wait for a start that has begun and keeps one from beginning after it. Without a folder the rehearsal goes on within the process.

--- a/cli/src/main/java/clayhook/cli/ServeCommand.java
+++ b/cli/src/main/java/clayhook/cli/ServeCommand.java
@@ -7,6 +7,7 @@
 import clayhook.log.Log;
 import clayhook.rehearsal.Rehearsal;
 import clayhook.serve.Hangup;
+import clayhook.serve.Lifecycle;
 import clayhook.serve.Server;
 import clayhook.transport.Transport;
 import java.io.IOException;
@@ -30,21 +31,19 @@
     /** Serves until the process is told to end, and reads the configuration again when it is told that. */
     static int run(Path config) {
         var reloads = new Semaphore(0);
+        var life = new Lifecycle();
         try {
             Hangup.handle(reloads::release);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(life)));
             Configuration configuration = Configuration.read(System.getenv());
             Operator operator = operator(config, configuration);
             rehearse(configuration);
             Log.info("serving as " + configuration.name() + " at " + configuration.listen()
                     + (operator.statements() == null ? "" : ", statements of any kind"));
-            var server = new Server(Transport.tcp(), configuration, operator);
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                try {
-                    server.end();
-                } catch (Exception e) {
-                    Log.fault("the end was cut short", e);
-                }
-            }));
+            Server server = life.start(() -> new Server(Transport.tcp(), configuration, operator));
+            if (server == null) {
+                return Main.DONE;
+            }
             while (true) {
                 reloads.acquire();
                 reloads.drainPermits(); // several in a row are one, as the files are read after them
@@ -58,19 +57,29 @@
         }
     }
 
+    private static void end(Lifecycle life) {
+        try {
+            life.end();
+        } catch (Exception e) {
+            Log.fault("the end was cut short", e);
+        }
+    }
+
     private static Operator operator(Path config, Configuration configuration) throws BadConfig {
         return config == null ? Operator.OFF : OperatorFile.read(config, configuration.settings().groups());
     }
 
-    /** A router that cannot rehearse, for want of a folder to write to, is only slow at first. */
+    /** A router that cannot rehearse is only slow at first. */
     private static void rehearse(Configuration configuration) throws InterruptedException {
+        boolean carried = false;
         try {
-            if (!Rehearsal.run(configuration.settings(), Transport.rehearsal(), configuration.awaited())) {
-                Log.info("rehearsing within the process: its sockets carry nothing here");
-                Rehearsal.run(configuration.settings(), Transport.withinProcess(), configuration.awaited());
-            }
+            carried = Rehearsal.run(configuration.settings(), Transport.rehearsal(), configuration.awaited());
         } catch (IOException e) {
-            Log.warn("rehearsal", "no rehearsal: " + e);
+            Log.warn("rehearsal", "no folder for its sockets: " + e);
+        }
+        if (!carried) {
+            Log.info("rehearsing within the process: its sockets carry nothing here");
+            Rehearsal.run(configuration.settings(), Transport.withinProcess(), configuration.awaited());
         }
     }
 
--- /dev/null
+++ b/daemon/src/test/java/clayhook/serve/LifecycleTest.java
@@ -0,0 +1,89 @@
+package clayhook.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import clayhook.CommandGroup;
+import clayhook.CommandGroup.Effect;
+import clayhook.CommandGroup.ReadLevel;
+import clayhook.CommandGroup.Scope;
+import clayhook.Settings;
+import clayhook.config.Configuration;
+import clayhook.discovery.NodeList;
+import clayhook.rehearsal.StandInClient;
+import clayhook.rehearsal.StandInDiscovery;
+import clayhook.transport.Transport;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class LifecycleTest {
+    private final Transport transport = Transport.tcp();
+    private final Lifecycle life = new Lifecycle();
+
+    @AfterEach
+    void close() {
+        transport.close();
+    }
+
+    @Test
+    void noServerIsStartedAfterTheRequestToEnd() throws Exception {
+        life.end();
+        assertNull(life.start(() -> {
+            throw new IllegalStateException("it listens, and nobody will answer");
+        }));
+    }
+
+    /** The request to end comes when the listener has accepted a client and the start is not over. */
+    @Test
+    void aRequestToEndInTheMiddleOfTheStartFindsTheServerAndAnswersItsClients() throws Exception {
+        var listens = new CompletableFuture<Server>();
+        var goesOn = new CountDownLatch(1);
+        var starting = CompletableFuture.supplyAsync(() -> start(listens, goesOn));
+        var client = new StandInClient(transport, listens.get().address());
+        client.send(StandInClient.hello(StandInClient.statement(false, "id=1,c=any,d=500,cluster=1")));
+        assertEquals("ready", client.next());
+        var ending = new Thread(() -> {
+            try {
+                life.end();
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        ending.start();
+        while (ending.getState() != Thread.State.BLOCKED && ending.getState() != Thread.State.TERMINATED) {
+            Thread.onSpinWait();
+        }
+        goesOn.countDown();
+        assertEquals("53300", client.next());
+        assertEquals("closed", client.next());
+        ending.join();
+        starting.get();
+    }
+
+    private Server start(CompletableFuture<Server> listens, CountDownLatch goesOn) {
+        try {
+            return life.start(() -> {
+                Server server = server();
+                listens.complete(server);
+                goesOn.await();
+                return server;
+            });
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Without a node that can be reached. */
+    private Server server() throws InterruptedException {
+        var discovery = new StandInDiscovery(transport, transport.spare(0), call -> null);
+        var settings = new Settings(1, "a", List.of(new CommandGroup("any", Effect.REPLAYABLE, ReadLevel.ANY, 0.5, 0.5, 1, 0,
+                Scope.GROUP, 60, 0)), true, true, false, true, true, true, true, true, 1, 3, 0.2, 10, 3, 3, 1, 15);
+        String list = "{\"rev\":2,\"all\":true,\"targets\":[{\"uid\":\"p\",\"endpoint\":\"127.0.0.1:1\",\"az\":\"a\","
+                + "\"pod_group\":1,\"state\":\"up\",\"role\":\"primary\",\"boot_ms\":0}]}";
+        return new Server(Transport.tcp(), new Configuration("test", transport.spare(0), discovery.address(), 1, 1 << 24, 1024,
+                NodeList.parse(list), settings, 2));
+    }
+}
