Play floods, signals and starts against the program as a process

Readiness with discovery refusing, silent and answering 503; idle clients beyond the descriptors while discovery is down, and the list asked again on its return; SIGTERM twice with SIGHUP after it, and during the start.

--- /dev/null
+++ b/cli/src/test/java/clayhook/cli/ServeProcessTest.java
@@ -0,0 +1,250 @@
+package clayhook.cli;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import clayhook.rehearsal.StandInClient;
+import clayhook.rehearsal.StandInDiscovery;
+import clayhook.rehearsal.StandInNode;
+import clayhook.rehearsal.StandInNode.Deed;
+import clayhook.transport.Transport;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.FileSystem;
+import java.nio.file.FileSystems;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Stream;
+import java.util.zip.Deflater;
+import java.util.zip.ZipEntry;
+import java.util.zip.ZipOutputStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The program as a process of its own, with its signals and its limit of descriptors. */
+class ServeProcessTest {
+    /** Far more than anything here takes. */
+    private static final int PATIENCE_S = 60;
+    private static final String DOWN = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    /** 128 + SIGTERM. */
+    private static final int TERMINATED = 143;
+    private final Transport transport = Transport.tcp();
+    private final LinkedBlockingQueue<String> calls = new LinkedBlockingQueue<>();
+    private final List<Socket> flood = new ArrayList<>();
+    private InetSocketAddress listen;
+    private Process process;
+    private Path log;
+    @TempDir
+    private Path folder;
+
+    @BeforeEach
+    void choosePort() throws IOException {
+        try (var free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            listen = (InetSocketAddress) free.getLocalSocketAddress();
+        }
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        process.destroyForcibly().waitFor();
+        for (Socket socket : flood) {
+            socket.close();
+        }
+        transport.close();
+    }
+
+    private InetSocketAddress node(Deed deed) throws InterruptedException {
+        return new StandInNode(transport, transport.spare(0), "primary", any -> deed).address();
+    }
+
+    private InetSocketAddress discovery(Function<String, String> answers) throws InterruptedException {
+        return new StandInDiscovery(transport, transport.spare(0), call -> {
+            calls.add(call);
+            return answers.apply(call);
+        }).address();
+    }
+
+    private static String list(int version, InetSocketAddress node) {
+        return "{\"rev\":" + version + ",\"all\":true,\"targets\":[{\"uid\":\"n" + version + "\",\"endpoint\":\"127.0.0.1:"
+                + node.getPort() + "\",\"az\":\"a\",\"pod_group\":1,\"state\":\"up\",\"role\":\"primary\",\"boot_ms\":0}]}";
+    }
+
+    /** {@code machine}: how many descriptors the process gets; {@code sockets}: how many it is told of. */
+    private void start(InetSocketAddress discovery, String known, int machine, int sockets) throws Exception {
+        Path config = Files.writeString(folder.resolve("config.json"), "{\"name\":\"t\",\"listen\":\"127.0.0.1:" + listen.getPort()
+                + "\",\"discovery\":\"127.0.0.1:" + discovery.getPort() + "\",\"seed\":\"1\",\"limits\":{\"sockets\":" + sockets
+                + "},\"known\":" + known + ",\"settings\":{\"discovery\":\"subscribe\",\"limits\":{\"most_tries\":3},"
+                + "\"domain\":{\"read_level\":[\"any\",\"write\"]},\"grades\":[{\"name\":\"any\",\"effect\":\"idempotent\","
+                + "\"aim\":1e9,\"hard_limit\":1e9},{\"name\":\"mutating\",\"effect\":\"at_most_once\",\"aim\":1e9,"
+                + "\"hard_limit\":1e9}]}}");
+        log = folder.resolve("log");
+        var builder = new ProcessBuilder("sh", "-c", "ulimit -n " + machine + " && exec \"$0\" \"$@\"",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-Xmx72m", "-Xshare:auto",
+                "-XX:TieredStopAtLevel=1", "-Djava.io.tmpdir=" + folder, "-cp", jar().toString(), "clayhook.cli.Main", "serve");
+        builder.environment().put("LB_CONFIG", config.toString());
+        process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+    }
+
+    /** What runs here as the one jar that the program is: each part of a class path takes descriptors of its own. */
+    private Path jar() throws IOException {
+        Path jar = folder.resolve("serve.jar");
+        var taken = new HashSet<String>();
+        try (var out = new ZipOutputStream(Files.newOutputStream(jar))) {
+            out.setLevel(Deflater.NO_COMPRESSION);
+            for (String part : System.getProperty("java.class.path").split(File.pathSeparator)) {
+                Path path = Path.of(part);
+                if (Files.isDirectory(path)) {
+                    copy(path, taken, out);
+                } else if (part.contains("netty") || part.contains("picocli") || part.contains("jackson")) {
+                    try (FileSystem in = FileSystems.newFileSystem(path)) {
+                        copy(in.getPath("/"), taken, out);
+                    }
+                }
+            }
+        }
+        return jar;
+    }
+
+    private static void copy(Path from, Set<String> taken, ZipOutputStream out) throws IOException {
+        List<Path> files;
+        try (Stream<Path> all = Files.walk(from)) {
+            files = all.filter(Files::isRegularFile).toList();
+        }
+        for (Path file : files) {
+            String name = from.relativize(file).toString();
+            if (taken.add(name)) {
+                out.putNextEntry(new ZipEntry(name));
+                Files.copy(file, out);
+                out.closeEntry();
+            }
+        }
+    }
+
+    private String log() throws IOException {
+        return new String(Files.readAllBytes(log), UTF_8);
+    }
+
+    /** Sends that on a new connection until one gets as far as its answer, and returns that. */
+    private String asked(ByteBuf statement) throws Exception {
+        double until = System.nanoTime() / 1e9 + PATIENCE_S;
+        while (System.nanoTime() / 1e9 < until && process.isAlive()) {
+            var client = new StandInClient(transport, listen);
+            client.send(StandInClient.hello(statement.retainedDuplicate()));
+            String word = client.next(5);
+            word = "ready".equals(word) ? client.next(5) : null;
+            client.close();
+            if (word != null) {
+                return word;
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        throw new AssertionError("no answer; " + log());
+    }
+
+    private static ByteBuf read() {
+        return StandInClient.statement(false, "id=1,c=any,d=1000,cluster=1");
+    }
+
+    private static ByteBuf emptyQuery() {
+        return Unpooled.buffer().writeByte('Q').writeInt(5).writeByte(0);
+    }
+
+    /** What the process holds; 0 where the machine doesn't tell. */
+    private int descriptors() {
+        String[] held = Path.of("/proc", Long.toString(process.pid()), "fd").toFile().list();
+        return held == null ? 0 : held.length;
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"refuses", "is silent", "answers 503"})
+    void itIsReadyWhateverDiscoveryDoes(String what) throws Exception {
+        InetSocketAddress discovery = what.equals("refuses") ? new InetSocketAddress("127.0.0.1", 1)
+                : discovery(call -> what.equals("is silent") ? null : DOWN);
+        start(discovery, list(2, node(Deed.answer("served"))), 1024, 1024);
+        assertEquals("ready", asked(emptyQuery()));
+        assertEquals("served", asked(read()));
+    }
+
+    /** Idle clients come without end and hold on; meanwhile discovery returns, and the list has moved to another node. */
+    @Test
+    void idleClientsBeyondTheDescriptorsBarNeitherCommandsNorTheList() throws Exception {
+        int most = 128;
+        var lists = new LinkedBlockingQueue<String>();
+        InetSocketAddress discovery = discovery(call -> lists.isEmpty() ? DOWN : call.contains("after=3&") ? null : lists.peek());
+        start(discovery, list(2, node(Deed.answer("old"))), most, most);
+        assertEquals("ready", asked(emptyQuery()));
+        int held = 0;
+        for (int i = 0; i < 4 * most; i++) {
+            flood.add(new Socket(listen.getAddress(), listen.getPort()));
+            held = Math.max(held, descriptors());
+            if (i % most == most - 1) {
+                assertEquals("old", asked(read()));
+            }
+        }
+        lists.add(list(3, node(Deed.answer("new"))));
+        double until = System.nanoTime() / 1e9 + PATIENCE_S;
+        while (!asked(read()).equals("new")) {
+            assertTrue(System.nanoTime() / 1e9 < until, "it did not get back to its list; " + log());
+            flood.add(new Socket(listen.getAddress(), listen.getPort()));
+            held = Math.max(held, descriptors());
+        }
+        assertTrue(held < most, "the reserve is used up: " + held);
+        assertTrue(!log().contains("Too many open files"), log());
+    }
+
+    /** A command is in hand; SIGTERM comes twice, and SIGHUP after it. */
+    @ParameterizedTest
+    @CsvSource({"any, 53300", "mutating, 40003"})
+    void whatIsInHandIsAnsweredBeforeTheProcessEndsWhateverSignalsFollow(String group, String word) throws Exception {
+        start(discovery(call -> null), list(2, node(Deed.silence())), 1024, 1024);
+        assertEquals("ready", asked(emptyQuery()));
+        var client = new StandInClient(transport, listen);
+        client.send(StandInClient.hello(StandInClient.statement(!group.equals("any"),
+                "id=1,c=" + group + ",d=1000,cluster=1")));
+        assertEquals("ready", client.next());
+        process.destroy();
+        signal("HUP");
+        process.destroy();
+        assertEquals(word, client.next());
+        assertEquals("closed", client.next());
+        assertTrue(process.waitFor(PATIENCE_S, TimeUnit.SECONDS));
+        assertEquals(TERMINATED, process.exitValue());
+        assertTrue(log().contains("ended") && !log().contains("ERROR"), log());
+    }
+
+    private void signal(String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
+    }
+
+    /** While it rehearses, which a folder for its sockets shows. */
+    @Test
+    void aRequestToEndDuringTheStartEndsItAndLeavesNothingItTookUnanswered() throws Exception {
+        start(discovery(call -> null), list(2, node(Deed.silence())), 1024, 1024);
+        while (process.isAlive() && folder.toFile().list((in, name) -> name.startsWith("clayhook")).length == 0) {
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+        process.destroy();
+        assertTrue(process.waitFor(PATIENCE_S, TimeUnit.SECONDS));
+        assertEquals(TERMINATED, process.exitValue());
+        assertTrue(!log().contains("serving as") || log().contains("ended"), log());
+    }
+}
