--- a/cli/src/test/java/clayhook/cli/ServeProcessTest.java
+++ b/cli/src/test/java/clayhook/cli/ServeProcessTest.java
@@ -211,6 +211,28 @@
         assertTrue(!log().contains("Too many open files"), log());
     }
 
+    /** It was told of more than the machine gives: accepting and connecting fail, and it stands all the same. */
+    @Test
+    void afterTheMachineHadNoDescriptorsItAcceptsAndConnectsAgainByItself() throws Exception {
+        var lists = new LinkedBlockingQueue<String>();
+        InetSocketAddress discovery = discovery(call -> lists.isEmpty() ? DOWN : call.contains("after=3&") ? null : lists.peek());
+        start(discovery, list(2, node(Deed.answer("old"))), 64, 1024);
+        assertEquals("ready", asked(emptyQuery()));
+        for (int i = 0; i < 100; i++) {
+            flood.add(new Socket(listen.getAddress(), listen.getPort()));
+        }
+        double until = System.nanoTime() / 1e9 + PATIENCE_S;
+        while (!log().contains("Too many open files")) {
+            assertTrue(System.nanoTime() / 1e9 < until && process.isAlive(), "it never ran out; " + log());
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        lists.add(list(3, node(Deed.answer("new"))));
+        while (!asked(read()).equals("new")) {
+            assertTrue(System.nanoTime() / 1e9 < until, "it did not get back to its list; " + log());
+        }
+        assertTrue(!log().contains("ERROR"), log());
+    }
+
     /** A command is in hand; SIGTERM comes twice, and SIGHUP after it. */
     @ParameterizedTest
     @CsvSource({"any, 53300", "mutating, 40003"})
