--- a/daemon/src/main/java/clayhook/front/Front.java
+++ b/daemon/src/main/java/clayhook/front/Front.java
@@ -19,6 +19,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 
@@ -30,17 +31,23 @@
     private static final double CROWDED = 0.5;
     /** Clients turned away that are waited for at once, so that they get their answer; from the reserve of descriptors. */
     private static final int MOST_REFUSALS = 16;
+    /** At the end, for the first command of a client that has just connected; short beside what is left then. */
+    private static final int FIRST_MS = 50;
     private final Set<Session> sessions = new LinkedHashSet<>();
     private final CancelKeys keys = new CancelKeys();
     /** Connections of clients that were turned away and have not closed yet. */
     private int refusals;
     private final Descriptors descriptors;
     private final InetSocketAddress asked;
+    private final Transport transport;
     private final Channel listening;
+    /** No more connections are taken. */
+    private boolean ending;
 
     /** {@code settings} makes those of a new session; null where only the two forms of statement are taken. */
     public Front(Transport transport, InetSocketAddress address, Descriptors descriptors, long memory,
             Supplier<SessionSettings> settings, DoubleSupplier clock, Session.Listener listener) throws InterruptedException {
+        this.transport = transport;
         this.descriptors = descriptors;
         asked = address;
         descriptors.clientsGiveBackBy(this::giveBack);
@@ -54,6 +61,9 @@
             var session = new Session(listener, decoder, settings == null ? null : settings.get(), keys, clock,
                     this::ended);
             sessions.add(session);
+            if (ending) {
+                end(session);
+            }
             return new ChannelHandler[] {decoder, session};
         });
     }
@@ -103,8 +113,18 @@
 
     /** Takes no more connections and ends each session once what it has taken is answered. */
     public void end() {
-        listening.close();
-        List.copyOf(sessions).forEach(Session::end);
+        ending = true;
+        transport.stop(listening);
+        List.copyOf(sessions).forEach(this::end);
+    }
+
+    /** One that has asked nothing yet may have its first command on the way, and is given a moment for that. */
+    private void end(Session session) {
+        if (session.atRest() || session.busy()) {
+            session.end();
+        } else {
+            transport.loop().schedule(session::end, FIRST_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Ends those that have been silent for too long; where they are many, also those that asked once and stay. */
