Reckon a cold node's share by the nodes that bore the work when it was answered

Rule 4: a cold node bears N = overload_factor x present capacity x overload_for ("multiple x present capacity x window"), in requests of mean work, and beyond it 2 x root of N + 2 from all routers together.

Cause: withinColdBudget divided the work answered in the last seconds (RATE_MEMORY) by the nodes that bear work now. When nodes drain, these are fewer at once, and the share grows several times over. Change: each answer is divided by the nodes that bore work when it came. Nodes are counted ten times a second, not for each candidate and each answer.

--- a/core/src/main/java/clayhook/Decide.java
+++ b/core/src/main/java/clayhook/Decide.java
@@ -555,16 +555,11 @@
 
     /** Rule 4: work for a cold node stays within this router's share of what would push it over. */
     private boolean withinColdBudget(Row row, CommandGroup group, double now) {
-        double warmth = warmth(row, now);
-        if (warmth >= 1) {
+        if (warmth(row, now) >= 1) {
             return true;
         }
-        // Guards against going through all nodes for each candidate: where routers are many, so are they.
-        bearers = now == bearersAt ? bearers
-                : rows.values().stream().filter(r -> r.strikes < STRIKES && !r.closed()).count();
-        bearersAt = now;
-        double share = Math.max(LEAST_RATE / settings.routers(), doneRate(now) / Math.max(1, bearers));
-        double rate = warmth * settings.overloadFactor() * COLD_SAFETY * share;
+        double share = Math.max(LEAST_RATE / settings.routers(), doneRate(now));
+        double rate = warmth(row, now) * settings.overloadFactor() * COLD_SAFETY * share;
         // What was sent before its start is past. Guards against the first commands of many routers coming at
         // once: a share of less than one command starts at any place in its turn.
         row.coldBudget = row.coldBudgetAt < row.listing.startedAt() ? -random.nextDouble() * usual.get(group)
@@ -576,6 +571,15 @@
     /** Of what warm nodes bear; and work a second, part of a core, that any does if no answer came lately. */
     private static final double COLD_SAFETY = 0.75, LEAST_RATE = 0.15;
 
+    /** Counted ten times a second. Guards against going through all nodes for each answer. */
+    private long bearers(double now) {
+        if (now > bearersAt + 0.1) {
+            bearers = rows.values().stream().filter(r -> r.strikes < STRIKES && !r.closed()).count();
+            bearersAt = now;
+        }
+        return bearers;
+    }
+
     private double doneRate(double now) {
         return doneRate * Math.exp((doneRateAt - now) / RATE_MEMORY);
     }
@@ -664,7 +668,7 @@
                 row.abandoned.removeIf(d -> d.sentAt <= dispatch.sentAt);
                 row.strikes = row.rests = 0;
                 // Guards against a cold budget swollen by sends that full or hung nodes never worked on.
-                doneRate = doneRate(now) + usual.get(group) / RATE_MEMORY;
+                doneRate = doneRate(now) + usual.get(group) / RATE_MEMORY / Math.max(1, bearers(now));
                 doneRateAt = now;
                 usual.merge(group, reply.took(), (old, took) -> old + 0.02 * (took - old));
                 pressure.add(slowness, now);
