Wait for the rehearsal's sockets to close, and pack the program from jars in its process test

The rehearsal's transport was asked to end, and nobody waited until it had: its sixty sockets counted beside the first clients'. RehearsalTest.nothingOfItIsOpenOnceItIsOver fails without that.

--- a/cli/src/test/java/clayhook/cli/ServeProcessTest.java
+++ b/cli/src/test/java/clayhook/cli/ServeProcessTest.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.stream.Stream;
+import java.util.regex.Pattern;
 import java.util.zip.Deflater;
 import java.util.zip.ZipEntry;
 import java.util.zip.ZipOutputStream;
@@ -47,6 +48,8 @@
     private static final String DOWN = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
     /** 128 + SIGTERM. */
     private static final int TERMINATED = 143;
+    /** Of the jars on the class path; the other modules are jars as well once they are packed. */
+    private static final Pattern PROGRAM = Pattern.compile("^(netty|picocli|jackson|clayhook)");
     private final Transport transport = Transport.tcp();
     private final LinkedBlockingQueue<String> calls = new LinkedBlockingQueue<>();
     private final List<Socket> flood = new ArrayList<>();
@@ -114,7 +117,7 @@
                 Path path = Path.of(part);
                 if (Files.isDirectory(path)) {
                     copy(path, taken, out);
-                } else if (part.contains("netty") || part.contains("picocli") || part.contains("jackson")) {
+                } else if (PROGRAM.matcher(path.getFileName().toString()).find()) {
                     try (FileSystem in = FileSystems.newFileSystem(path)) {
                         copy(in.getPath("/"), taken, out);
                     }
--- a/daemon/src/main/java/clayhook/rehearsal/Rehearsal.java
+++ b/daemon/src/main/java/clayhook/rehearsal/Rehearsal.java
@@ -65,6 +65,8 @@
             return false;
         } finally {
             transport.close();
+            // Guards against serving while its sockets still count against the descriptors of the process.
+            transport.awaitClosed(OVERTIME_S);
         }
     }
 
--- a/daemon/src/main/java/clayhook/transport/Transport.java
+++ b/daemon/src/main/java/clayhook/transport/Transport.java
@@ -196,6 +196,11 @@
         }
     }
 
+    /** Waits until nothing of it is open any more, for so many seconds at most. */
+    public void awaitClosed(double seconds) throws InterruptedException {
+        group.awaitTermination((long) (seconds * 1e9), TimeUnit.NANOSECONDS);
+    }
+
     private void removeFolder() throws IOException {
         if (folder != null) {
             for (File left : folder.toFile().listFiles()) {
--- a/daemon/src/test/java/clayhook/rehearsal/RehearsalTest.java
+++ b/daemon/src/test/java/clayhook/rehearsal/RehearsalTest.java
@@ -71,4 +71,14 @@
             throw new IllegalStateException(e);
         }
     }
+
+    /** Else its sockets would count against the descriptors of the process that serves by then. */
+    @Test
+    void nothingOfItIsOpenOnceItIsOver() throws Exception {
+        Transport transport = Transport.rehearsal();
+        var any = new CommandGroup("any", CommandGroup.Effect.REPLAYABLE, CommandGroup.ReadLevel.ANY, 1, 2, 1, 0, null, 0, 0);
+        Rehearsal.run(new Settings(1, "a", List.of(any), true, true, true, true, true, true, true, true, 1, 3, 1, 0, 1, 0, 1, 15),
+                transport, true);
+        assertTrue(transport.loop().isTerminated());
+    }
 }
