Use replicas and failed nodes by trial where nothing may be probed

The routers' log: `12 known, 1 heard in the last second`, four or five connections, all to primaries; no replica was ever sent a read. Cause: in pickReader a replica not heard of for a second is passed over as long as looks are in store, and looks are never used up where they may not be made; and a node that failed twice stays out until a probe finds it, which never comes (rest adds strikes without end). Ruled out: the list (12 known, drains closed), descriptors (24), pauses (14 ms). Change: both only where probes are allowed; else a node keeps one strike, and so gets one dispatch at a time after its rest. No change with probes. Tests: whereNothingMayBeProbedReadsGoToReplicasThatWereNotHeardOfForLong, whereNothingMayBeProbedANodeThatFailedGetsATrialAfterItsRest; both fail without.

--- a/core/src/main/java/clayhook/Decide.java
+++ b/core/src/main/java/clayhook/Decide.java
@@ -390,7 +390,7 @@
             }
             if (row.strikes >= STRIKES) {
                 lookNowAndThen(row, now);
-            } else if (stale(row, now) && looksLeft > LOOKS_CAP / 2
+            } else if (settings.mayProbe() && stale(row, now) && looksLeft > LOOKS_CAP / 2
                     || !covers(row, team, cmd, now) && !likelyCovers(row, cmd, now)) {
                 looking |= lookedAt(row, now);
                 boolean better = unseen == null || near(row) && !near(unseen);
@@ -711,8 +711,9 @@
     private static final double BENCH = 10;
 
     /** Guards against asking full, failing, hung or dead nodes over and over: each time doubles the rest. */
-    private static void rest(Row row, int strikes, double now) {
-        row.strikes += strikes;
+    private void rest(Row row, int strikes, double now) {
+        // Where nothing may be probed only another dispatch can tell that it is back.
+        row.strikes = Math.min(row.strikes + strikes, settings.mayProbe() ? Integer.MAX_VALUE : STRIKES - 1);
         row.restUntil = now + Math.min(1, 0.05 * Math.pow(2, row.rests++));
     }
 
--- a/core/src/test/java/clayhook/DecideTest.java
+++ b/core/src/test/java/clayhook/DecideTest.java
@@ -736,4 +736,31 @@
         first.command.dispatches.add(again.dispatch());
         assertEquals(goes, fleet.decide.mayStillGo(again.dispatch(), 1000 + later));
     }
+
+    /** What was not heard for long is looked at first where that is allowed; else reads themselves find out. */
+    @Test
+    void whereNothingMayBeProbedReadsGoToReplicasThatWereNotHeardOfForLong() {
+        Fleet unprobed = new Fleet(3, true, false, false, true, false);
+        unprobed.now += 30;
+        assertEquals(0, unprobed.sentTo(unprobed.primary, unprobed.any, 2));
+    }
+
+    /** Else a node that failed twice would be left out for good: no probe ever finds it back. */
+    @Test
+    void whereNothingMayBeProbedANodeThatFailedGetsATrialAfterItsRest() {
+        Fleet unprobed = new Fleet(3, true, false, false, true, false);
+        for (int i = 0; i < 12; i++) {
+            Command command = unprobed.command(unprobed.any, 0);
+            Choice sent = unprobed.ask(command);
+            while (sent.verdict() == Verdict.SEND) {
+                command.dispatches.add(sent.dispatch());
+                sent = unprobed.answer(sent.dispatch(), Outcome.CONNECT_FAILED, Role.UNKNOWN, 0);
+            }
+            unprobed.now += 0.2;
+        }
+        unprobed.now += 2;
+        Choice trial = unprobed.ask(unprobed.command(unprobed.any, 0));
+        assertEquals(Verdict.SEND, trial.verdict());
+        assertNotEquals(unprobed.primary, trial.dispatch().node);
+    }
 }
--- a/core/src/test/java/clayhook/Fleet.java
+++ b/core/src/test/java/clayhook/Fleet.java
@@ -42,9 +42,14 @@
     }
 
     Fleet(int routers, boolean marksCarried, boolean replicasCheck, boolean listMustBeAsked, boolean goneBinds) {
+        this(routers, marksCarried, replicasCheck, listMustBeAsked, goneBinds, true);
+    }
+
+    Fleet(int routers, boolean marksCarried, boolean replicasCheck, boolean listMustBeAsked, boolean goneBinds,
+            boolean mayProbe) {
         decide = new Decide(new Settings(routers, "north",
                 List.of(bounded, session, any, report, write, mutating, fresh), listMustBeAsked, goneBinds,
-                replicasCheck, marksCarried, true, true, true, true, 1, 8, 0.2, 10, 3, 3, 1, 15), 1);
+                replicasCheck, marksCarried, mayProbe, true, true, true, 1, 8, 0.2, 10, 3, 3, 1, 15), 1);
         decide.listed(List.of(new Listing(primary, Listing.State.READY, false, 0),
                 new Listing(replica, Listing.State.READY, false, 0),
                 new Listing(other, Listing.State.READY, false, 0)), true, now);
