Take answers within the process as whole, so that the rehearsal rehearses answers

Cause: NodeConnection trusted the listener of its write alone; between channels of one process the answer is read before that listener is called, so that most of the rehearsal's answers were spoilt. Change: refused only while bytes of the request stand in the channel. Ruled out for sockets: there the listener is called as the last byte is handed over, before anything is read (CrossingsTest, 64 MB).

--- a/daemon/src/main/java/clayhook/nodes/NodeConnection.java
+++ b/daemon/src/main/java/clayhook/nodes/NodeConnection.java
@@ -10,6 +10,7 @@
 import clayhook.statements.SessionSettings;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -120,6 +121,12 @@
         });
     }
 
+    /** Bytes of the request stand here yet; between channels of one process an answer may come before the write is told. */
+    private boolean unsent() {
+        ChannelOutboundBuffer standing = context.channel().unsafe().outboundBuffer();
+        return standing != null && !standing.isEmpty();
+    }
+
     /** Whether neither an end nor a byte has come to this idle connection, also since the loop last looked. */
     boolean quiet() {
         if (!context.channel().isActive()) {
@@ -146,7 +153,7 @@
             welcome(message);
         } else if (next == Next.TUNING) {
             tuning(message);
-        } else if (!written && (message instanceof NodeMessage.Part || message instanceof NodeMessage.ReadyForQuery)) {
+        } else if (!written && unsent() && (message instanceof NodeMessage.Part || message instanceof NodeMessage.ReadyForQuery)) {
             // Guards against a request whose rest goes out after it was counted as answered.
             spoilt("an answer to what it was not sent whole");
         } else {
--- a/daemon/src/test/java/clayhook/rehearsal/RehearsalTest.java
+++ b/daemon/src/test/java/clayhook/rehearsal/RehearsalTest.java
@@ -6,6 +6,9 @@
 
 import clayhook.CommandGroup;
 import clayhook.Settings;
+import clayhook.config.Configuration;
+import clayhook.discovery.NodeList;
+import clayhook.serve.Server;
 import clayhook.transport.Transport;
 import io.netty.channel.ChannelHandler;
 import java.util.List;
@@ -81,4 +84,26 @@
                 transport, true);
         assertTrue(transport.loop().isTerminated());
     }
+
+    /** An answer may come there before its request was told to be written; it is no answer to half a request. */
+    @Test
+    void withinTheProcessEveryAnswerCounts() throws Exception {
+        Transport transport = Transport.withinProcess();
+        var node = new StandInNode(transport, transport.spare(1), "primary", any -> StandInNode.Deed.answer("p"));
+        var discovery = new StandInDiscovery(transport, transport.spare(2), call -> null);
+        var posts = new CommandGroup("posts", CommandGroup.Effect.MUTATING, CommandGroup.ReadLevel.WRITE, 20, 60, 1, 0, null, 0, 0);
+        var settings = new Settings(1, "a", List.of(posts), true, true, true, true, true, true, true, true, 1, 3, 1, 0, 1, 0, 1, 15);
+        String list = "{\"rev\":2,\"all\":true,\"targets\":[{\"uid\":\"p\",\"endpoint\":\"127.0.0.1:" + node.address().getPort()
+                + "\",\"az\":\"a\",\"pod_group\":1,\"state\":\"up\",\"role\":\"primary\",\"boot_ms\":0}]}";
+        var server = new Server(transport, new Configuration("test", transport.spare(3), discovery.address(), 1, 1 << 24, 1000,
+                NodeList.parse(list), settings, 1));
+        for (int i = 0; i < 20; i++) {
+            var client = new StandInClient(transport, server.address());
+            client.send(StandInClient.hello(StandInClient.statement(true, "id=" + i + ",c=posts,d=30000,cluster=1")));
+            assertEquals("ready", client.next());
+            assertEquals("p", client.next());
+            client.close();
+        }
+        server.close();
+    }
 }
