Reproduce the drain incident on real processes, known red

Twelve routers of the jar share a discovery stand-in of our own; seven in ten are killed, discovery rejects every poll (at once, or after two seconds in its queue), three of nine nodes drain.

--- a/clustertests/src/main/java/clayhook/clustertests/ClusterNode.java
+++ b/clustertests/src/main/java/clayhook/clustertests/ClusterNode.java
@@ -48,6 +48,7 @@
     private final Set<Channel> connections = ConcurrentHashMap.newKeySet();
     private volatile Mood mood = Mood.WELL;
     private volatile Endpoint.State state = Endpoint.State.READY;
+    private volatile double stateSince;
     private volatile double startedAt;
     /** Where its log stands still; 0 while it goes on. */
     private volatile double stalledAt;
@@ -79,10 +80,20 @@
 
     /** As the list tells it from now on. */
     public void state(Endpoint.State next) {
-        state = next;
+        stateWithoutNotice(next);
         cluster.listChanged();
     }
 
+    /** As the list tells it from its next change on. */
+    void stateWithoutNotice(Endpoint.State next) {
+        stateSince = HistoryRecorder.now();
+        state = next;
+    }
+
+    private boolean rejectsAsDraining() {
+        return state != Endpoint.State.READY && HistoryRecorder.now() > stateSince + cluster.drainLeadSeconds();
+    }
+
     public void mood(Mood next) {
         mood = next;
         if (next == Mood.DEAD) {
@@ -166,7 +177,10 @@
         }
 
         private ByteBuf run(KeyValueStatement statement) {
-            cluster.witness.came(router, node);
+            cluster.requestArrived(router, node);
+            if (rejectsAsDraining()) {
+                return MessageEncoder.error(false, "53300", "draining", null);
+            }
             RequestClass group = cluster.group(statement.requestClassName);
             if (group == null || (group.requiresPrimary() && !leads())) {
                 return MessageEncoder.error(false, "25006", "not here", null);
--- /dev/null
+++ b/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
@@ -0,0 +1,289 @@
+package clayhook.clustertests;
+
+import clayhook.Endpoint;
+import clayhook.RequestClass;
+import clayhook.RoutingSettings;
+import clayhook.config.ConfigurationException;
+import clayhook.config.RouterConfiguration;
+import clayhook.json.Json;
+import clayhook.transport.Transport;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/**
+ * A fleet of router processes that share one discovery service and one replica set, each with a little traffic of its
+ * own, for faults of discovery, of nodes and of the processes. The rules are judged by {@link HistoryRecorder} and
+ * {@link DrainAudit}.
+ */
+public final class RouterFleet implements AutoCloseable {
+    /** Times far beyond what a busy machine takes; drains are judged by {@link DrainAudit}. */
+    private static final String SETTINGS =
+            """
+            {"balancers": %d, "zone": "%s", "domain": {"read_level": ["any", "bounded", "write", "write"],
+            "max_age": [0, 1e9, 0, 0], "when_behind": "off", "write_marks": "carried"}, "limits": {"most_tries": 3},
+            "rules": {"start_capacity": 0.2, "warm_after": 2e9, "overload_factor": 3, "overload_for": 1e9}, "grades": [
+            {"name": "any", "effect": "idempotent", "aim": 1e9, "hard_limit": 2e9},
+            {"name": "bounded", "effect": "idempotent", "aim": 1e9, "hard_limit": 2e9},
+            {"name": "write", "effect": "deduplicated", "group": "cell", "repeat_window": 2e10, "aim": 1e9, "hard_limit": 2e9},
+            {"name": "charge", "effect": "at_most_once", "aim": 1e9, "hard_limit": 2e9}]}""";
+
+    private static final List<String> ZONES = List.of("a", "b");
+    /** Longer than any start takes, even on a busy machine. */
+    private static final double START_SECONDS = 60;
+
+    private static final long POLL_MS = 10;
+    /** A client waits so long between two requests at most; a router sees a few dozen a second. */
+    private static final int MAX_THINK_MS = 150;
+
+    private static final int CLIENTS_PER_ROUTER = 2;
+    /** What this machine may add before a node reads a request, while it runs all processes and nodes. */
+    private static final double MACHINE_SECONDS = 0.35;
+    /** How long draining nodes go on to execute requests. */
+    private static final double DRAIN_LEAD_SECONDS = 2;
+
+    private final Path folder = Files.createTempDirectory("fleet");
+    private final Transport nodesLoop = Transport.tcp();
+    private final Transport clientsLoop = Transport.tcp();
+    private final RoutingSettings settings;
+    private final HistoryRecorder history;
+    private final DrainAudit drains = new DrainAudit(MACHINE_SECONDS);
+    private final TestReplicaSet replicaSet;
+    private final CrowdedDiscovery discovery;
+    private final List<RouterProcess> routers = new ArrayList<>();
+    private final List<Thread> clients = new ArrayList<>();
+    private final Map<LoadClient.Answer, Integer> answers = new EnumMap<>(LoadClient.Answer.class);
+    private final Thread atExit = new Thread(() -> routers.forEach(RouterProcess::kill));
+    private final int routerCount;
+    private final long seed;
+    private volatile boolean loaded = true;
+
+    /**
+     * Starts the processes, named r0, r1 and so on; returns when all take requests.
+     *
+     * @param jar the program
+     * @param allCallsSeconds how long discovery takes for one call of every router
+     * @param seed of the load and the routers
+     */
+    public RouterFleet(Path jar, int routerCount, int nodeCount, double allCallsSeconds, long seed)
+            throws IOException, InterruptedException {
+        this.routerCount = routerCount;
+        this.seed = seed;
+        Runtime.getRuntime().addShutdownHook(atExit);
+        settings = parseSettings();
+        history = new HistoryRecorder(settings);
+        replicaSet = new TestReplicaSet(nodesLoop, nodeCount, ZONES, settings, history);
+        replicaSet.rejectWhileDraining(DRAIN_LEAD_SECONDS);
+        replicaSet.onRequests(drains::onRequest);
+        List<String> names =
+                IntStream.range(0, routerCount).mapToObj(i -> "r" + i).toList();
+        discovery =
+                new CrowdedDiscovery(nodesLoop, replicaSet, drains, names, allCallsSeconds / Math.max(1, routerCount));
+        for (String name : names) {
+            int number = routers.size();
+            var router = new RouterProcess(name, freeAddress(), jar, folder.resolve(name));
+            routers.add(router);
+            router.configure(platformFile(router, number), "[nodes]\nuser = \"" + name + "\"\n");
+        }
+        start(routers);
+    }
+
+    private RoutingSettings parseSettings() {
+        try {
+            String file = "{\"name\": \"any\", \"listen\": \"any:1\", \"discovery\": \"any:1\", \"seed\": \"1\","
+                    + " \"settings\": " + SETTINGS.formatted(routerCount, ZONES.get(0)) + "}";
+            return RouterConfiguration.fromJson(Json.parse(file), Map.of()).settings();
+        } catch (ConfigurationException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (var probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), probe.getLocalPort());
+        }
+    }
+
+    private static String quoted(InetSocketAddress address) {
+        return '"' + address.getAddress().getHostAddress() + ':' + address.getPort() + '"';
+    }
+
+    private String platformFile(RouterProcess router, int number) {
+        return "{\"name\": \"" + router.name() + "\", \"listen\": " + quoted(router.address()) + ", \"discovery\": "
+                + quoted(discovery.address(number)) + ", \"seed\": \"" + Long.toHexString(seed * 1000 + number)
+                + "\", \"known\": " + replicaSet.list() + ", \"settings\": "
+                + SETTINGS.formatted(routerCount, ZONES.get(number % ZONES.size())) + "}";
+    }
+
+    // ---- parts ----
+
+    public List<RouterProcess> routers() {
+        return routers;
+    }
+
+    public CrowdedDiscovery discovery() {
+        return discovery;
+    }
+
+    public List<ClusterNode> nodes() {
+        return replicaSet.nodes();
+    }
+
+    /** The rules that were broken, but for drains; empty where all were kept. */
+    public Map<?, Integer> brokenRules() {
+        return history.broken();
+    }
+
+    public String firstBroken() {
+        return history.firstBroken();
+    }
+
+    public DrainAudit drains() {
+        return drains;
+    }
+
+    // ---- processes ----
+
+    /** Starts processes with the list of their first start; returns when they take requests. */
+    public void start(Collection<RouterProcess> some) throws IOException, InterruptedException {
+        for (RouterProcess router : some) {
+            drains.onStarted(router.name());
+            router.start();
+        }
+        for (RouterProcess router : some) {
+            awaitServing(router);
+            history.up(router.name());
+        }
+    }
+
+    private void awaitServing(RouterProcess router) throws InterruptedException {
+        double until = HistoryRecorder.now() + START_SECONDS;
+        while (!LoadClient.greeted(clientsLoop, router.address(), START_SECONDS)) {
+            if (!router.runs() || HistoryRecorder.now() > until) {
+                throw new IllegalStateException(router.name() + " does not take requests: " + router.since(0));
+            }
+            Thread.sleep(POLL_MS);
+        }
+    }
+
+    /** Kills processes without notice; returns when they have ended. */
+    public void kill(Collection<RouterProcess> some) throws InterruptedException {
+        some.forEach(router -> history.down(router.name()));
+        some.forEach(RouterProcess::kill);
+        for (RouterProcess router : some) {
+            router.ended();
+        }
+    }
+
+    // ---- nodes ----
+
+    /** Lets nodes drain, or end draining, in one version of the list. */
+    public void state(Collection<ClusterNode> some, Endpoint.State state) {
+        some.forEach(node -> node.stateWithoutNotice(state));
+        replicaSet.listChanged();
+    }
+
+    // ---- load ----
+
+    /** Starts the clients of all routers; one whose router is down tries it again. */
+    public void startLoad() {
+        for (int i = 0; i < CLIENTS_PER_ROUTER * routerCount; i++) {
+            RouterProcess router = routers.get(i % routerCount);
+            var random = new Random(seed * 31 + i);
+            var thread = new Thread(() -> sendRequests(router, random), "client " + i);
+            thread.setDaemon(true);
+            thread.start();
+            clients.add(thread);
+        }
+    }
+
+    private void sendRequests(RouterProcess router, Random random) {
+        var client = new LoadClient(clientsLoop, history, true);
+        List<RequestClass> classes = settings.requestClasses();
+        try {
+            while (loaded) {
+                LoadClient.Answer answer = client.ask(router, classes.get(random.nextInt(classes.size())));
+                count(answer);
+                Thread.sleep(1 + random.nextInt(MAX_THINK_MS));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            client.close();
+        }
+    }
+
+    private synchronized void count(LoadClient.Answer answer) {
+        answers.merge(answer, 1, Integer::sum);
+    }
+
+    /** How many requests got that answer so far. */
+    public synchronized int answered(LoadClient.Answer answer) {
+        return answers.getOrDefault(answer, 0);
+    }
+
+    /** Ends the load; returns when the last request is over. */
+    public void stopLoad() throws InterruptedException {
+        loaded = false;
+        for (Thread client : clients) {
+            client.join();
+        }
+        clients.clear();
+    }
+
+    /** Waits until a condition holds; false where it did not in so many seconds. */
+    public boolean await(BooleanSupplier condition, double seconds) throws InterruptedException {
+        double until = HistoryRecorder.now() + seconds;
+        while (!condition.getAsBoolean()) {
+            if (HistoryRecorder.now() > until) {
+                return false;
+            }
+            Thread.sleep(POLL_MS);
+        }
+        return true;
+    }
+
+    /** The last lines that each router logged, to explain a verdict. */
+    public String logs() {
+        return routers.stream()
+                .map(router -> router.name() + ": " + router.since(Math.max(0, router.mark() - 12)))
+                .collect(Collectors.joining("\n"));
+    }
+
+    @Override
+    public void close() throws IOException {
+        loaded = false;
+        try {
+            routers.forEach(RouterProcess::kill);
+            stopLoad();
+            for (RouterProcess router : routers) {
+                router.ended();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        discovery.close();
+        nodesLoop.close();
+        clientsLoop.close();
+        Runtime.getRuntime().removeShutdownHook(atExit);
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(path);
+            }
+        }
+    }
+}
--- a/clustertests/src/main/java/clayhook/clustertests/TestReplicaSet.java
+++ b/clustertests/src/main/java/clayhook/clustertests/TestReplicaSet.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 
 /**
@@ -27,6 +28,11 @@
     private final Map<String, Double> written = new HashMap<>();
 
     private volatile Runnable watcher = () -> {};
+    /** Hears of each statement that a router sent to a node. */
+    private volatile BiConsumer<String, Node> requestListener = (router, node) -> {};
+    /** From so long after the list says that they drain, nodes reject statements; infinite for never. */
+    private volatile double drainLeadSeconds = Double.POSITIVE_INFINITY;
+
     private ClusterNode primary;
     private double head;
     private int version = 1;
@@ -75,6 +81,25 @@
         return before;
     }
 
+    /** Reports each statement from now on, with the router that sent it, on the event loop of the nodes. */
+    void onRequests(BiConsumer<String, Node> listener) {
+        requestListener = listener;
+    }
+
+    void requestArrived(String router, Node node) {
+        witness.came(router, node);
+        requestListener.accept(router, node);
+    }
+
+    /** Lets draining nodes reject statements, from so many seconds after the list says that they drain. */
+    void rejectWhileDraining(double leadSeconds) {
+        drainLeadSeconds = leadSeconds;
+    }
+
+    double drainLeadSeconds() {
+        return drainLeadSeconds;
+    }
+
     // ---- the list ----
 
     /** Hears of each change of the list, on the thread that makes it. */
--- /dev/null
+++ b/clustertests/src/test/java/clayhook/clustertests/CrowdedDiscoveryTest.java
@@ -0,0 +1,56 @@
+package clayhook.clustertests;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import clayhook.Endpoint;
+import clayhook.clustertests.CrowdedDiscovery.Mode;
+import clayhook.clustertests.LoadClient.Answer;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Real router processes, most of which are restarted while discovery rejects their polls and nodes drain. */
+class CrowdedDiscoveryTest {
+    private static final int ROUTERS = Integer.getInteger("clayhook.routers", 12);
+    private static final int NODES = 9;
+    private static final int DRAINING_NODES = 3;
+    /** Seven in ten are killed at once. */
+    private static final double KILLED_FRACTION = 0.7;
+
+    private static final double ALL_CALLS_SECONDS = 3;
+    /** Past the time at which the change counts as notified to every router. */
+    private static final long CROWDED_MS = 10_000;
+
+    private static final double RECOVERY_SECONDS = 10;
+
+    @Test
+    @Tag("known-red")
+    void nothingNewGoesToDrainingNodesWhileDiscoveryRejectsPolls() throws Exception {
+        try (var fleet = new RouterFleet(ClusterTest.JAR, ROUTERS, NODES, ALL_CALLS_SECONDS, 1)) {
+            fleet.startLoad();
+            assertTrue(fleet.await(() -> fleet.answered(Answer.WELL) > 10 * ROUTERS, RECOVERY_SECONDS), fleet::logs);
+            List<RouterProcess> killed = fleet.routers().subList(0, (int) (KILLED_FRACTION * ROUTERS));
+            List<ClusterNode> draining = fleet.nodes().subList(NODES - DRAINING_NODES, NODES);
+            fleet.kill(killed);
+            fleet.discovery().mode(Mode.CROWDED);
+            fleet.state(draining, Endpoint.State.DRAINING);
+            fleet.start(killed);
+            int served = fleet.answered(Answer.WELL);
+            int rejected = fleet.answered(Answer.THROTTLED);
+            Thread.sleep(CROWDED_MS);
+            int servedWhileCrowded = fleet.answered(Answer.WELL) - served;
+            int rejectedWhileCrowded = fleet.answered(Answer.THROTTLED) - rejected;
+            fleet.discovery().mode(Mode.NORMAL);
+            int answers = fleet.discovery().answers();
+            assertTrue(fleet.await(() -> fleet.discovery().answers() >= answers + ROUTERS, RECOVERY_SECONDS));
+            fleet.stopLoad();
+            assertEquals(List.of(), fleet.drains().violations());
+            assertEquals(Map.of(), fleet.brokenRules(), fleet::firstBroken);
+            assertTrue(
+                    servedWhileCrowded > rejectedWhileCrowded,
+                    servedWhileCrowded + " served, " + rejectedWhileCrowded + " rejected");
+        }
+    }
+}
