Take back what checks confirmed when the watch beside them is rejected

Cause, from the traced trials: while a poll of the watch waits in the queue of a crowded service, a check is answered at once with nothing new, though newer versions exist; the watch is rejected up to four seconds later. The lease now falls back to the time at which the rejected poll was sent. Also in this commit, not yet judged: the fleet soak (random overlapping faults on processes) and its judge on a build whose list never grows old.

--- a/clustertests/src/main/java/clayhook/clustertests/CrowdedDiscovery.java
+++ b/clustertests/src/main/java/clayhook/clustertests/CrowdedDiscovery.java
@@ -67,7 +67,10 @@
     private final TestReplicaSet cluster;
     private final DrainAudit audit;
     private final double secondsPerCall;
-    private final List<StubDiscovery> addresses = new ArrayList<>();
+    /** Two for each router, of which one is in use at a time; the other answers as well. */
+    private final List<List<StubDiscovery>> addresses = new ArrayList<>();
+
+    private final List<Integer> inUse = new ArrayList<>();
     /** Calls that wait for a change; emptied by each change and at the end of their waits. */
     private final List<Call> parked = new ArrayList<>();
 
@@ -88,16 +91,24 @@
         this.audit = audit;
         this.secondsPerCall = secondsPerCall;
         for (String router : routers) {
-            addresses.add(new StubDiscovery(
-                    transport,
-                    transport.ephemeralAddress(0),
-                    (line, answer) -> onCall(new Call(router, line, answer))));
+            addresses.add(List.of(listen(transport, router), listen(transport, router)));
+            inUse.add(0);
         }
         cluster.watch(this::onChange);
     }
 
-    InetSocketAddress address(int router) {
-        return addresses.get(router).address();
+    private StubDiscovery listen(Transport transport, String router) throws InterruptedException {
+        return new StubDiscovery(
+                transport, transport.ephemeralAddress(0), (line, answer) -> onCall(new Call(router, line, answer)));
+    }
+
+    synchronized InetSocketAddress address(int router) {
+        return addresses.get(router).get(inUse.get(router)).address();
+    }
+
+    /** From now on the other address of a router is the one to configure. */
+    synchronized void move(int router) {
+        inUse.set(router, 1 - inUse.get(router));
     }
 
     /** How many calls were rejected so far. */
@@ -196,8 +207,9 @@
     public void close() throws IOException {
         timer.shutdownNow();
         try {
-            for (StubDiscovery address : addresses) {
-                address.close();
+            for (List<StubDiscovery> both : addresses) {
+                both.get(0).close();
+                both.get(1).close();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/clustertests/src/main/java/clayhook/clustertests/DrainAudit.java
+++ b/clustertests/src/main/java/clayhook/clustertests/DrainAudit.java
@@ -17,6 +17,9 @@
     /** After that a change counts as notified, whether or not it arrived. */
     static final double NOTIFIED_AFTER_SECONDS = 6;
 
+    /** What discovery has to tell counts as notified so long after a reload that moved it. */
+    private static final double NOTIFIED_AFTER_RELOAD_SECONDS = 4;
+
     /** Seconds in which a router may still send to a node after it was notified. */
     private static final double GRACE_SECONDS = 0.25;
 
@@ -28,6 +31,9 @@
     private final Map<Node, Drain> drains = new HashMap<>();
     private final Map<String, List<Notification>> written = new HashMap<>();
     private final Map<String, Double> startedAt = new HashMap<>();
+    /** Of the newest reload of a router that moved discovery. */
+    private final Map<String, Double> reloadedAt = new HashMap<>();
+
     private final List<String> violations = new ArrayList<>();
     private double reachableSince;
     private boolean reachable = true;
@@ -41,6 +47,12 @@
     synchronized void onStarted(String router) {
         startedAt.put(router, HistoryRecorder.now());
         written.put(router, new ArrayList<>());
+        reloadedAt.remove(router);
+    }
+
+    /** A router is told by SIGHUP that discovery has moved. */
+    synchronized void onReload(String router) {
+        reloadedAt.put(router, HistoryRecorder.now());
     }
 
     /** Discovery can be reached from now on, or cannot. */
@@ -91,6 +103,14 @@
         double latest = reachable
                 ? Math.max(drain.at(), Math.max(reachableSince, startedAt.get(router))) + NOTIFIED_AFTER_SECONDS
                 : Double.POSITIVE_INFINITY;
+        double reloaded = reloadedAt.getOrDefault(router, Double.POSITIVE_INFINITY);
+        if (reachable && drain.at() <= reloaded) {
+            latest = Math.min(latest, Math.max(reloaded, reachableSince) + NOTIFIED_AFTER_RELOAD_SECONDS);
+        }
+        return earliest(router, drain, latest);
+    }
+
+    private double earliest(String router, Drain drain, double latest) {
         return written.getOrDefault(router, List.of()).stream()
                 .filter(notification -> notification.version() >= drain.version())
                 .mapToDouble(Notification::at)
--- /dev/null
+++ b/clustertests/src/main/java/clayhook/clustertests/FaultSoak.java
@@ -0,0 +1,93 @@
+package clayhook.clustertests;
+
+import clayhook.clustertests.LoadClient.Answer;
+import clayhook.clustertests.SoakSchedule.TimedFault;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Plays a schedule of faults on a fleet under load and judges it by the rules. */
+final class FaultSoak {
+    /** What a run showed; empty lists for a run that kept all rules. */
+    record Verdict(
+            List<String> drainViolations, Map<?, Integer> brokenRules, List<String> reported, String firstBroken) {
+        boolean isClean() {
+            return drainViolations.isEmpty() && brokenRules.isEmpty() && reported.isEmpty();
+        }
+    }
+
+    private static final double MILLIS_PER_SECOND = 1000;
+    /** After all faults each router serves within this time. */
+    private static final double RECOVERY_SECONDS = 20;
+
+    private static final int SERVED_AFTERWARDS = 20;
+
+    private final RouterFleet fleet;
+    private final List<Thread> running = new ArrayList<>();
+    private final List<String> failures = new ArrayList<>();
+
+    private FaultSoak(RouterFleet fleet) {
+        this.fleet = fleet;
+    }
+
+    /** Runs faults and judges; the fleet's load must have begun. */
+    static Verdict run(RouterFleet fleet, List<TimedFault> faults) throws InterruptedException {
+        var soak = new FaultSoak(fleet);
+        double startedAt = HistoryRecorder.now();
+        for (TimedFault fault : faults) {
+            sleepUntil(startedAt + fault.begins());
+            soak.start(fault, startedAt);
+        }
+        for (Thread thread : soak.running) {
+            thread.join();
+        }
+        soak.awaitRecovery();
+        fleet.stopLoad();
+        var reported = new ArrayList<>(fleet.reportedViolations());
+        synchronized (soak) {
+            reported.addAll(soak.failures);
+        }
+        return new Verdict(
+                fleet.drains().violations(), fleet.brokenRules(), List.copyOf(reported), fleet.firstBroken());
+    }
+
+    /** Each fault has a thread, as its begin and its end may take long. */
+    private void start(TimedFault timed, double startedAt) {
+        var thread = new Thread(() -> play(timed, startedAt), timed.fault().toString());
+        thread.setDaemon(true);
+        thread.start();
+        running.add(thread);
+    }
+
+    private void play(TimedFault timed, double startedAt) {
+        try {
+            timed.fault().begin(fleet);
+            sleepUntil(startedAt + timed.ends());
+            timed.fault().end(fleet);
+        } catch (IOException | RuntimeException e) {
+            failed(timed + ": " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized void failed(String text) {
+        failures.add(text);
+    }
+
+    private void awaitRecovery() throws InterruptedException {
+        int target = fleet.answered(Answer.WELL)
+                + SERVED_AFTERWARDS * fleet.routers().size();
+        if (!fleet.await(() -> fleet.answered(Answer.WELL) >= target, RECOVERY_SECONDS)) {
+            failed("the fleet does not serve after the faults: " + fleet.logs());
+        }
+    }
+
+    private static void sleepUntil(double time) throws InterruptedException {
+        double seconds = time - HistoryRecorder.now();
+        if (seconds > 0) {
+            Thread.sleep((long) (seconds * MILLIS_PER_SECOND));
+        }
+    }
+}
--- a/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
@@ -47,6 +47,7 @@
     private static final double START_SECONDS = 60;
 
     private static final long POLL_MS = 10;
+    private static final double MILLIS_PER_SECOND = 1000;
     /** A client waits so long between two requests at most; a router sees a few dozen a second. */
     private static final int MAX_THINK_MS = 150;
 
@@ -75,11 +76,11 @@
     /**
      * Starts the processes, named r0, r1 and so on; returns when all take requests.
      *
-     * @param jar the program
+     * @param program what the processes run
      * @param allCallsSeconds how long discovery takes for one call of every router
      * @param seed of the load and the routers
      */
-    public RouterFleet(Path jar, int routerCount, int nodeCount, double allCallsSeconds, long seed)
+    public RouterFleet(RouterProgram program, int routerCount, int nodeCount, double allCallsSeconds, long seed)
             throws IOException, InterruptedException {
         this.routerCount = routerCount;
         this.seed = seed;
@@ -95,9 +96,9 @@
                 new CrowdedDiscovery(nodesLoop, replicaSet, drains, names, allCallsSeconds / Math.max(1, routerCount));
         for (String name : names) {
             int number = routers.size();
-            var router = new RouterProcess(name, freeAddress(), jar, folder.resolve(name));
+            var router = new RouterProcess(name, freeAddress(), program, folder.resolve(name));
             routers.add(router);
-            router.configure(platformFile(router, number), "[nodes]\nuser = \"" + name + "\"\n");
+            configure(router, number);
         }
         start(routers);
     }
@@ -122,6 +123,10 @@
         return '"' + address.getAddress().getHostAddress() + ':' + address.getPort() + '"';
     }
 
+    private void configure(RouterProcess router, int number) throws IOException {
+        router.configure(platformFile(router, number), "[nodes]\nuser = \"" + router.name() + "\"\n");
+    }
+
     private String platformFile(RouterProcess router, int number) {
         return "{\"name\": \"" + router.name() + "\", \"listen\": " + quoted(router.address()) + ", \"discovery\": "
                 + quoted(discovery.address(number)) + ", \"seed\": \"" + Long.toHexString(seed * 1000 + number)
@@ -189,8 +194,40 @@
         }
     }
 
+    /** Ends processes by SIGTERM; returns when they have ended. What they still answer is not judged. */
+    public void terminate(Collection<RouterProcess> some) throws IOException, InterruptedException {
+        some.forEach(router -> history.down(router.name()));
+        for (RouterProcess router : some) {
+            router.signal("TERM");
+        }
+        for (RouterProcess router : some) {
+            router.ended();
+        }
+    }
+
+    /** Holds a process up, by SIGSTOP and SIGCONT. */
+    public void stall(RouterProcess router, double seconds) throws IOException, InterruptedException {
+        router.signal("STOP");
+        Thread.sleep((long) (seconds * MILLIS_PER_SECOND));
+        router.signal("CONT");
+    }
+
+    /** Moves discovery to another address for one router, which is told by SIGHUP. */
+    public void moveDiscovery(RouterProcess router) throws IOException {
+        int number = routers.indexOf(router);
+        discovery.move(number);
+        configure(router, number);
+        drains.onReload(router.name());
+        router.signal("HUP");
+    }
+
     // ---- nodes ----
 
+    /** Another node takes over as primary. */
+    public void promote(ClusterNode node) {
+        replicaSet.promote(node);
+    }
+
     /** Lets nodes drain, or end draining, in one version of the list. */
     public void state(Collection<ClusterNode> some, Endpoint.State state) {
         some.forEach(node -> node.stateWithoutNotice(state));
@@ -257,6 +294,17 @@
         return true;
     }
 
+    /** Log lines by which routers report violations that they noticed themselves, or faults of their own. */
+    public List<String> reportedViolations() {
+        return routers.stream()
+                .flatMap(router -> router.since(0).stream().filter(RouterFleet::reportsViolation))
+                .toList();
+    }
+
+    private static boolean reportsViolation(String line) {
+        return line.contains("although") || line.contains("SEVERE") || line.contains(" ERROR ");
+    }
+
     /** The last lines that each router logged, to explain a verdict. */
     public String logs() {
         return routers.stream()
--- a/clustertests/src/main/java/clayhook/clustertests/RouterProcess.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RouterProcess.java
@@ -36,16 +36,16 @@
 
     private final String name;
     private final InetSocketAddress address;
-    private final Path jar;
+    private final RouterProgram program;
     private final Path folder;
     private final List<String> lines = new ArrayList<>();
     private Process process;
 
     /** {@code address} is where it listens, {@code folder} is its own. */
-    RouterProcess(String name, InetSocketAddress address, Path jar, Path folder) throws IOException {
+    RouterProcess(String name, InetSocketAddress address, RouterProgram program, Path folder) throws IOException {
         this.name = name;
         this.address = address;
-        this.jar = jar;
+        this.program = program;
         this.folder = Files.createDirectories(folder);
     }
 
@@ -71,23 +71,19 @@
 
     /** Begins a life. Throws IOException where there is no such jar. */
     synchronized void start() throws IOException {
-        if (!Files.exists(jar)) {
-            throw new IOException("no jar at " + jar + "; mvn verify makes it");
+        if (!Files.exists(program.jar())) {
+            throw new IOException("no jar at " + program.jar() + "; mvn verify makes it");
         }
         var command = new ArrayList<String>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(OPTIONS);
-        Path archive = jar.resolveSibling("clayhook.jsa");
-        if (Files.exists(archive)) {
+        Path archive = program.jar().resolveSibling("clayhook.jsa");
+        if (Files.exists(archive) && program.replacedClasses() == null) {
             command.addAll(List.of("-XX:SharedArchiveFile=" + archive, "-Xshare:auto"));
         }
-        command.addAll(List.of(
-                "-Djava.io.tmpdir=" + folder,
-                "-jar",
-                jar.toString(),
-                "serve",
-                "--config",
-                operatorFile().toString()));
+        command.add("-Djava.io.tmpdir=" + folder);
+        command.addAll(program.arguments());
+        command.addAll(List.of("serve", "--config", operatorFile().toString()));
         var builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("LB_CONFIG", folder.resolve("config.json").toString());
         process = builder.start();
--- /dev/null
+++ b/clustertests/src/main/java/clayhook/clustertests/SoakSchedule.java
@@ -0,0 +1,98 @@
+package clayhook.clustertests;
+
+import clayhook.clustertests.CrowdedDiscovery.Mode;
+import clayhook.clustertests.SoakFault.DiscoveryFault;
+import clayhook.clustertests.SoakFault.DiscoveryMove;
+import clayhook.clustertests.SoakFault.Drain;
+import clayhook.clustertests.SoakFault.Failover;
+import clayhook.clustertests.SoakFault.NodeFault;
+import clayhook.clustertests.SoakFault.Restart;
+import clayhook.clustertests.SoakFault.Stall;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+/**
+ * The faults of a soak run and when each begins and ends. Faults of one lane come one after the other, those of several
+ * lanes overlap; the same seed gives the same schedule.
+ */
+final class SoakSchedule {
+    /** A fault, and its times in seconds from the start of the run. */
+    record TimedFault(double begins, double ends, SoakFault fault) {}
+
+    /** Seconds between two faults of a lane at most. */
+    private static final double MAX_PAUSE_SECONDS = 2;
+
+    private static final double MIN_SECONDS = 1;
+    /** Longer than the time after which a change counts as notified. */
+    private static final double MAX_DISCOVERY_SECONDS = 11;
+
+    private static final double MAX_DRAIN_SECONDS = 10;
+    private static final double MAX_NODE_SECONDS = 3;
+    private static final double MAX_DOWN_SECONDS = 2;
+    /** What the operators allow a router to be held up. */
+    private static final double MAX_STALL_SECONDS = 0.15;
+
+    private static final List<Mode> DISCOVERY_FAULTS = List.of(Mode.CROWDED, Mode.SLOW, Mode.DOWN, Mode.SILENT);
+    private static final List<ClusterNode.Mood> NODE_FAULTS =
+            List.of(ClusterNode.Mood.HUNG, ClusterNode.Mood.RESETTING, ClusterNode.Mood.DEAD);
+
+    private final Random random;
+    private final int routers;
+    private final int nodes;
+    private final List<TimedFault> faults = new ArrayList<>();
+
+    private SoakSchedule(long seed, int routers, int nodes) {
+        random = new Random(seed);
+        this.routers = routers;
+        this.nodes = nodes;
+    }
+
+    /** Draws the faults of a run; the first two nodes never drain, so that there is always one to serve. */
+    static List<TimedFault> random(long seed, int routers, int nodes, double seconds) {
+        var schedule = new SoakSchedule(seed, routers, nodes);
+        schedule.lane(seconds, MAX_DISCOVERY_SECONDS, schedule::discoveryFault);
+        schedule.lane(seconds, MAX_DRAIN_SECONDS, () -> new Drain(schedule.some(2, nodes / 2, nodes)));
+        schedule.lane(seconds, MAX_NODE_SECONDS, schedule::nodeFault);
+        schedule.lane(seconds, MAX_DOWN_SECONDS, schedule::routerFault);
+        schedule.faults.sort((a, b) -> Double.compare(a.begins, b.begins));
+        return List.copyOf(schedule.faults);
+    }
+
+    private void lane(double seconds, double longest, java.util.function.Supplier<SoakFault> next) {
+        double at = MAX_PAUSE_SECONDS * random.nextDouble();
+        while (at < seconds - MIN_SECONDS) {
+            double ends = Math.min(seconds, at + MIN_SECONDS + (longest - MIN_SECONDS) * random.nextDouble());
+            faults.add(new TimedFault(at, ends, next.get()));
+            at = ends + MAX_PAUSE_SECONDS * random.nextDouble();
+        }
+    }
+
+    private SoakFault discoveryFault() {
+        return new DiscoveryFault(DISCOVERY_FAULTS.get(random.nextInt(DISCOVERY_FAULTS.size())));
+    }
+
+    private SoakFault nodeFault() {
+        return random.nextInt(4) == 0
+                ? new Failover(random.nextInt(2))
+                : new NodeFault(1 + random.nextInt(nodes - 1), NODE_FAULTS.get(random.nextInt(NODE_FAULTS.size())));
+    }
+
+    private SoakFault routerFault() {
+        return switch (random.nextInt(4)) {
+            case 0 -> new Restart(some(0, (routers * 7 + 9) / 10, routers), false);
+            case 1 -> new Restart(some(0, (routers + 2) / 3, routers), true);
+            case 2 -> new DiscoveryMove(some(0, routers, routers));
+            default -> new Stall(random.nextInt(routers), MAX_STALL_SECONDS * random.nextDouble());
+        };
+    }
+
+    /** At least one and at most so many of the numbers from {@code first} up to {@code end}. */
+    private List<Integer> some(int first, int most, int end) {
+        var numbers = new ArrayList<>(IntStream.range(first, end).boxed().toList());
+        Collections.shuffle(numbers, random);
+        return List.copyOf(numbers.subList(0, 1 + random.nextInt(Math.min(most, numbers.size()))));
+    }
+}
--- a/clustertests/src/main/java/clayhook/clustertests/TestCluster.java
+++ b/clustertests/src/main/java/clayhook/clustertests/TestCluster.java
@@ -112,7 +112,7 @@
         relay = new DatagramRelay(clientsLoop, addresses, seed);
         directory = new DiscoveryServer(nodesLoop, cluster, () -> up().size());
         for (int i = 0; i < count; i++) {
-            var router = new RouterProcess("r" + i, addresses.get(i), jar, folder.resolve("r" + i));
+            var router = new RouterProcess("r" + i, addresses.get(i), RouterProgram.of(jar), folder.resolve("r" + i));
             router.configure(platform(router, i), operator(i, count, sharing));
             routers.add(router);
             router.start();
--- a/clustertests/src/test/java/clayhook/clustertests/CrowdedDiscoveryTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/CrowdedDiscoveryTest.java
@@ -26,7 +26,7 @@
 
     @Test
     void nothingNewGoesToDrainingNodesWhileDiscoveryRejectsPolls() throws Exception {
-        try (var fleet = new RouterFleet(ClusterTest.JAR, ROUTERS, NODES, ALL_CALLS_SECONDS, 1)) {
+        try (var fleet = new RouterFleet(RouterProgram.of(ClusterTest.JAR), ROUTERS, NODES, ALL_CALLS_SECONDS, 1)) {
             fleet.startLoad();
             assertTrue(fleet.await(() -> fleet.answered(Answer.WELL) > 10 * ROUTERS, RECOVERY_SECONDS), fleet::logs);
             List<RouterProcess> killed = fleet.routers().subList(0, (int) (KILLED_FRACTION * ROUTERS));
--- /dev/null
+++ b/clustertests/src/test/java/clayhook/clustertests/FaultSoakTest.java
@@ -0,0 +1,99 @@
+package clayhook.clustertests;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import clayhook.clustertests.CrowdedDiscovery.Mode;
+import clayhook.clustertests.FaultSoak.Verdict;
+import clayhook.clustertests.SoakFault.DiscoveryFault;
+import clayhook.clustertests.SoakFault.Drain;
+import clayhook.clustertests.SoakFault.Restart;
+import clayhook.clustertests.SoakSchedule.TimedFault;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.LongStream;
+import javax.tools.JavaCompiler;
+import javax.tools.SimpleJavaFileObject;
+import javax.tools.ToolProvider;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Random, overlapping faults of discovery, nodes and router processes, judged by the rules. A build plays one short
+ * seed; {@code -Dclayhook.soak.seeds=1-20 -Dclayhook.soak.routers=30 -Dclayhook.soak.seconds=60} plays more.
+ */
+class FaultSoakTest {
+    private static final int ROUTERS = Integer.getInteger("clayhook.soak.routers", 10);
+    private static final int SECONDS = Integer.getInteger("clayhook.soak.seconds", 20);
+    private static final int NODES = 8;
+    private static final double ALL_CALLS_SECONDS = 3;
+
+    /** A lease that never lapses: what the router did before there was one. */
+    private static final String LEASE_THAT_NEVER_LAPSES =
+            """
+            package clayhook;
+
+            public final class EndpointListLease {
+                public EndpointListLease(double startedAt) {}
+                public static EndpointListLease unlimited() { return new EndpointListLease(0); }
+                public void onConfirmed(double at) {}
+                public void onWatchAccepted(double waitEndsAt) {}
+                public void onWatchEnded() {}
+                public void onUnreachable(double at) {}
+                public void onReload(double at) {}
+                public boolean isValid(double now) { return true; }
+            }
+            """;
+
+    static LongStream seeds() {
+        String[] range = System.getProperty("clayhook.soak.seeds", "1").split("-", 2);
+        return LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[range.length - 1]));
+    }
+
+    private static Verdict play(RouterProgram program, int routers, List<TimedFault> faults, long seed)
+            throws IOException, InterruptedException {
+        try (var fleet = new RouterFleet(program, routers, NODES, ALL_CALLS_SECONDS, seed)) {
+            fleet.startLoad();
+            return FaultSoak.run(fleet, faults);
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void randomOverlappingFaultsBreakNoRule(long seed) throws Exception {
+        List<TimedFault> faults = SoakSchedule.random(seed, ROUTERS, NODES, SECONDS);
+        Verdict verdict = play(RouterProgram.of(ClusterTest.JAR), ROUTERS, faults, seed);
+        assertTrue(verdict.isClean(), () -> verdict + "\n" + faults);
+    }
+
+    @Test
+    void judgeFailsOnABuildWhoseListNeverGrowsOld(@TempDir Path classes) throws Exception {
+        compile(LEASE_THAT_NEVER_LAPSES, classes);
+        List<TimedFault> faults = List.of(
+                new TimedFault(1, 13, new DiscoveryFault(Mode.CROWDED)),
+                new TimedFault(1.2, 14, new Drain(List.of(5, 6, 7))),
+                new TimedFault(1.3, 1.5, new Restart(List.of(0, 1, 2, 3), false)));
+        Verdict verdict = play(new RouterProgram(ClusterTest.JAR, classes), 5, faults, 1);
+        assertFalse(verdict.drainViolations().isEmpty(), verdict::toString);
+    }
+
+    private static void compile(String source, Path into) {
+        JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
+        var file =
+                new SimpleJavaFileObject(
+                        URI.create("string:///clayhook/EndpointListLease.java"),
+                        javax.tools.JavaFileObject.Kind.SOURCE) {
+                    @Override
+                    public CharSequence getCharContent(boolean ignoreEncodingErrors) {
+                        return source;
+                    }
+                };
+        List<String> options = List.of("-d", into.toString());
+        assertTrue(
+                compiler.getTask(null, null, null, options, null, List.of(file)).call());
+    }
+}
--- a/core/src/main/java/clayhook/EndpointListLease.java
+++ b/core/src/main/java/clayhook/EndpointListLease.java
@@ -52,6 +52,12 @@
         coveredByWatchUntil = NEVER;
     }
 
+    /** The service has rejected the watch that was asked for then; what seemed confirmed since then is not. */
+    public void onWatchRejected(double polledAt) {
+        currentAt = Math.min(currentAt, polledAt);
+        onWatchEnded();
+    }
+
     /** The service could not be reached at this time, so that nothing from before can count as notified yet. */
     public void onUnreachable(double at) {
         currentAt = Math.max(currentAt, at);
--- a/core/src/test/java/clayhook/EndpointListLeaseTest.java
+++ b/core/src/test/java/clayhook/EndpointListLeaseTest.java
@@ -34,6 +34,16 @@
         assertFalse(lease.isValid(117));
     }
 
+    /** Observed with a crowded service: checks were answered with nothing new while the watch waited in the queue. */
+    @Test
+    void aRejectedWatchTakesBackWhatChecksConfirmedWhileItWasPending() {
+        lease.onConfirmed(110);
+        lease.onConfirmed(113);
+        lease.onWatchRejected(111);
+        assertTrue(lease.isValid(116.8));
+        assertFalse(lease.isValid(117));
+    }
+
     @Test
     void countsFromTheReturnOfAServiceThatCouldNotBeReached() {
         lease.onUnreachable(130);
--- a/daemon/src/main/java/clayhook/discovery/DiscoveryClient.java
+++ b/daemon/src/main/java/clayhook/discovery/DiscoveryClient.java
@@ -216,7 +216,7 @@
         if (closes) {
             discard(connection);
         }
-        listener.onWatchEvent(new WatchEvent.Ended(false));
+        listener.onWatchEvent(new WatchEvent.Ended());
         listener.onEndpointList(list);
         if (watchConnection == null) {
             ensureWatching();
@@ -252,9 +252,8 @@
             lateConnection = null;
         } else if (connection == watchConnection) {
             Log.warn("discovery", "discovery failed: " + reason + describeAge(connection));
-            // A rejection says nothing of the time before: the service may have had changes to report and no capacity.
-            boolean wasAlive = connection.isWatching() && !rejected;
-            listener.onWatchEvent(new WatchEvent.Ended(wasAlive));
+            listener.onWatchEvent(
+                    rejected ? new WatchEvent.Rejected(connection.secondsSincePoll()) : new WatchEvent.Ended());
             watchConnection = null;
             listener.onEndpointListFailed();
         } else {
--- a/daemon/src/main/java/clayhook/discovery/PollConnection.java
+++ b/daemon/src/main/java/clayhook/discovery/PollConnection.java
@@ -148,11 +148,6 @@
         return waits;
     }
 
-    /** Whether a long poll is pending that the service has accepted. */
-    boolean isWatching() {
-        return pendingPoll != null && waits && secondsSincePoll() * MILLIS_PER_SECOND >= ACCEPTED_AFTER_MS;
-    }
-
     /** Seconds since the last poll was sent. */
     double secondsSincePoll() {
         return (System.nanoTime() - polledAtNanos) / NANOS_PER_SECOND;
--- a/daemon/src/main/java/clayhook/discovery/WatchEvent.java
+++ b/daemon/src/main/java/clayhook/discovery/WatchEvent.java
@@ -8,8 +8,14 @@
     /** The service has accepted a watch, which waits for changes for so many seconds from now. */
     record Accepted(double remainingSeconds) implements WatchEvent {}
 
-    /** The watch has ended; {@code wasAlive}: until then it would have reported changes. */
-    record Ended(boolean wasAlive) implements WatchEvent {}
+    /** The watch has ended. */
+    record Ended() implements WatchEvent {}
+
+    /**
+     * The service has rejected the poll of the watch, which was sent so many seconds ago. It may have had changes to
+     * report since then, however it answered checks: while a watch is open these only repeat what the watch reported.
+     */
+    record Rejected(double polledSecondsAgo) implements WatchEvent {}
 
     /** The service refuses connections. */
     record Unreachable() implements WatchEvent {}
--- a/daemon/src/main/java/clayhook/serve/EndpointUpdates.java
+++ b/daemon/src/main/java/clayhook/serve/EndpointUpdates.java
@@ -24,8 +24,6 @@
  */
 final class EndpointUpdates implements EndpointWatcher.Listener {
     private static final long NO_VERSION = -1;
-    /** A watch that was alive has reported all changes but those of so many seconds before its end. */
-    private static final double MAX_DELIVERY_SECONDS = 1;
 
     private final EventInbox inbox;
     private final RoutingPolicy policy;
@@ -84,11 +82,10 @@
             lease.onConfirmed(at - confirmed.secondsAgo());
         } else if (event instanceof WatchEvent.Accepted accepted) {
             lease.onWatchAccepted(at + accepted.remainingSeconds());
-        } else if (event instanceof WatchEvent.Ended ended) {
+        } else if (event instanceof WatchEvent.Ended) {
             lease.onWatchEnded();
-            if (ended.wasAlive()) {
-                lease.onConfirmed(at - MAX_DELIVERY_SECONDS);
-            }
+        } else if (event instanceof WatchEvent.Rejected rejected) {
+            lease.onWatchRejected(at - rejected.polledSecondsAgo());
         } else {
             lease.onUnreachable(at);
         }
