--- a/core/src/test/java/clayhook/RoutingFixture.java
+++ b/core/src/test/java/clayhook/RoutingFixture.java
@@ -56,7 +56,7 @@
                 3,
                 1,
                 15);
-        policy = new RoutingPolicy(settings, builder.seed);
+        policy = new RoutingPolicy(settings, builder.seed, builder.lease);
         policy.onEndpointList(
                 List.of(
                         new Endpoint(primary, Endpoint.State.READY, false, 0),
@@ -81,6 +81,12 @@
         private boolean endpointListMustBePolled;
         private boolean goneIsBinding = true;
         private boolean healthChecksAllowed = true;
+        private EndpointListLease lease = EndpointListLease.unlimited();
+
+        Builder lease(EndpointListLease value) {
+            lease = value;
+            return this;
+        }
 
         Builder seed(long value) {
             seed = value;
@@ -157,6 +163,13 @@
         policy.onHealthCheck(node, result, now);
     }
 
+    /** The same for a node that holds requests, as of a time. */
+    void reportBusy(Node node, Role role, double position) {
+        var result = new AttemptResult(AttemptOutcome.ANSWERED, 0.001, Role.UNKNOWN, 0, role, position, 3);
+        healthCheckResults.put(node, result);
+        policy.onHealthCheck(node, result, now);
+    }
+
     void reportAll(double position) {
         report(primary, Role.PRIMARY, position);
         report(replica, Role.REPLICA, position);
