--- a/daemon/src/main/java/clayhook/discovery/DiscoveryClient.java
+++ b/daemon/src/main/java/clayhook/discovery/DiscoveryClient.java
@@ -1,6 +1,5 @@
 package clayhook.discovery;
 
-import clayhook.WatchPollPacing;
 import clayhook.log.Log;
 import clayhook.transport.Transport;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -29,7 +28,6 @@
     private final EndpointWatcher.Listener listener;
     private final int longPollMs;
     private final WatchLivenessCheck livenessCheck;
-    private final WatchPollPacing pacing;
     /** The newest list version that was reported, or {@link PollConnection#NO_VERSION}. */
     private long version;
     /** Carries the watch, or null. */
@@ -45,8 +43,6 @@
     private PollConnection checkConnection;
     /** The next check; null before the first watch and after {@link #close}. */
     private ScheduledFuture<?> scheduledCheck;
-    /** The next poll of the watch, where it is delayed; null before the first one. */
-    private ScheduledFuture<?> scheduledPoll;
 
     /** {@code longPollSeconds}: how long a watch waits for changes. */
     DiscoveryClient(
@@ -55,13 +51,11 @@
             long version,
             double longPollSeconds,
             WatchLivenessCheck livenessCheck,
-            WatchPollPacing pacing,
             EndpointWatcher.Listener listener) {
         this.transport = transport;
         this.address = address;
         this.version = version;
         this.livenessCheck = livenessCheck;
-        this.pacing = pacing;
         this.listener = listener;
         longPollMs = (int) Math.round(longPollSeconds * MILLIS_PER_SECOND);
     }
@@ -97,9 +91,6 @@
             scheduledCheck.cancel(false);
             scheduledCheck = null;
         }
-        if (scheduledPoll != null) {
-            scheduledPoll.cancel(false);
-        }
     }
 
     private static void discard(PollConnection connection) {
@@ -222,24 +213,7 @@
         if (watchConnection == null) {
             ensureWatching();
         } else {
-            pollAgain(watchConnection);
-        }
-    }
-
-    private void pollAgain(PollConnection connection) {
-        double seconds = pacing.secondsUntilNextPoll(System.nanoTime() / NANOS_PER_SECOND);
-        if (seconds == 0) {
-            poll(connection);
-            return;
-        }
-        connection.endPoll();
-        long nanos = (long) (seconds * NANOS_PER_SECOND);
-        scheduledPoll = transport.eventLoop().schedule(() -> pollIfIdle(connection), nanos, TimeUnit.NANOSECONDS);
-    }
-
-    private void pollIfIdle(PollConnection connection) {
-        if (connection == watchConnection && !connection.isPolling()) {
-            poll(connection);
+            poll(watchConnection);
         }
     }
 
--- a/daemon/src/main/java/clayhook/discovery/EndpointWatcher.java
+++ b/daemon/src/main/java/clayhook/discovery/EndpointWatcher.java
@@ -1,6 +1,5 @@
 package clayhook.discovery;
 
-import clayhook.WatchPollPacing;
 import clayhook.transport.Transport;
 import java.net.InetSocketAddress;
 import java.util.random.RandomGenerator;
@@ -65,13 +64,7 @@
 
         private ServiceWatch(InetSocketAddress address, long version) {
             client = new DiscoveryClient(
-                    transport,
-                    address,
-                    version,
-                    longPollSeconds,
-                    new WatchLivenessCheck(random),
-                    new WatchPollPacing(random),
-                    this);
+                    transport, address, version, longPollSeconds, new WatchLivenessCheck(random), this);
         }
 
         @Override
