Name the parts of the cluster tests by the terms of the field

Witness is the history, mood the behavior, trouble a fault, said the logs, calm stopLoad, inflict and heal begin and end.

--- a/clustertests/src/main/java/clayhook/clustertests/ClusterFault.java
+++ b/clustertests/src/main/java/clayhook/clustertests/ClusterFault.java
@@ -7,7 +7,7 @@
  */
 public sealed interface ClusterFault {
     /** All links do this. */
-    record Everywhere(LinkFault trouble) implements ClusterFault {}
+    record Everywhere(LinkFault fault) implements ClusterFault {}
 
     /** Nothing gets across between these routers and the others. */
     record Split(Set<Integer> side) implements ClusterFault {}
--- a/clustertests/src/main/java/clayhook/clustertests/ClusterNode.java
+++ b/clustertests/src/main/java/clayhook/clustertests/ClusterNode.java
@@ -21,16 +21,16 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** A node on a socket that tells the witness what it runs, for whom. Its state may be changed by any thread. */
+/** A node on a socket that tells the history what it runs, for whom. Its state may be changed by any thread. */
 @SuppressWarnings("FutureReturnValueIgnored") // a write or close that fails shows as the end of its channel
 public final class ClusterNode {
     /** What it does with a statement. */
-    public enum Mood {
+    public enum Behavior {
         WELL,
         /** Takes it and does nothing. */
         HUNG,
         /** Runs it and says nothing: what becomes of a charge is known to nobody but the node. */
-        SPEECHLESS,
+        SILENT,
         /** Runs it and resets the connection. */
         RESETTING,
         /** Ends each connection at once. */
@@ -46,7 +46,7 @@
     private final TestReplicaSet cluster;
     private final Channel listening;
     private final Set<Channel> connections = ConcurrentHashMap.newKeySet();
-    private volatile Mood mood = Mood.WELL;
+    private volatile Behavior behavior = Behavior.WELL;
     private volatile Endpoint.State state = Endpoint.State.READY;
     private volatile double stateSince;
     private volatile double startedAt;
@@ -94,9 +94,9 @@
         return state != Endpoint.State.READY && HistoryRecorder.now() > stateSince + cluster.drainLeadSeconds();
     }
 
-    public void mood(Mood next) {
-        mood = next;
-        if (next == Mood.DEAD) {
+    public void behavior(Behavior next) {
+        behavior = next;
+        if (next == Behavior.DEAD) {
             connections.forEach(Channel::close);
         }
     }
@@ -104,7 +104,7 @@
     /** Comes back cold after its death. */
     public void restart() {
         startedAt = HistoryRecorder.now();
-        mood = Mood.WELL;
+        behavior = Behavior.WELL;
         cluster.listChanged();
     }
 
@@ -122,11 +122,11 @@
         return leads() ? HistoryRecorder.now() : stalled > 0 ? stalled : HistoryRecorder.now() - TestReplicaSet.LAG;
     }
 
-    private void reckonCold() {
+    private void recordSlowStartWork() {
         double age = HistoryRecorder.now() - startedAt;
         double cold = cluster.settings.initialCapacityFraction();
         if (startedAt > 0 && age < cluster.settings.slowStartSeconds()) {
-            cluster.witness.worked(
+            cluster.history.worked(
                     node, WORK, CAPACITY * (cold + (1 - cold) * age / cluster.settings.slowStartSeconds()));
         }
     }
@@ -148,7 +148,7 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             connections.add(ctx.channel());
-            if (mood == Mood.DEAD) {
+            if (behavior == Behavior.DEAD) {
                 ctx.close();
             }
         }
@@ -160,7 +160,7 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
-            if (mood == Mood.HUNG) {
+            if (behavior == Behavior.HUNG) {
                 return;
             } else if (message instanceof ClientMessage.Startup startup) {
                 router = startup.parameters().getOrDefault("user", "");
@@ -168,9 +168,9 @@
             } else if (message instanceof ClientMessage.SqlQuery sql) {
                 KeyValueStatement statement = statement(sql.text());
                 ByteBuf answer = statement == null ? row(null, position()) : run(statement);
-                if (statement == null || mood == Mood.WELL) {
+                if (statement == null || behavior == Behavior.WELL) {
                     ctx.writeAndFlush(answer);
-                } else if (mood != Mood.SPEECHLESS) {
+                } else if (behavior != Behavior.SILENT) {
                     ctx.close();
                 }
             }
@@ -185,10 +185,10 @@
             if (group == null || (group.requiresPrimary() && !leads())) {
                 return MessageEncoder.error(false, "25006", "not here", null);
             }
-            reckonCold();
+            recordSlowStartWork();
             boolean writes = group.consistency() == ConsistencyLevel.WRITE;
             double position = writes ? cluster.write(group, statement.requestId) : position();
-            cluster.witness.ran(statement.requestId, node, position);
+            cluster.history.ran(statement.requestId, node, position);
             return row(Double.toString(position), writes ? position : position());
         }
 
--- a/clustertests/src/main/java/clayhook/clustertests/CrowdedDiscovery.java
+++ b/clustertests/src/main/java/clayhook/clustertests/CrowdedDiscovery.java
@@ -154,7 +154,7 @@
         schedule(done - now + (mode == Mode.SLOW ? SLOW_SECONDS : 0), () -> handle(call));
     }
 
-    @SuppressWarnings("ReturnValueIgnored") // a rejection to a caller that has gone is of no interest
+    @SuppressWarnings("ReturnValueIgnored") // a rejection to a client that has gone is of no interest
     private void reject(Call call, double afterSeconds) {
         rejections++;
         schedule(afterSeconds, () -> call.answer.test(REJECTION));
--- a/clustertests/src/main/java/clayhook/clustertests/LoadClient.java
+++ b/clustertests/src/main/java/clayhook/clustertests/LoadClient.java
@@ -21,7 +21,7 @@
     private static final long AGAIN_MS = 20;
 
     private final Transport transport;
-    private final HistoryRecorder witness;
+    private final HistoryRecorder history;
     /** Connections that stand, by router. */
     private final Map<RouterProcess, StubClient> connections = new HashMap<>();
 
@@ -32,9 +32,9 @@
     private String last;
 
     /** {@code carries}: its reads tell when it last wrote. */
-    LoadClient(Transport transport, HistoryRecorder witness, boolean carries) {
+    LoadClient(Transport transport, HistoryRecorder history, boolean carries) {
         this.transport = transport;
-        this.witness = witness;
+        this.history = history;
         this.carries = carries;
         name = "s" + IDS.incrementAndGet();
     }
@@ -57,7 +57,7 @@
         boolean writes = group.consistency() == ConsistencyLevel.WRITE;
         boolean own = group.consistency() == ConsistencyLevel.SESSION && wroteAt > 0;
         double patience = group.clientTimeoutSeconds() + HistoryRecorder.MACHINE;
-        witness.asked(id, group, own ? wroteAt : 0, router.name(), patience);
+        history.asked(id, group, own ? wroteAt : 0, router.name(), patience);
         ByteBuf statement = StubClient.statement(
                 writes,
                 name,
@@ -71,13 +71,13 @@
                 || word.equals(StubClient.NO_CONNECTION)
                 || word.equals("closed")
                 || (value && word.endsWith("closed"))) {
-            witness.unanswered(id, word);
+            history.unanswered(id, word);
             leave(router);
             Thread.sleep(AGAIN_MS);
             return Answer.NONE;
         }
         last = id;
-        witness.answered(id, word.startsWith(THROTTLED), value);
+        history.answered(id, word.startsWith(THROTTLED), value);
         wroteAt = value && writes ? Math.max(wroteAt, Double.parseDouble(word)) : wroteAt;
         return value ? Answer.WELL : word.startsWith(THROTTLED) ? Answer.THROTTLED : Answer.FAILED;
     }
@@ -90,7 +90,7 @@
             standing.send(statement);
             return standing.nextAnswer(patience);
         } else if (standing != null && !stray.equals("closed")) {
-            witness.answered(last, false, false); // a second answer, which is what the witness will say
+            history.answered(last, false, false); // a second answer, which is what the history will say
         }
         leave(router);
         var opened = new StubClient(transport, router.address());
@@ -113,7 +113,7 @@
         connections.clear();
     }
 
-    /** Whether a router takes commands; asks nothing that the witness hears of. */
+    /** Whether a router takes commands; asks nothing that the history hears of. */
     static boolean greeted(Transport transport, InetSocketAddress router, double seconds) throws InterruptedException {
         var client = new StubClient(transport, router);
         client.send(MessageEncoder.startupMessage("client", "core"));
--- a/clustertests/src/main/java/clayhook/clustertests/NetworkLink.java
+++ b/clustertests/src/main/java/clayhook/clustertests/NetworkLink.java
@@ -17,7 +17,7 @@
     /** Bytes changed in a garbled datagram at most. */
     private static final int MOST_CHANGED = 4;
 
-    /** When a datagram leaves, seconds on the caller's clock, and its bytes. */
+    /** When a datagram leaves, seconds on the client's clock, and its bytes. */
     record Departure(double at, byte[] bytes) {}
 
     /** What became of datagrams so far. */
@@ -31,7 +31,7 @@
 
     private final SplittableRandom random;
     private final AtomicLong[] counts = new AtomicLong[Delivery.values().length];
-    private volatile LinkFault trouble = LinkFault.NONE;
+    private volatile LinkFault fault = LinkFault.NONE;
     private double freeAt;
 
     NetworkLink(SplittableRandom random) {
@@ -42,8 +42,8 @@
     }
 
     /** From now on; by any thread. */
-    public void trouble(LinkFault next) {
-        trouble = next;
+    public void fault(LinkFault next) {
+        fault = next;
     }
 
     /** Of all datagrams that came this way; {@link Delivery#CAME} counts each. By any thread. */
@@ -61,7 +61,7 @@
 
     /** A datagram came; none, one or two leave for it. */
     List<Departure> take(byte[] bytes, double now) {
-        LinkFault ruling = trouble;
+        LinkFault ruling = fault;
         counts[Delivery.CAME.ordinal()].incrementAndGet();
         double leaves = ruling.rate() > 0 ? Math.max(now, freeAt) + bytes.length / ruling.rate() : now;
         boolean full = leaves > now + BACKLOG;
--- a/clustertests/src/main/java/clayhook/clustertests/RouterProgram.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RouterProgram.java
@@ -8,7 +8,7 @@
  * What a router process runs.
  *
  * @param jar the program
- * @param replacedClasses a directory of classes that take the place of the jar's, or null: for builds that are broken
+ * @param replacedClasses a discovery of classes that take the place of the jar's, or null: for builds that are broken
  *     on purpose, on which a judge has to fail
  */
 public record RouterProgram(Path jar, Path replacedClasses) {
--- a/clustertests/src/main/java/clayhook/clustertests/SoakFault.java
+++ b/clustertests/src/main/java/clayhook/clustertests/SoakFault.java
@@ -62,15 +62,15 @@
     }
 
     /** A node hangs, resets connections under requests, or is dead. */
-    record NodeFault(int node, ClusterNode.Mood mood) implements SoakFault {
+    record NodeFault(int node, ClusterNode.Behavior behavior) implements SoakFault {
         @Override
         public void begin(RouterFleet fleet) {
-            fleet.nodes().get(node).mood(mood);
+            fleet.nodes().get(node).behavior(behavior);
         }
 
         @Override
         public void end(RouterFleet fleet) {
-            fleet.nodes().get(node).mood(ClusterNode.Mood.WELL);
+            fleet.nodes().get(node).behavior(ClusterNode.Behavior.WELL);
         }
     }
 
--- a/clustertests/src/main/java/clayhook/clustertests/SoakSchedule.java
+++ b/clustertests/src/main/java/clayhook/clustertests/SoakSchedule.java
@@ -41,8 +41,8 @@
     private static final double MAX_STALL_SECONDS = 0.15;
 
     private static final List<Mode> DISCOVERY_FAULTS = List.of(Mode.CROWDED, Mode.SLOW, Mode.DOWN, Mode.SILENT);
-    private static final List<ClusterNode.Mood> NODE_FAULTS =
-            List.of(ClusterNode.Mood.HUNG, ClusterNode.Mood.RESETTING, ClusterNode.Mood.DEAD);
+    private static final List<ClusterNode.Behavior> NODE_FAULTS =
+            List.of(ClusterNode.Behavior.HUNG, ClusterNode.Behavior.RESETTING, ClusterNode.Behavior.DEAD);
 
     private final Random random;
     private final int routers;
--- a/clustertests/src/main/java/clayhook/clustertests/TestCluster.java
+++ b/clustertests/src/main/java/clayhook/clustertests/TestCluster.java
@@ -53,10 +53,10 @@
     /** Longer than any start or answer takes, even where several such trials share a machine. */
     public static final double PATIENCE = 60;
 
-    private static final long LOOK_MS = 10;
+    private static final long POLL_MS = 10;
     /** No session comes to another router sooner than this after its write: a little more than routers count on. */
     public static final long ROAM_MS = 600;
-    /** Datagrams by which a trouble of links has shown. */
+    /** Datagrams by which a fault of links has shown. */
     private static final int ENOUGH = 300;
     /** What a router logs of its members and of each kind of what it shares: its hash and size. */
     private static final Pattern FIGURES = Pattern.compile("members \\d+ alive \\d+, digests( \\S+=\\w+/\\d+)+");
@@ -69,10 +69,10 @@
     private final Path folder = Files.createTempDirectory("trial");
     private final Transport nodesLoop = Transport.tcp();
     private final Transport clientsLoop = Transport.tcp();
-    private final HistoryRecorder witness = new HistoryRecorder(READ);
+    private final HistoryRecorder history = new HistoryRecorder(READ);
     private final TestReplicaSet cluster;
     private final List<RouterProcess> routers = new ArrayList<>();
-    private final DiscoveryServer directory;
+    private final DiscoveryServer discovery;
     private final DatagramRelay relay;
     private final long seed;
     private final boolean carried;
@@ -106,11 +106,11 @@
         this.seed = seed;
         this.carried = carried;
         Runtime.getRuntime().addShutdownHook(atExit);
-        cluster = new TestReplicaSet(nodesLoop, 3, ZONES, READ, witness);
+        cluster = new TestReplicaSet(nodesLoop, 3, ZONES, READ, history);
         List<InetSocketAddress> addresses =
                 IntStream.range(0, count).mapToObj(i -> spare()).toList();
         relay = new DatagramRelay(clientsLoop, addresses, seed);
-        directory = new DiscoveryServer(nodesLoop, cluster, () -> up().size());
+        discovery = new DiscoveryServer(nodesLoop, cluster, () -> up().size());
         for (int i = 0; i < count; i++) {
             var router = new RouterProcess("r" + i, addresses.get(i), RouterProgram.of(jar), folder.resolve("r" + i));
             router.configure(platform(router, i), operator(i, count, sharing));
@@ -143,7 +143,7 @@
 
     private String platform(RouterProcess router, int number) {
         return "{\"name\": \"" + router.name() + "\", \"listen\": " + text(router.address()) + ", \"discovery\": "
-                + text(directory.address()) + ", \"seed\": \"" + Long.toHexString(seed + number) + "\", \"known\": "
+                + text(discovery.address()) + ", \"seed\": \"" + Long.toHexString(seed + number) + "\", \"known\": "
                 + cluster.list()
                 + ", \"settings\": "
                 + SETTINGS.formatted(ZONES.get(number % ZONES.size()), carried ? "carried" : "remembered") + "}";
@@ -167,7 +167,7 @@
             if (!router.runs() || HistoryRecorder.now() > until) {
                 throw new IllegalStateException(router.name() + " does not take commands: " + router.since(0));
             }
-            Thread.sleep(LOOK_MS);
+            Thread.sleep(POLL_MS);
         }
     }
 
@@ -185,27 +185,27 @@
         return cluster;
     }
 
-    public DiscoveryServer directory() {
-        return directory;
+    public DiscoveryServer discovery() {
+        return discovery;
     }
 
-    public HistoryRecorder witness() {
-        return witness;
+    public HistoryRecorder history() {
+        return history;
     }
 
     /** A new session. */
-    public LoadClient caller() {
-        return new LoadClient(clientsLoop, witness, carried);
+    public LoadClient newClient() {
+        return new LoadClient(clientsLoop, history, carried);
     }
 
     // ---- faults ----
 
-    public void inflict(ClusterFault fault) throws IOException, InterruptedException {
+    public void begin(ClusterFault fault) throws IOException, InterruptedException {
         if (fault instanceof ClusterFault.Stopped stopped) {
-            witness.down(routers.get(stopped.router()).name());
+            history.down(routers.get(stopped.router()).name());
             routers.get(stopped.router()).signal("STOP");
         } else if (fault instanceof ClusterFault.Killed killed) {
-            killed.routers().forEach(i -> witness.down(routers.get(i).name()));
+            killed.routers().forEach(i -> history.down(routers.get(i).name()));
             killed.routers().forEach(i -> routers.get(i).kill());
             for (int router : killed.routers()) {
                 routers.get(router).ended();
@@ -216,17 +216,17 @@
     }
 
     /** Ends it; returns when those that had gone take commands again. */
-    public void heal(ClusterFault fault) throws IOException, InterruptedException {
+    public void end(ClusterFault fault) throws IOException, InterruptedException {
         if (fault instanceof ClusterFault.Stopped stopped) {
             routers.get(stopped.router()).signal("CONT");
-            witness.up(routers.get(stopped.router()).name());
+            history.up(routers.get(stopped.router()).name());
         } else if (fault instanceof ClusterFault.Killed killed) {
             for (int router : killed.routers()) {
                 routers.get(router).start();
             }
             for (int router : killed.routers()) {
                 greet(routers.get(router));
-                witness.up(routers.get(router).name());
+                history.up(routers.get(router).name());
             }
         } else {
             links(fault, false);
@@ -236,18 +236,18 @@
     private void links(ClusterFault fault, boolean begins) {
         for (int from = 0; from < routers.size(); from++) {
             for (int to = 0; to < routers.size(); to++) {
-                LinkFault trouble = trouble(fault, from, to);
-                if (trouble != null) {
-                    relay.link(from, to).trouble(begins ? trouble : LinkFault.NONE);
+                LinkFault linkFault = linkFault(fault, from, to);
+                if (linkFault != null) {
+                    relay.link(from, to).fault(begins ? linkFault : LinkFault.NONE);
                 }
             }
         }
     }
 
     /** What it does to that link; null for nothing. */
-    private static LinkFault trouble(ClusterFault fault, int from, int to) {
+    private static LinkFault linkFault(ClusterFault fault, int from, int to) {
         if (fault instanceof ClusterFault.Everywhere everywhere) {
-            return everywhere.trouble();
+            return everywhere.fault();
         } else if (fault instanceof ClusterFault.Split split) {
             return split.side().contains(from) != split.side().contains(to) ? LinkFault.CUT : null;
         } else if (fault instanceof ClusterFault.OneWay way) {
@@ -264,7 +264,7 @@
         for (int i = 0; i < 2 * routers.size() + 2; i++) {
             int home = i / 2;
             var random = new Random(seed * 31 + i);
-            var thread = new Thread(() -> work(caller(), home, random), "client " + i);
+            var thread = new Thread(() -> work(newClient(), home, random), "client " + i);
             thread.setDaemon(true);
             thread.start();
             load.add(thread);
@@ -272,15 +272,15 @@
     }
 
     /** {@code home}: the number of its router; one beyond them all roams. */
-    private void work(LoadClient caller, int home, Random random) {
+    private void work(LoadClient client, int home, Random random) {
         try {
             RouterProcess router = routers.get(home % routers.size());
             while (loaded) {
-                if (home >= routers.size() && (witness.isDown(router.name()) || random.nextInt(50) == 0)) {
+                if (home >= routers.size() && (history.isDown(router.name()) || random.nextInt(50) == 0)) {
                     Thread.sleep(ROAM_MS);
                     router = routers.get(random.nextInt(routers.size()));
                 } else {
-                    caller.ask(
+                    client.ask(
                             router,
                             READ.requestClasses()
                                     .get(random.nextInt(READ.requestClasses().size())));
@@ -290,12 +290,12 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
-            caller.close();
+            client.close();
         }
     }
 
     /** Ends the load; returns when the last command is over. */
-    public void calm() throws InterruptedException {
+    public void stopLoad() throws InterruptedException {
         loaded = false;
         for (Thread client : load) {
             client.join();
@@ -312,7 +312,7 @@
             if (HistoryRecorder.now() > until) {
                 return false;
             }
-            Thread.sleep(LOOK_MS);
+            Thread.sleep(POLL_MS);
         }
         return true;
     }
@@ -320,14 +320,14 @@
     /** Waits until each of those routers has answered that many more commands of the load with a value. */
     public boolean serve(List<RouterProcess> those, int more) throws InterruptedException {
         List<Integer> before =
-                those.stream().map(router -> witness.answered(router.name())).toList();
+                those.stream().map(router -> history.answered(router.name())).toList();
         return await(() -> IntStream.range(0, those.size())
-                .allMatch(i -> witness.answered(those.get(i).name()) >= before.get(i) + more));
+                .allMatch(i -> history.answered(those.get(i).name()) >= before.get(i) + more));
     }
 
     /** The routers that neither stand still nor are gone. */
     public List<RouterProcess> up() {
-        return routers.stream().filter(router -> !witness.isDown(router.name())).toList();
+        return routers.stream().filter(router -> !history.isDown(router.name())).toList();
     }
 
     /**
@@ -362,7 +362,7 @@
     }
 
     /** What each router logged last, to explain a verdict. */
-    public String said() {
+    public String logs() {
         return routers.stream()
                 .map(router -> router.since(Math.max(0, router.mark() - 12)).toString())
                 .collect(Collectors.joining("\n"));
@@ -372,7 +372,7 @@
     public void close() throws IOException {
         try {
             routers.forEach(RouterProcess::kill);
-            calm();
+            stopLoad();
             for (RouterProcess router : routers) {
                 router.ended();
             }
--- a/clustertests/src/main/java/clayhook/clustertests/TestReplicaSet.java
+++ b/clustertests/src/main/java/clayhook/clustertests/TestReplicaSet.java
@@ -20,7 +20,7 @@
     /** From a commit until replicas hold it, in seconds. */
     static final double LAG = 0.02;
 
-    final HistoryRecorder witness;
+    final HistoryRecorder history;
     private final List<ClusterNode> nodes = new ArrayList<>();
     final RoutingSettings settings;
     private final Map<String, RequestClass> groups;
@@ -38,9 +38,9 @@
     private int version = 1;
 
     /** The first node is primary. All listen on one loop. */
-    TestReplicaSet(Transport transport, int size, List<String> zones, RoutingSettings settings, HistoryRecorder witness)
+    TestReplicaSet(Transport transport, int size, List<String> zones, RoutingSettings settings, HistoryRecorder history)
             throws InterruptedException {
-        this.witness = witness;
+        this.history = history;
         this.settings = settings;
         groups = settings.requestClasses().stream().collect(Collectors.toMap(RequestClass::name, group -> group));
         for (int i = 0; i < size; i++) {
@@ -87,7 +87,7 @@
     }
 
     void requestArrived(String router, Node node) {
-        witness.came(router, node);
+        history.came(router, node);
         requestListener.accept(router, node);
     }
 
--- a/clustertests/src/test/java/clayhook/clustertests/ClusterTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/ClusterTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import clayhook.Endpoint;
-import clayhook.clustertests.ClusterNode.Mood;
+import clayhook.clustertests.ClusterNode.Behavior;
 import java.nio.file.Path;
 import java.util.Map;
 import org.junit.jupiter.api.Tag;
@@ -19,56 +19,56 @@
     /** Commands with an answer that each router must give before the next thing happens. */
     static final int SOME = 20;
 
-    static void verdict(TestCluster trial) throws InterruptedException {
-        trial.calm();
-        assertEquals(Map.of(), trial.witness().broken(), () -> trial.witness().firstBroken() + "\n" + trial.said());
+    static void verdict(TestCluster fleet) throws InterruptedException {
+        fleet.stopLoad();
+        assertEquals(Map.of(), fleet.history().broken(), () -> fleet.history().firstBroken() + "\n" + fleet.logs());
     }
 
     /**
      * Nothing new comes to what drains once routers know; and what is dead, deposed, behind or in doubt breaks no rule.
      */
-    private static void troubleNodes(TestCluster trial) throws InterruptedException {
-        TestReplicaSet cluster = trial.cluster();
+    private static void troubleNodes(TestCluster fleet) throws InterruptedException {
+        TestReplicaSet cluster = fleet.cluster();
         ClusterNode old = cluster.nodes().get(0);
         ClusterNode replica = cluster.nodes().get(1);
         replica.state(Endpoint.State.DRAINING);
-        assertTrue(trial.serve(trial.up(), 5 * SOME), trial::said);
-        int before = trial.witness().runs(replica.node());
-        assertTrue(trial.serve(trial.up(), 2 * SOME), trial::said);
-        assertEquals(before, trial.witness().runs(replica.node()));
+        assertTrue(fleet.serve(fleet.up(), 5 * SOME), fleet::logs);
+        int before = fleet.history().runs(replica.node());
+        assertTrue(fleet.serve(fleet.up(), 2 * SOME), fleet::logs);
+        assertEquals(before, fleet.history().runs(replica.node()));
         replica.state(Endpoint.State.READY);
-        for (Mood mood : Mood.values()) {
-            replica.mood(mood);
-            assertTrue(trial.serve(trial.up(), SOME), trial::said);
-            replica.mood(Mood.WELL);
+        for (Behavior behavior : Behavior.values()) {
+            replica.behavior(behavior);
+            assertTrue(fleet.serve(fleet.up(), SOME), fleet::logs);
+            replica.behavior(Behavior.WELL);
         }
-        old.mood(Mood.RESETTING);
-        assertTrue(trial.serve(trial.up(), SOME), trial::said);
-        old.mood(Mood.DEAD);
+        old.behavior(Behavior.RESETTING);
+        assertTrue(fleet.serve(fleet.up(), SOME), fleet::logs);
+        old.behavior(Behavior.DEAD);
         cluster.promote(cluster.nodes().get(2));
-        assertTrue(trial.serve(trial.up(), SOME), trial::said);
+        assertTrue(fleet.serve(fleet.up(), SOME), fleet::logs);
         old.restart();
         replica.stall(true);
-        assertTrue(trial.serve(trial.up(), 2 * SOME), trial::said);
+        assertTrue(fleet.serve(fleet.up(), 2 * SOME), fleet::logs);
         replica.stall(false);
     }
 
     @ParameterizedTest
     @ValueSource(longs = 1)
     void withoutSharingRoutersServeOnWhileOthersAreStoppedAndKilledAndTheRulesAreKept(long seed) throws Exception {
-        try (var trial = new TestCluster(JAR, ROUTERS, null, true, seed)) {
-            trial.load();
-            assertTrue(trial.serve(trial.up(), SOME), trial::said);
+        try (var fleet = new TestCluster(JAR, ROUTERS, null, true, seed)) {
+            fleet.load();
+            assertTrue(fleet.serve(fleet.up(), SOME), fleet::logs);
             for (ClusterFault fault : FaultSchedule.of(seed, ROUTERS)) {
                 if (fault instanceof ClusterFault.Stopped || fault instanceof ClusterFault.Killed) {
-                    trial.inflict(fault);
-                    assertTrue(trial.serve(trial.up(), SOME), trial::said);
-                    trial.heal(fault);
-                    assertTrue(trial.serve(trial.up(), SOME), trial::said);
+                    fleet.begin(fault);
+                    assertTrue(fleet.serve(fleet.up(), SOME), fleet::logs);
+                    fleet.end(fault);
+                    assertTrue(fleet.serve(fleet.up(), SOME), fleet::logs);
                 }
             }
-            troubleNodes(trial);
-            verdict(trial);
+            troubleNodes(fleet);
+            verdict(fleet);
         }
     }
 }
--- a/clustertests/src/test/java/clayhook/clustertests/DatagramRelayTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/DatagramRelayTest.java
@@ -49,7 +49,7 @@
             send(b, 2, seen);
             assertEquals(relay.address(1), receive(a, 2));
 
-            relay.link(0, 1).trouble(LinkFault.CUT);
+            relay.link(0, 1).fault(LinkFault.CUT);
             send(a, 3, relay.address(1));
             send(stranger, 4, relay.address(1));
             send(b, 5, relay.address(0));
@@ -59,7 +59,7 @@
                     Thread.sleep(1);
                 }
             });
-            relay.link(0, 1).trouble(LinkFault.NONE);
+            relay.link(0, 1).fault(LinkFault.NONE);
             send(a, 6, relay.address(1));
             receive(b, 6); // neither the one that was cut off nor the stranger's
             assertEquals(1, relay.link(0, 1).count(NetworkLink.Delivery.LOST));
--- a/clustertests/src/test/java/clayhook/clustertests/HistoryRecorderTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/HistoryRecorderTest.java
@@ -11,8 +11,8 @@
 class HistoryRecorderTest {
     private static final Node FIRST = new Node("n0", "a", 1), SECOND = new Node("n1", "a", 1);
 
-    private static void ask(HistoryRecorder witness, RequestClass group) {
-        witness.asked("id", group, HistoryRecorder.now(), "r0", 1);
+    private static void ask(HistoryRecorder history, RequestClass group) {
+        history.asked("id", group, HistoryRecorder.now(), "r0", 1);
     }
 
     @ParameterizedTest
@@ -33,43 +33,43 @@
         "within the bound, ''"
     })
     void theVerdictIsThat(String what, String rule) {
-        var witness = new HistoryRecorder(TestCluster.settings());
+        var history = new HistoryRecorder(TestCluster.settings());
         boolean writes = what.contains("charge") || what.contains("keyed");
         if (what.startsWith("stopped")) {
-            witness.down("r0");
+            history.down("r0");
         }
         if (what.endsWith("back before")) {
-            witness.up("r0");
+            history.up("r0");
         }
         ask(
-                witness,
+                history,
                 what.contains("keyed")
                         ? TestCluster.WRITE
                         : writes
                                 ? TestCluster.CHARGE
                                 : what.contains("session") ? TestCluster.SESSION : TestCluster.BOUNDED);
         if (what.endsWith("router") || what.equals("killed")) {
-            witness.down("r0");
-            witness.up("r0");
+            history.down("r0");
+            history.up("r0");
         }
         double age = what.startsWith("older") ? 1.1 : what.startsWith("within") ? 0.9 : 0;
-        witness.ran("id", FIRST, writes ? 0 : HistoryRecorder.now() - age);
+        history.ran("id", FIRST, writes ? 0 : HistoryRecorder.now() - age);
         if (what.contains("twice")) {
-            witness.ran("id", SECOND, 0);
+            history.ran("id", SECOND, 0);
         }
         if ((rule.equals("ONE_ANSWER") && !what.startsWith("two"))
                 || what.startsWith("killed")
                 || what.startsWith("stopped")) {
-            witness.unanswered("id", null);
+            history.unanswered("id", null);
         } else {
-            witness.answered("id", what.startsWith("throttled"), true);
+            history.answered("id", what.startsWith("throttled"), true);
         }
         if (what.startsWith("two")) {
-            witness.answered("id", false, true);
+            history.answered("id", false, true);
         }
         assertEquals(
                 rule,
                 String.join(
-                        ",", witness.broken().keySet().stream().map(Enum::name).toList()));
+                        ",", history.broken().keySet().stream().map(Enum::name).toList()));
     }
 }
--- a/clustertests/src/test/java/clayhook/clustertests/NetworkLinkTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/NetworkLinkTest.java
@@ -28,9 +28,9 @@
         return out;
     }
 
-    private static NetworkLink link(LinkFault trouble) {
+    private static NetworkLink link(LinkFault fault) {
         var link = new NetworkLink(new SplittableRandom(1));
-        link.trouble(trouble);
+        link.fault(fault);
         return link;
     }
 
@@ -88,7 +88,7 @@
         assertTrue(
                 left.size() >= least && left.size() <= rate / BYTES * (1 + NetworkLink.BACKLOG), left.size() + " left");
         assertTrue(left.stream().allMatch(departure -> departure.at() <= end + 0.001));
-        link.trouble(LinkFault.NONE);
+        link.fault(LinkFault.NONE);
         assertArrayEquals(new byte[] {1}, link.take(new byte[] {1}, 5).get(0).bytes());
     }
 }
--- a/clustertests/src/test/java/clayhook/clustertests/SharingClusterTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/SharingClusterTest.java
@@ -10,7 +10,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import clayhook.Endpoint;
-import clayhook.clustertests.ClusterNode.Mood;
+import clayhook.clustertests.ClusterNode.Behavior;
 import clayhook.clustertests.LoadClient.Answer;
 import clayhook.lab.model.RuleAudit.RuleKept;
 import java.util.List;
@@ -32,48 +32,48 @@
     @ParameterizedTest
     @ValueSource(longs = 2)
     void withSharingCopiesAreEqualAfterEveryHealAndTheRulesAreKept(long seed) throws Exception {
-        try (var trial = new TestCluster(JAR, ROUTERS, SHARING, false, seed)) {
+        try (var fleet = new TestCluster(JAR, ROUTERS, SHARING, false, seed)) {
             for (ClusterFault fault : FaultSchedule.of(seed, ROUTERS)) {
                 List<Integer> marks =
-                        trial.routers().stream().map(RouterProcess::mark).toList();
-                trial.load();
-                trial.inflict(fault);
-                assertTrue(trial.felt(fault), () -> fault + "\n" + trial.said());
-                assertTrue(trial.serve(trial.up(), SOME), () -> fault + "\n" + trial.said());
+                        fleet.routers().stream().map(RouterProcess::mark).toList();
+                fleet.load();
+                fleet.begin(fault);
+                assertTrue(fleet.felt(fault), () -> fault + "\n" + fleet.logs());
+                assertTrue(fleet.serve(fleet.up(), SOME), () -> fault + "\n" + fleet.logs());
                 if (fault instanceof ClusterFault.OneWay) {
                     for (int i = 0; i < ROUTERS; i++) {
-                        assertNull(trial.routers().get(i).last(marks.get(i), GONE)); // others vouch for it
+                        assertNull(fleet.routers().get(i).last(marks.get(i), GONE)); // others vouch for it
                     }
                 }
-                trial.heal(fault);
-                assertTrue(trial.serve(trial.up(), SOME), () -> fault + "\n" + trial.said());
-                trial.calm();
-                assertTrue(trial.agree(), () -> fault + "\n" + trial.said());
+                fleet.end(fault);
+                assertTrue(fleet.serve(fleet.up(), SOME), () -> fault + "\n" + fleet.logs());
+                fleet.stopLoad();
+                assertTrue(fleet.agree(), () -> fault + "\n" + fleet.logs());
             }
-            assertTrue(trial.relay().count(NetworkLink.Delivery.GARBLED) > 0
-                    && trial.relay().strangers() == 0);
-            verdict(trial);
+            assertTrue(fleet.relay().count(NetworkLink.Delivery.GARBLED) > 0
+                    && fleet.relay().strangers() == 0);
+            verdict(fleet);
         }
     }
 
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void oneRouterIsToldOfADrainAndWithSharingAllObeyIt(boolean shares) throws Exception {
-        try (var trial = new TestCluster(JAR, ROUTERS, shares ? SHARING : null, true, 3)) {
-            assertTrue(!shares || trial.agree(), trial::said);
-            ClusterNode replica = trial.cluster().nodes().get(1);
-            trial.directory().answers(0);
+        try (var fleet = new TestCluster(JAR, ROUTERS, shares ? SHARING : null, true, 3)) {
+            assertTrue(!shares || fleet.agree(), fleet::logs);
+            ClusterNode replica = fleet.cluster().nodes().get(1);
+            fleet.discovery().answers(0);
             replica.state(Endpoint.State.DRAINING);
-            trial.load();
-            assertTrue(trial.serve(trial.up(), SOME), trial::said);
-            int before = trial.witness().runs(replica.node());
+            fleet.load();
+            assertTrue(fleet.serve(fleet.up(), SOME), fleet::logs);
+            int before = fleet.history().runs(replica.node());
             assertTrue(before > 0);
-            trial.directory().answers(1);
-            assertTrue(trial.serve(trial.up(), 5 * SOME), trial::said);
-            before = trial.witness().runs(replica.node());
-            assertTrue(trial.serve(trial.up(), 2 * SOME), trial::said);
-            assertEquals(shares, before == trial.witness().runs(replica.node()));
-            verdict(trial);
+            fleet.discovery().answers(1);
+            assertTrue(fleet.serve(fleet.up(), 5 * SOME), fleet::logs);
+            before = fleet.history().runs(replica.node());
+            assertTrue(fleet.serve(fleet.up(), 2 * SOME), fleet::logs);
+            assertEquals(shares, before == fleet.history().runs(replica.node()));
+            verdict(fleet);
         }
     }
 
@@ -81,56 +81,56 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aSessionThatRoamsReadsItsOwnWriteWithSharingInAndAfterASplit(boolean shares) throws Exception {
-        try (var trial = new TestCluster(JAR, ROUTERS, shares ? SHARING : null, false, 4)) {
-            assertTrue(!shares || trial.agree(), trial::said);
+        try (var fleet = new TestCluster(JAR, ROUTERS, shares ? SHARING : null, false, 4)) {
+            assertTrue(!shares || fleet.agree(), fleet::logs);
             var split = new ClusterFault.Split(Set.of(0, 1));
-            trial.load();
-            assertTrue(trial.serve(trial.up(), SOME), trial::said);
-            trial.calm();
+            fleet.load();
+            assertTrue(fleet.serve(fleet.up(), SOME), fleet::logs);
+            fleet.stopLoad();
             for (String when : List.of("before", "in", "after")) {
                 for (int turn = 0; turn < 3; turn++) {
-                    var session = trial.caller();
-                    trial.cluster().nodes().subList(1, 3).forEach(node -> node.stall(true));
-                    assertEquals(Answer.WELL, session.ask(trial.routers().get(0), TestCluster.WRITE));
+                    var session = fleet.newClient();
+                    fleet.cluster().nodes().subList(1, 3).forEach(node -> node.stall(true));
+                    assertEquals(Answer.WELL, session.ask(fleet.routers().get(0), TestCluster.WRITE));
                     Thread.sleep(TestCluster.ROAM_MS); // the session's own way to another router
-                    for (RouterProcess router : trial.routers()) {
+                    for (RouterProcess router : fleet.routers()) {
                         assertNotEquals(Answer.NONE, session.ask(router, TestCluster.SESSION), when);
                     }
-                    trial.cluster().nodes().forEach(node -> node.stall(false));
+                    fleet.cluster().nodes().forEach(node -> node.stall(false));
                 }
                 if (when.equals("before")) {
-                    trial.inflict(split);
-                    assertTrue(!shares || trial.felt(split), trial::said);
+                    fleet.begin(split);
+                    assertTrue(!shares || fleet.felt(split), fleet::logs);
                 } else if (when.equals("in")) {
-                    trial.heal(split);
-                    assertTrue(!shares || trial.agree(), trial::said);
+                    fleet.end(split);
+                    assertTrue(!shares || fleet.agree(), fleet::logs);
                 }
             }
             assertEquals(
                     shares ? Set.of() : Set.of(RuleKept.NO_STALE_READ),
-                    trial.witness().broken().keySet(),
-                    trial::said);
+                    fleet.history().broken().keySet(),
+                    fleet::logs);
         }
     }
 
     @Test
     void aChargeInDoubtAtOneRouterAndSettledAtAnotherIsOneRowEverywhere() throws Exception {
-        try (var trial = new TestCluster(JAR, ROUTERS, SHARING, true, 5)) {
-            assertTrue(trial.agree(), trial::said);
-            ClusterNode primary = trial.cluster().primary();
-            var session = trial.caller();
-            primary.mood(Mood.SPEECHLESS);
-            assertEquals(Answer.FAILED, session.ask(trial.routers().get(0), TestCluster.WRITE, "charge"));
-            assertTrue(trial.await(() -> fates(trial, "UNKNOWN=1, RAN=0")), trial::said);
-            primary.mood(Mood.WELL);
-            assertEquals(Answer.WELL, session.ask(trial.routers().get(3), TestCluster.WRITE, "charge"));
-            assertTrue(trial.await(() -> fates(trial, "UNKNOWN=0, RAN=1")), trial::said);
-            verdict(trial);
+        try (var fleet = new TestCluster(JAR, ROUTERS, SHARING, true, 5)) {
+            assertTrue(fleet.agree(), fleet::logs);
+            ClusterNode primary = fleet.cluster().primary();
+            var session = fleet.newClient();
+            primary.behavior(Behavior.SILENT);
+            assertEquals(Answer.FAILED, session.ask(fleet.routers().get(0), TestCluster.WRITE, "charge"));
+            assertTrue(fleet.await(() -> fates(fleet, "UNKNOWN=1, RAN=0")), fleet::logs);
+            primary.behavior(Behavior.WELL);
+            assertEquals(Answer.WELL, session.ask(fleet.routers().get(3), TestCluster.WRITE, "charge"));
+            assertTrue(fleet.await(() -> fates(fleet, "UNKNOWN=0, RAN=1")), fleet::logs);
+            verdict(fleet);
         }
     }
 
-    private static boolean fates(TestCluster trial, String counts) {
-        return trial.routers().stream()
+    private static boolean fates(TestCluster fleet, String counts) {
+        return fleet.routers().stream()
                 .allMatch(router -> String.valueOf(router.last(0, FATES)).startsWith("fates {" + counts));
     }
 }
