Count a request's deadline from the beginning of a stall in which it may have come

What came meanwhile was read afterwards and got its whole timeout from then on, so that its answer was late by the stall. StallDetector (a heartbeat of the event loop) says how long a request that is read now may have waited; its deadline, and the timeout passed on to nodes, count from there.

--- a/daemon/src/main/java/clayhook/frontend/ClientRequest.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientRequest.java
@@ -28,20 +28,22 @@
      * @param sessionWritePosition the log position in seconds that a read of its session must cover, as far as other
      *     routers reported it; 0 for none
      * @param now clock time in seconds
+     * @param secondsUnread how long it may have waited to be read; the client has been waiting since
      */
     public ClientRequest(
             RequestClass requestClass,
             KeyValueStatement statement,
             ClientSession clientSession,
             double sessionWritePosition,
-            double now) {
+            double now,
+            double secondsUnread) {
         super(
                 requestClass,
                 statement.replicaSetId,
                 statement.key,
                 Math.max(statement.requiredPosition, sessionWritePosition),
                 now,
-                deadline(requestClass, now, statement.timeoutSeconds));
+                deadline(requestClass, now - secondsUnread, statement.timeoutSeconds));
         this.clientSession = clientSession;
         outboundStatement = statement;
         requestId = statement.requestId;
@@ -79,7 +81,7 @@
         outcomeKey = classification.mark();
     }
 
-    private static double deadline(RequestClass requestClass, double now, double timeoutSeconds) {
-        return now + Math.min(timeoutSeconds, requestClass.clientTimeoutSeconds());
+    private static double deadline(RequestClass requestClass, double sentAt, double timeoutSeconds) {
+        return sentAt + Math.min(timeoutSeconds, requestClass.clientTimeoutSeconds());
     }
 }
--- a/daemon/src/main/java/clayhook/serve/RequestAdmission.java
+++ b/daemon/src/main/java/clayhook/serve/RequestAdmission.java
@@ -34,6 +34,7 @@
     private final OpenRequests openRequests;
     private final SqlRequests sqlRequests;
     private final PeerReporter peers;
+    private final StallDetector stalls;
     private final EventCounters counters;
     private final Map<String, RequestClass> requestClasses = new HashMap<>();
 
@@ -45,6 +46,7 @@
             OpenRequests openRequests,
             SqlRequests sqlRequests,
             PeerReporter peers,
+            StallDetector stalls,
             EventCounters counters,
             List<RequestClass> requestClasses) {
         this.loop = loop;
@@ -54,6 +56,7 @@
         this.openRequests = openRequests;
         this.sqlRequests = sqlRequests;
         this.peers = peers;
+        this.stalls = stalls;
         this.counters = counters;
         requestClasses.forEach(requestClass -> this.requestClasses.put(requestClass.name(), requestClass));
     }
@@ -68,9 +71,11 @@
             return;
         }
         openRequests.reserveId(statement.requestId);
+        double secondsUnread = stalls.secondsUnread();
         inbox.add(now -> {
             double requiredPosition = peers.requiredPosition(requestClass, statement.key, now);
-            openRequests.admit(new ClientRequest(requestClass, statement, session, requiredPosition, now), now);
+            var request = new ClientRequest(requestClass, statement, session, requiredPosition, now, secondsUnread);
+            openRequests.admit(request, now);
         });
     }
 
@@ -94,7 +99,8 @@
         if (result instanceof AdmissionResult.Admitted admitted && backend.hasReplicaSet(admitted.replicaSetId())) {
             counters.increment(admitted.classification().verdict() + " "
                     + admitted.classification().rule());
-            inbox.add(now -> sqlRequests.admit(admitted, session, admitted.timeoutSeconds(), now));
+            double timeoutSeconds = admitted.timeoutSeconds() - stalls.secondsUnread();
+            inbox.add(now -> sqlRequests.admit(admitted, session, timeoutSeconds, now));
         } else {
             sqlRequests.refuse(session, result);
         }
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -114,6 +114,7 @@
                         openRequests,
                         sqlRequests,
                         peers,
+                        StallDetector.start(loop),
                         counters,
                         settings.requestClasses()),
                 counters);
--- a/daemon/src/test/java/clayhook/serve/ServerTest.java
+++ b/daemon/src/test/java/clayhook/serve/ServerTest.java
@@ -21,7 +21,9 @@
 import io.netty.buffer.Unpooled;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -137,6 +139,26 @@
         assertTrue(sent.take().timeoutSeconds < 30);
     }
 
+    /** The client has been waiting since it sent the request, not since the router read it. */
+    @Test
+    void aRequestThatCameWhileTheProcessWasHeldUpIsAnsweredByItsOwnDeadline() throws Exception {
+        start(always(StubResponse.silence()), always(StubResponse.answer("replica")), 1024);
+        greet(READ);
+        assertEquals("replica", client.nextAnswer());
+        double stallSeconds = 0.8;
+        var stalled = new CountDownLatch(1);
+        routerTransport.eventLoop().execute(() -> {
+            stalled.countDown();
+            LockSupport.parkNanos((long) (stallSeconds * 1e9));
+        });
+        stalled.await();
+        long sentAt = System.nanoTime();
+        client.send(statement("id=3,c=brief,d=900,cluster=1"));
+        String answer = client.nextAnswer();
+        double elapsed = (System.nanoTime() - sentAt) / 1e9;
+        assertTrue(answer != null && elapsed < stallSeconds + 0.3, answer + " after " + elapsed + " s");
+    }
+
     private static final String READ_CSV = "'" + READ + "'";
     private static final String WRITE_CSV = "'" + WRITE + "'";
     private static final String NON_IDEMPOTENT_CSV = "'" + NON_IDEMPOTENT + "'";
