Try live nodes of a replica set that is idle throughout while the list is out of date

Once the list had lapsed and no request came for four seconds, no node showed that it executes anything (idle nodes report no requests), so that the router served nothing until discovery answered. Now a member that answered a check within a second and has rejected nothing since is admitted where no member executes anything; beside one that does, an idle node is not.

--- a/core/src/main/java/clayhook/AttemptGate.java
+++ b/core/src/main/java/clayhook/AttemptGate.java
@@ -6,7 +6,8 @@
  *
  * <p>While the lease on the list has lapsed, a node may be draining without this router knowing. Draining nodes reject
  * attempts some time after the list says so; a node that was lately executing requests has therefore not been draining
- * for long, and goes on to get attempts for as long as that shows.
+ * for long, and goes on to get attempts for as long as that shows. Where no member of a replica set executes anything,
+ * the ones that are alive are tried as a last resort.
  *
  * <p>Pure: no clock. Times are clock times in seconds. Not thread-safe: confined to the event loop.
  */
@@ -17,6 +18,9 @@
      */
     private static final double EXECUTION_VALIDITY_SECONDS = 4;
 
+    /** A health check or an attempt that was answered shows for so long that a node is alive. */
+    private static final double SEEN_VALIDITY_SECONDS = 1;
+
     private final EndpointListLease lease;
 
     AttemptGate(EndpointListLease lease) {
@@ -28,8 +32,22 @@
         if (node.isDrainingOrGone()) {
             return AttemptRefusal.NODE_DRAINING;
         }
-        boolean confirmed = lease.isValid(now) || node.wasExecutingAfter(now - EXECUTION_VALIDITY_SECONDS);
-        return confirmed ? AttemptRefusal.NONE : AttemptRefusal.NODE_UNCONFIRMED;
+        boolean admitted = lease.isValid(now) || isExecuting(node, now) || isLastResort(node, now);
+        return admitted ? AttemptRefusal.NONE : AttemptRefusal.NODE_UNCONFIRMED;
+    }
+
+    private static boolean isExecuting(NodeState node, double now) {
+        return node.wasExecutingAfter(now - EXECUTION_VALIDITY_SECONDS);
+    }
+
+    /**
+     * Whether all members of the replica set are idle, so that nothing can show which of them drain, and this one is
+     * alive and has rejected nothing. Without this an idle router would serve nothing until discovery answers again.
+     */
+    private static boolean isLastResort(NodeState node, double now) {
+        return now < node.lastSeenAt + SEEN_VALIDITY_SECONDS
+                && node.lastSeenAt > node.rejectedAt
+                && node.replicaSet.members.stream().noneMatch(member -> isExecuting(member, now));
     }
 
     boolean admits(NodeState node, double now) {
--- a/core/src/test/java/clayhook/AttemptGateTest.java
+++ b/core/src/test/java/clayhook/AttemptGateTest.java
@@ -79,4 +79,24 @@
         state.onBusyReport(LAPSED_AT + 2.1);
         assertEquals(AttemptRefusal.NONE, gate.refusalBy(state, LAPSED_AT + 2.1));
     }
+
+    @Test
+    void anIdleReplicaSetIsTriedWhereANodeIsAliveAndHasRejectedNothing() {
+        state.replicaSet.members.add(state);
+        state.lastSeenAt = LAPSED_AT;
+        assertEquals(AttemptRefusal.NONE, gate.refusalBy(state, LAPSED_AT + 0.9));
+        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalBy(state, LAPSED_AT + 1));
+        finish(AttemptOutcome.OVERLOADED, LAPSED_AT);
+        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalBy(state, LAPSED_AT + 0.9));
+    }
+
+    @Test
+    void anIdleNodeIsNotTriedWhileAnotherMemberExecutes() {
+        var busy = new NodeState(new Node("m", "a", 1), state.replicaSet, 10);
+        state.replicaSet.members.add(state);
+        state.replicaSet.members.add(busy);
+        state.lastSeenAt = LAPSED_AT;
+        busy.onBusyReport(LAPSED_AT);
+        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalBy(state, LAPSED_AT + 0.5));
+    }
 }
