--- a/core/src/test/java/clayhook/EndpointListOutOfDateTest.java
+++ b/core/src/test/java/clayhook/EndpointListOutOfDateTest.java
@@ -55,7 +55,7 @@
         Attempt attempt = fixture.send(fixture.bounded);
         assertEquals(AttemptRefusal.NONE, fixture.policy.refusalOf(attempt, fixture.now));
         fixture.now = LAPSED;
-        Node busy = attempt.node == fixture.replica ? fixture.otherReplica : fixture.replica;
+        Node busy = attempt.node.equals(fixture.replica) ? fixture.otherReplica : fixture.replica;
         fixture.reportBusy(busy, Role.REPLICA, LAPSED);
         assertEquals(AttemptRefusal.NODE_UNCONFIRMED, fixture.policy.refusalOf(attempt, LAPSED + 0.1));
     }
