--- a/cli/src/test/java/clayhook/cli/ServeProcessTest.java
+++ b/cli/src/test/java/clayhook/cli/ServeProcessTest.java
@@ -46,6 +46,9 @@
     /** Far more than any step here takes. */
     private static final int TIMEOUT_SECONDS = 60;
 
+    private static final int FIRST_PORT = 14_000;
+    private static final int PORTS = 5_000;
+
     private static final String SERVICE_UNAVAILABLE = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
     /** 128 + SIGTERM. */
     private static final int SIGTERM_EXIT_CODE = 143;
@@ -64,7 +67,8 @@
 
     @BeforeEach
     void choosePort() throws IOException {
-        try (var free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        // Below the ports that the system gives to connections, one of which may take the port during the warm-up.
+        try (var free = new ServerSocket(unusedPort(), 1, InetAddress.getLoopbackAddress())) {
             listen = (InetSocketAddress) free.getLocalSocketAddress();
         }
     }
@@ -284,6 +288,16 @@
         assertTrue(log().contains("ended") && !log().contains("ERROR"), log());
     }
 
+    private static int unusedPort() {
+        for (int port = FIRST_PORT + (int) (ProcessHandle.current().pid() * 31 % PORTS); ; port++) {
+            try (var probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return probe.getLocalPort();
+            } catch (IOException e) {
+                // taken; the next one
+            }
+        }
+    }
+
     private void signal(String name) throws Exception {
         assertEquals(
                 0,
--- a/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
@@ -8,9 +8,7 @@
 import clayhook.json.Json;
 import clayhook.transport.Transport;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -96,7 +94,7 @@
                 new CrowdedDiscovery(nodesLoop, replicaSet, drains, names, allCallsSeconds / Math.max(1, routerCount));
         for (String name : names) {
             int number = routers.size();
-            var router = new RouterProcess(name, freeAddress(), program, folder.resolve(name));
+            var router = new RouterProcess(name, TestCluster.spare(), program, folder.resolve(name));
             routers.add(router);
             configure(router, number);
         }
@@ -113,12 +111,6 @@
         }
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (var probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), probe.getLocalPort());
-        }
-    }
-
     private static String quoted(InetSocketAddress address) {
         return '"' + address.getAddress().getHostAddress() + ':' + address.getPort() + '"';
     }
--- a/clustertests/src/main/java/clayhook/clustertests/TestCluster.java
+++ b/clustertests/src/main/java/clayhook/clustertests/TestCluster.java
@@ -123,7 +123,7 @@
     }
 
     /** A port for both datagrams and connections that nobody uses now. */
-    private static InetSocketAddress spare() {
+    static InetSocketAddress spare() {
         while (true) {
             var address = new InetSocketAddress(
                     InetAddress.getLoopbackAddress(), FIRST_PORT + PORT.getAndIncrement() % PORTS);
