Confirm nodes by health checks alone while the endpoint list is out of date

A load report, a claim to be primary and an idle replica set are no proof. Change: without a valid list a node is admitted for four seconds after a check that it passed, with no rejection since; answered attempts count only where checks are not allowed. A failed check takes the sign back. The last resort and busy reports are gone. With a lease that never lapses the fleet without checks fails as before.

--- a/clustertests/src/main/java/clayhook/clustertests/ClusterNode.java
+++ b/clustertests/src/main/java/clayhook/clustertests/ClusterNode.java
@@ -167,7 +167,7 @@
                 ctx.writeAndFlush(MessageEncoder.startupResponse(0, Map.of()));
             } else if (message instanceof ClientMessage.SqlQuery sql) {
                 KeyValueStatement statement = statement(sql.text());
-                ByteBuf answer = statement == null ? row(null, position()) : run(statement);
+                ByteBuf answer = statement == null ? healthCheckAnswer() : run(statement);
                 if (statement == null || behavior == Behavior.WELL) {
                     ctx.writeAndFlush(answer);
                 } else if (behavior != Behavior.SILENT) {
@@ -176,6 +176,13 @@
             }
         }
 
+        /** A draining node fails health checks at once, also while it still executes statements. */
+        private ByteBuf healthCheckAnswer() {
+            return state == Endpoint.State.READY
+                    ? row(null, position())
+                    : MessageEncoder.error(false, "57P03", "draining", null);
+        }
+
         private ByteBuf run(KeyValueStatement statement) {
             cluster.requestArrived(router, node);
             if (rejectsAsDraining()) {
--- a/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
@@ -33,7 +33,7 @@
     private static final String SETTINGS =
             """
             {"balancers": %d, "zone": "%s", "domain": {"read_level": ["any", "bounded", "write", "write"],
-            "max_age": [0, 1e9, 0, 0], "when_behind": "off", "write_marks": "carried"}, "limits": {"most_tries": 3},
+            "max_age": [0, 1e9, 0, 0], "when_behind": "off", "write_marks": "carried"}, "limits": {"most_tries": 3, "probing": %s},
             "rules": {"start_capacity": 0.2, "warm_after": 2e9, "overload_factor": 3, "overload_for": 1e9}, "grades": [
             {"name": "any", "effect": "idempotent", "aim": 1e9, "hard_limit": 2e9},
             {"name": "bounded", "effect": "idempotent", "aim": 1e9, "hard_limit": 2e9},
@@ -68,6 +68,7 @@
     private final Map<LoadClient.Answer, Integer> answers = new EnumMap<>(LoadClient.Answer.class);
     private final Thread atExit = new Thread(() -> routers.forEach(RouterProcess::kill));
     private final int routerCount;
+    private final boolean healthChecksAllowed;
     private final long seed;
     private volatile boolean loaded = true;
 
@@ -76,11 +77,19 @@
      *
      * @param program what the processes run
      * @param allCallsSeconds how long discovery takes for one call of every router
+     * @param healthChecksAllowed whether the settings allow routers to check nodes
      * @param seed of the load and the routers
      */
-    public RouterFleet(RouterProgram program, int routerCount, int nodeCount, double allCallsSeconds, long seed)
+    public RouterFleet(
+            RouterProgram program,
+            int routerCount,
+            int nodeCount,
+            double allCallsSeconds,
+            boolean healthChecksAllowed,
+            long seed)
             throws IOException, InterruptedException {
         this.routerCount = routerCount;
+        this.healthChecksAllowed = healthChecksAllowed;
         this.seed = seed;
         Runtime.getRuntime().addShutdownHook(atExit);
         settings = parseSettings();
@@ -104,13 +113,17 @@
     private RoutingSettings parseSettings() {
         try {
             String file = "{\"name\": \"any\", \"listen\": \"any:1\", \"discovery\": \"any:1\", \"seed\": \"1\","
-                    + " \"settings\": " + SETTINGS.formatted(routerCount, ZONES.get(0)) + "}";
+                    + " \"settings\": " + settingsText(ZONES.get(0)) + "}";
             return RouterConfiguration.fromJson(Json.parse(file), Map.of()).settings();
         } catch (ConfigurationException e) {
             throw new IllegalStateException(e);
         }
     }
 
+    private String settingsText(String zone) {
+        return SETTINGS.formatted(routerCount, zone, healthChecksAllowed);
+    }
+
     private static String quoted(InetSocketAddress address) {
         return '"' + address.getAddress().getHostAddress() + ':' + address.getPort() + '"';
     }
@@ -123,7 +136,7 @@
         return "{\"name\": \"" + router.name() + "\", \"listen\": " + quoted(router.address()) + ", \"discovery\": "
                 + quoted(discovery.address(number)) + ", \"seed\": \"" + Long.toHexString(seed * 1000 + number)
                 + "\", \"known\": " + replicaSet.list() + ", \"settings\": "
-                + SETTINGS.formatted(routerCount, ZONES.get(number % ZONES.size())) + "}";
+                + settingsText(ZONES.get(number % ZONES.size())) + "}";
     }
 
     // ---- parts ----
--- a/clustertests/src/test/java/clayhook/clustertests/CrowdedDiscoveryTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/CrowdedDiscoveryTest.java
@@ -8,7 +8,8 @@
 import clayhook.clustertests.LoadClient.Answer;
 import java.util.List;
 import java.util.Map;
-import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Real router processes, most of which are restarted while discovery rejects their polls and nodes drain. */
 class CrowdedDiscoveryTest {
@@ -24,9 +25,11 @@
 
     private static final double RECOVERY_SECONDS = 10;
 
-    @Test
-    void nothingNewGoesToDrainingNodesWhileDiscoveryRejectsPolls() throws Exception {
-        try (var fleet = new RouterFleet(RouterProgram.of(ClusterTest.JAR), ROUTERS, NODES, ALL_CALLS_SECONDS, 1)) {
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void nothingNewGoesToDrainingNodesWhileDiscoveryRejectsPolls(boolean healthChecksAllowed) throws Exception {
+        try (var fleet = new RouterFleet(
+                RouterProgram.of(ClusterTest.JAR), ROUTERS, NODES, ALL_CALLS_SECONDS, healthChecksAllowed, 1)) {
             fleet.startLoad();
             assertTrue(fleet.await(() -> fleet.answered(Answer.WELL) > 10 * ROUTERS, RECOVERY_SECONDS), fleet::logs);
             List<RouterProcess> killed = fleet.routers().subList(0, (int) (KILLED_FRACTION * ROUTERS));
--- a/clustertests/src/test/java/clayhook/clustertests/FaultSoakTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/FaultSoakTest.java
@@ -24,7 +24,8 @@
 
 /**
  * Random, overlapping faults of discovery, nodes and router processes, judged by the rules. A build plays one short
- * seed; {@code -Dclayhook.soak.seeds=1-20 -Dclayhook.soak.routers=30 -Dclayhook.soak.seconds=60} plays more.
+ * seed; {@code -Dclayhook.soak.seeds=1-20 -Dclayhook.soak.routers=30 -Dclayhook.soak.seconds=60} plays more. Every
+ * third seed has no health checks.
  */
 class FaultSoakTest {
     private static final int ROUTERS = Integer.getInteger("clayhook.soak.routers", 10);
@@ -53,9 +54,10 @@
         return LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[range.length - 1]));
     }
 
-    private static Verdict play(RouterProgram program, int routers, List<TimedFault> faults, long seed)
+    private static Verdict play(
+            RouterProgram program, int routers, boolean healthChecksAllowed, List<TimedFault> faults, long seed)
             throws IOException, InterruptedException {
-        try (var fleet = new RouterFleet(program, routers, NODES, ALL_CALLS_SECONDS, seed)) {
+        try (var fleet = new RouterFleet(program, routers, NODES, ALL_CALLS_SECONDS, healthChecksAllowed, seed)) {
             fleet.startLoad();
             return FaultSoak.run(fleet, faults);
         }
@@ -65,10 +67,11 @@
     @MethodSource("seeds")
     void randomOverlappingFaultsBreakNoRule(long seed) throws Exception {
         List<TimedFault> faults = SoakSchedule.random(seed, ROUTERS, NODES, SECONDS);
-        Verdict verdict = play(RouterProgram.of(ClusterTest.JAR), ROUTERS, faults, seed);
+        Verdict verdict = play(RouterProgram.of(ClusterTest.JAR), ROUTERS, seed % 3 != 0, faults, seed);
         assertTrue(verdict.isClean(), () -> verdict + "\n" + faults);
     }
 
+    /** Without health checks, as a node that fails them gets few attempts even so. */
     @Test
     void judgeFailsOnABuildWhoseListNeverGrowsOld(@TempDir Path classes) throws Exception {
         compile(LEASE_THAT_NEVER_LAPSES, classes);
@@ -76,7 +79,7 @@
                 new TimedFault(0, 1, 12, new DiscoveryFault(Mode.CROWDED)),
                 new TimedFault(1, 1.2, 12.8, new Drain(List.of(5, 6, 7))),
                 new TimedFault(2, 1.3, 0.2, new Restart(List.of(0, 1, 2, 3), false)));
-        Verdict verdict = play(new RouterProgram(ClusterTest.JAR, classes), 5, faults, 1);
+        Verdict verdict = play(new RouterProgram(ClusterTest.JAR, classes), 5, false, faults, 1);
         assertFalse(verdict.drainViolations().isEmpty(), verdict::toString);
     }
 
--- a/core/src/main/java/clayhook/AttemptGate.java
+++ b/core/src/main/java/clayhook/AttemptGate.java
@@ -4,27 +4,26 @@
  * Decides whether a node may get a new attempt at all, as far as the endpoint list says and can be relied on. Asked
  * when a node is chosen and again before the first byte of an attempt is written.
  *
- * <p>While the lease on the list has lapsed, a node may be draining without this router knowing. Draining nodes reject
- * attempts some time after the list says so; a node that was lately executing requests has therefore not been draining
- * for long, and goes on to get attempts for as long as that shows. Where no member of a replica set executes anything,
- * the ones that are alive are tried as a last resort.
+ * <p>While the lease on the list has lapsed, a node may be draining without this router knowing. Then the node has to
+ * show by itself that it is not: it gets attempts only for some time after it passed a health check, and none once it
+ * has rejected anything since. A draining node fails health checks at once; it may go on to execute attempts for a
+ * while, so that an answered attempt proves less, and counts only where health checks are not allowed.
  *
  * <p>Pure: no clock. Times are clock times in seconds. Not thread-safe: confined to the event loop.
  */
 final class AttemptGate {
     /**
-     * Without a valid list a node gets attempts for so long after it was known to execute requests: two thirds of the
-     * time after which a change counts as notified. The rest is for nodes that go on to execute while they drain.
+     * Without a valid list a node gets attempts for so long after the check was sent that it passed: two thirds of the
+     * time after which a change counts as notified. The rest is for nodes that are slow to notice that they drain.
      */
-    private static final double EXECUTION_VALIDITY_SECONDS = 4;
-
-    /** A health check or an attempt that was answered shows for so long that a node is alive. */
-    private static final double SEEN_VALIDITY_SECONDS = 1;
+    private static final double CONFIRMATION_VALIDITY_SECONDS = 4;
 
     private final EndpointListLease lease;
+    private final boolean healthChecksAllowed;
 
-    AttemptGate(EndpointListLease lease) {
+    AttemptGate(EndpointListLease lease, boolean healthChecksAllowed) {
         this.lease = lease;
+        this.healthChecksAllowed = healthChecksAllowed;
     }
 
     /** Why the node may not get an attempt now, or {@link AttemptRefusal#NONE}. */
@@ -32,22 +31,17 @@
         if (node.isDrainingOrGone()) {
             return AttemptRefusal.NODE_DRAINING;
         }
-        boolean admitted = lease.isValid(now) || isExecuting(node, now) || isLastResort(node, now);
-        return admitted ? AttemptRefusal.NONE : AttemptRefusal.NODE_UNCONFIRMED;
+        return reliesOnList(now) || isConfirmed(node, now) ? AttemptRefusal.NONE : AttemptRefusal.NODE_UNCONFIRMED;
     }
 
-    private static boolean isExecuting(NodeState node, double now) {
-        return node.wasExecutingAfter(now - EXECUTION_VALIDITY_SECONDS);
+    private boolean isConfirmed(NodeState node, double now) {
+        double since = now - CONFIRMATION_VALIDITY_SECONDS;
+        return healthChecksAllowed ? node.hasPassedCheckSince(since) : node.hasAnsweredSince(since);
     }
 
-    /**
-     * Whether all members of the replica set are idle, so that nothing can show which of them drain, and this one is
-     * alive and has rejected nothing. Without this an idle router would serve nothing until discovery answers again.
-     */
-    private static boolean isLastResort(NodeState node, double now) {
-        return now < node.lastSeenAt + SEEN_VALIDITY_SECONDS
-                && node.lastSeenAt > node.rejectedAt
-                && node.replicaSet.members.stream().noneMatch(member -> isExecuting(member, now));
+    /** Whether the endpoint list alone says which nodes may get attempts; otherwise each node has to confirm it. */
+    boolean reliesOnList(double now) {
+        return lease.isValid(now);
     }
 
     boolean admits(NodeState node, double now) {
--- a/core/src/main/java/clayhook/AttemptRefusal.java
+++ b/core/src/main/java/clayhook/AttemptRefusal.java
@@ -12,7 +12,7 @@
     NO_TIME_LEFT,
     /** The endpoint list says that the node drains, or lacks it. */
     NODE_DRAINING,
-    /** The endpoint list can no longer be relied on, and the node has not executed an attempt lately. */
+    /** The endpoint list can no longer be relied on, and the node has not passed a health check lately. */
     NODE_UNCONFIRMED,
     /** The request may have been executed and may not be executed again, or not any more. */
     RETRY_FORBIDDEN,
--- a/core/src/main/java/clayhook/NodeState.java
+++ b/core/src/main/java/clayhook/NodeState.java
@@ -11,9 +11,6 @@
     /** The time of what has not happened yet; earlier than any clock time. */
     static final double NEVER = Double.NEGATIVE_INFINITY;
 
-    /** Longer than a node that rejects new requests takes to finish those that it has. */
-    private static final double MAX_FINISHING_SECONDS = 2;
-
     final Node node;
     final ReplicaSet replicaSet;
 
@@ -32,11 +29,14 @@
     /** When the node last responded to an attempt or a health check. */
     double lastSeenAt = NEVER;
 
-    /** As of when the node was last known to execute requests. */
-    double executingAt = NEVER;
+    /** When the newest attempt was sent that the node answered. */
+    private double answeredAttemptSentAt = NEVER;
+
+    /** When the newest health check was sent that the node passed. */
+    private double passedCheckSentAt = NEVER;
 
-    /** When the node last rejected an attempt unseen, or refused a connection. */
-    double rejectedAt = NEVER;
+    /** When the node last rejected an attempt unseen or a health check, or refused a connection. */
+    private double rejectedAt = NEVER;
 
     /** When the node last responded to an attempt; health checks do not count. */
     double lastAttemptResponseAt = NEVER;
@@ -103,23 +103,32 @@
         return endpoint == null || endpoint.state() == Endpoint.State.DRAINING;
     }
 
-    /** Records whether the node executes attempts; one that rejects them unseen may be overloaded or draining. */
+    /** Records whether the node takes attempts; one that rejects them unseen may be overloaded or draining. */
     void onAttemptResult(Attempt attempt, AttemptOutcome outcome, double now) {
         switch (outcome) {
-            case ANSWERED, ERROR, REJECTED -> executingAt = Math.max(executingAt, attempt.sentAt);
+            case ANSWERED -> answeredAttemptSentAt = Math.max(answeredAttemptSentAt, attempt.sentAt);
             case OVERLOADED, CONNECT_FAILED -> rejectedAt = now;
             default -> {} // proves nothing
         }
     }
 
-    /** Records a load report with requests, which are new or what a draining node still has to finish. */
-    void onBusyReport(double reportedAt) {
-        executingAt = Math.max(executingAt, reportedAt - MAX_FINISHING_SECONDS);
+    /** Records whether the node passed a health check; a draining node answers it with an error. */
+    void onHealthCheckResult(double sentAt, AttemptOutcome outcome, double now) {
+        switch (outcome) {
+            case ANSWERED -> passedCheckSentAt = Math.max(passedCheckSentAt, sentAt);
+            case ERROR, OVERLOADED, CONNECT_FAILED -> rejectedAt = now;
+            default -> {} // proves nothing
+        }
+    }
+
+    /** Whether the node answered an attempt that was sent after a time, and has rejected nothing since then. */
+    boolean hasAnsweredSince(double time) {
+        return answeredAttemptSentAt > Math.max(time, rejectedAt);
     }
 
-    /** Whether the node was known to execute requests after a time, with no rejection since. */
-    boolean wasExecutingAfter(double time) {
-        return executingAt > Math.max(time, rejectedAt);
+    /** Whether the node passed a health check that was sent after a time, and has rejected nothing since then. */
+    boolean hasPassedCheckSince(double time) {
+        return passedCheckSentAt > Math.max(time, rejectedAt);
     }
 
     boolean isInZone(String zone) {
@@ -155,8 +164,6 @@
     /** Records evidence that the node was primary at a time. */
     void claimPrimary(double at) {
         primaryClaimedAt = Math.max(primaryClaimedAt, at);
-        // A primary that drains hands its role over, sooner than a node finishes its requests.
-        executingAt = Math.max(executingAt, at - MAX_FINISHING_SECONDS);
     }
 
     /** Records evidence that the node was a replica at a time. */
--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -70,6 +70,7 @@
     private static final double MIN_BACKOFF = 0.05; // doubles with each further failure
     private static final double MAX_BACKOFF = 1; // a node that has recovered is soon used again
     private static final double HEALTH_CHECKS_PER_REQUEST = 0.45; // most reads find nodes seen lately
+    private static final double UNCONFIRMED_CHECKS_PER_REQUEST = 1; // while each node has to confirm itself
     private static final double HEALTH_CHECK_BUDGET_CAP = 15; // two or three per member of a replica set
     private static final double HEALTH_CHECK_TIMEOUT = 0.02; // a few round trips
     private static final double HEALTH_CHECK_INTERVAL = 0.15; // load reports are renewed about as often
@@ -146,7 +147,7 @@
      */
     public RoutingPolicy(RoutingSettings settings, long seed, EndpointListLease lease) {
         this.settings = settings;
-        gate = new AttemptGate(lease);
+        gate = new AttemptGate(lease, settings.healthChecksAllowed());
         random = new Random(seed);
         nextPollAt = settings.endpointListMustBePolled() ? 0 : Double.POSITIVE_INFINITY;
         minConcurrencyLimit = Math.max(1, MIN_FLEET_CONCURRENCY / settings.routerCount());
@@ -171,7 +172,8 @@
         boolean outstanding = !request.outstandingAttempts().isEmpty();
         boolean arriving = now == request.arrivedAt && request.attempts.isEmpty();
         if (arriving) {
-            double saved = healthCheckBudget + HEALTH_CHECKS_PER_REQUEST;
+            double earned = gate.reliesOnList(now) ? HEALTH_CHECKS_PER_REQUEST : UNCONFIRMED_CHECKS_PER_REQUEST;
+            double saved = healthCheckBudget + earned;
             healthCheckBudget = Math.min(HEALTH_CHECK_BUDGET_CAP, saved);
             requestCounts.merge(request.requestClass, 1L, Long::sum);
         }
@@ -343,9 +345,6 @@
             replicaSet(request).members.forEach(member -> requestHealthCheck(member, now));
             return null;
         }
-        if (!gate.admits(primary, now)) {
-            requestHealthCheck(primary, now);
-        }
         // Without a check, each router would send its first write after a failover to the former primary.
         boolean usable = !mustAwaitHealthCheck(primary, now)
                 && isUsable(primary, now)
@@ -403,7 +402,7 @@
             } else if (isEligible(replica, request, now) && acceptsTurn(replica, now)) {
                 replicaSet.roundRobinIndex = index;
                 awaitingHealthCheck = false;
-                sampleHealthCheck(toCheck, now);
+                checkPassedOver(toCheck, now);
                 return replica;
             }
         }
@@ -420,8 +419,7 @@
 
     /** Whether too little is known of a replica for the read; stale ones pass while checks are scarce. */
     private boolean needsHealthCheck(NodeState replica, Request request, double now) {
-        boolean plentiful = settings.healthChecksAllowed() && healthCheckBudget > HEALTH_CHECK_BUDGET_CAP / 2;
-        return (plentiful && isStale(replica, now))
+        return (hasPlentyOfHealthChecks() && isStale(replica, now))
                 || gate.refusalBy(replica, now) == AttemptRefusal.NODE_UNCONFIRMED
                 || (!satisfiesRead(replica, request, now) && !likelySatisfiesRead(replica, request, now));
     }
@@ -601,13 +599,27 @@
         return node.healthCheckPending && now < node.healthCheckSentAt + HEALTH_CHECK_TIMEOUT;
     }
 
-    /** Whether a request has to wait for a check of a stale node, which is requested here. */
+    /** Whether a request has to wait for a check of a stale or unconfirmed node, which is requested here. */
     private boolean mustAwaitHealthCheck(NodeState node, double now) {
-        boolean stale = isStale(node, now);
-        awaitingHealthCheck = stale && (isHealthCheckPending(node, now) || requestHealthCheck(node, now));
+        boolean unconfirmed = isStale(node, now) || gate.refusalBy(node, now) == AttemptRefusal.NODE_UNCONFIRMED;
+        awaitingHealthCheck = unconfirmed && (isHealthCheckPending(node, now) || requestHealthCheck(node, now));
         return awaitingHealthCheck;
     }
 
+    /** Checks a node that a read passed over: now and then, or, where it has to confirm itself, while checks last. */
+    private void checkPassedOver(NodeState node, double now) {
+        boolean unconfirmed = node != null && gate.refusalBy(node, now) == AttemptRefusal.NODE_UNCONFIRMED;
+        if (!unconfirmed) {
+            sampleHealthCheck(node, now);
+        } else if (hasPlentyOfHealthChecks()) {
+            requestHealthCheck(node, now);
+        } // else the checks that are left are for requests that find no node
+    }
+
+    private boolean hasPlentyOfHealthChecks() {
+        return settings.healthChecksAllowed() && healthCheckBudget > HEALTH_CHECK_BUDGET_CAP / 2;
+    }
+
     /** Checks a node that reads pass over now and then, as no attempt would show its recovery. */
     private void sampleHealthCheck(NodeState node, double now) {
         if (node != null && random.nextDouble() < REFRESH_PROBABILITY) {
@@ -730,11 +742,6 @@
         node.reportedLoad = result.reportedLoad() >= 0 ? result.reportedLoad() : node.reportedLoad;
         node.replicaSet.raisePrimaryPosition(node);
         updateLag(node, result, now);
-        if (result.reportedLoad() > 0) {
-            double sentAt = now - result.elapsedSeconds();
-            double reportedAt = result.reportedPosition() > 0 ? result.reportedPosition() : sentAt - TYPICAL_REPORT_AGE;
-            node.onBusyReport(Math.min(sentAt, reportedAt));
-        }
     }
 
     /** Takes over the role that a response shows, and the older one in the load report. */
@@ -925,6 +932,7 @@
             return;
         }
         state.healthCheckPending = false;
+        state.onHealthCheckResult(now - result.elapsedSeconds(), result.outcome(), now);
         if (result.outcome() == AttemptOutcome.ANSWERED) {
             updateNodeState(state, result, now);
             state.consecutiveFailures = Math.min(state.consecutiveFailures, 1);
--- a/core/src/test/java/clayhook/AttemptGateTest.java
+++ b/core/src/test/java/clayhook/AttemptGateTest.java
@@ -11,7 +11,8 @@
     private final Node node = new Node("n", "a", 1);
     private final NodeState state = new NodeState(node, new ReplicaSet(1, null, null), 10);
     private final EndpointListLease lease = new EndpointListLease(100);
-    private final AttemptGate gate = new AttemptGate(lease);
+    private final AttemptGate gate = new AttemptGate(lease, true);
+    private final AttemptGate gateWithoutChecks = new AttemptGate(lease, false);
 
     AttemptGateTest() {
         state.endpoint = new Endpoint(node, Endpoint.State.READY, false, 0);
@@ -21,22 +22,28 @@
         state.onAttemptResult(new Attempt(null, node, false, sentAt, sentAt + 1), outcome, sentAt + 0.01);
     }
 
+    private void check(AttemptOutcome outcome, double sentAt) {
+        state.onHealthCheckResult(sentAt, outcome, sentAt + 0.01);
+    }
+
     @Test
     void admitsAnyListedNodeWhileTheListIsValid() {
-        assertEquals(AttemptRefusal.NONE, gate.refusalBy(state, 101));
+        check(AttemptOutcome.ERROR, 101);
+        assertEquals(AttemptRefusal.NONE, gate.refusalBy(state, 101.5));
     }
 
     @Test
-    void refusesADrainingNodeHoweverLatelyItExecuted() {
+    void refusesADrainingNodeHoweverLatelyItAnswered() {
         finish(AttemptOutcome.ANSWERED, 101);
+        check(AttemptOutcome.ANSWERED, 101);
         state.endpoint = new Endpoint(node, Endpoint.State.DRAINING, false, 0);
         assertEquals(AttemptRefusal.NODE_DRAINING, gate.refusalBy(state, 101));
     }
 
     @Test
-    void refusesANodeThatHasNotExecutedLatelyOnceTheListHasLapsed() {
+    void admitsANodeForFourSecondsAfterACheckThatItPassedOnceTheListHasLapsed() {
         assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalBy(state, LAPSED_AT));
-        finish(AttemptOutcome.ANSWERED, LAPSED_AT - 1);
+        check(AttemptOutcome.ANSWERED, LAPSED_AT - 1);
         assertEquals(AttemptRefusal.NONE, gate.refusalBy(state, LAPSED_AT));
         assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalBy(state, LAPSED_AT + 3));
     }
@@ -47,63 +54,63 @@
         assertEquals(AttemptRefusal.NONE, gate.refusalBy(state, LAPSED_AT + 1));
     }
 
-    /** A node that rejects attempts unseen may have begun to drain. */
+    /** A draining node may go on to execute attempts. */
     @ParameterizedTest
     @EnumSource(AttemptOutcome.class)
-    void takesOnlyAnExecutionForASignThatTheNodeDoesNotDrain(AttemptOutcome outcome) {
-        finish(AttemptOutcome.ANSWERED, LAPSED_AT - 1);
-        finish(outcome, LAPSED_AT - 0.5);
-        boolean rejected = outcome == AttemptOutcome.OVERLOADED || outcome == AttemptOutcome.CONNECT_FAILED;
-        assertEquals(
-                rejected ? AttemptRefusal.NODE_UNCONFIRMED : AttemptRefusal.NONE, gate.refusalBy(state, LAPSED_AT + 1));
-        boolean executed = outcome == AttemptOutcome.ANSWERED
-                || outcome == AttemptOutcome.ERROR
-                || outcome == AttemptOutcome.REJECTED;
-        assertEquals(
-                executed ? AttemptRefusal.NONE : AttemptRefusal.NODE_UNCONFIRMED,
-                gate.refusalBy(state, LAPSED_AT + 3.2));
+    void takesNoAttemptForASignWhereHealthChecksAreAllowed(AttemptOutcome outcome) {
+        finish(outcome, LAPSED_AT);
+        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalBy(state, LAPSED_AT + 0.5));
     }
 
-    @Test
-    void takesAReportOfRequestsForASignOnceADrainingNodeWouldHaveFinishedThem() {
-        state.onBusyReport(LAPSED_AT);
-        assertEquals(AttemptRefusal.NONE, gate.refusalBy(state, LAPSED_AT + 1.9));
-        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalBy(state, LAPSED_AT + 2));
+    @ParameterizedTest
+    @EnumSource(AttemptOutcome.class)
+    void takesOnlyAnAnswerForASignWhereHealthChecksAreNotAllowed(AttemptOutcome outcome) {
+        finish(outcome, LAPSED_AT);
+        boolean answered = outcome == AttemptOutcome.ANSWERED;
+        assertEquals(
+                answered ? AttemptRefusal.NONE : AttemptRefusal.NODE_UNCONFIRMED,
+                gateWithoutChecks.refusalBy(state, LAPSED_AT + 3.9));
+        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gateWithoutChecks.refusalBy(state, LAPSED_AT + 4));
     }
 
-    @Test
-    void aReportFromSoonAfterARejectionProvesNothing() {
-        finish(AttemptOutcome.OVERLOADED, LAPSED_AT);
-        state.onBusyReport(LAPSED_AT + 1.9);
-        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalBy(state, LAPSED_AT + 1.9));
-        state.onBusyReport(LAPSED_AT + 2.1);
-        assertEquals(AttemptRefusal.NONE, gate.refusalBy(state, LAPSED_AT + 2.1));
+    /** A node that rejects attempts unseen may have begun to drain. */
+    @ParameterizedTest
+    @EnumSource(AttemptOutcome.class)
+    void aRejectedAttemptTakesTheSignOfACheckBack(AttemptOutcome outcome) {
+        check(AttemptOutcome.ANSWERED, LAPSED_AT);
+        finish(outcome, LAPSED_AT + 0.5);
+        boolean rejected = outcome == AttemptOutcome.OVERLOADED || outcome == AttemptOutcome.CONNECT_FAILED;
+        assertEquals(
+                rejected ? AttemptRefusal.NODE_UNCONFIRMED : AttemptRefusal.NONE, gate.refusalBy(state, LAPSED_AT + 1));
+        check(AttemptOutcome.ANSWERED, LAPSED_AT + 1);
+        assertEquals(AttemptRefusal.NONE, gate.refusalBy(state, LAPSED_AT + 1.1));
     }
 
-    @Test
-    void anIdleReplicaSetIsTriedWhereANodeIsAliveAndHasRejectedNothing() {
-        state.replicaSet.members.add(state);
-        state.lastSeenAt = LAPSED_AT;
-        assertEquals(AttemptRefusal.NONE, gate.refusalBy(state, LAPSED_AT + 0.9));
-        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalBy(state, LAPSED_AT + 1));
-        finish(AttemptOutcome.OVERLOADED, LAPSED_AT);
-        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalBy(state, LAPSED_AT + 0.9));
+    @ParameterizedTest
+    @EnumSource(AttemptOutcome.class)
+    void aFailedCheckTakesTheSignOfAnEarlierOneBack(AttemptOutcome outcome) {
+        check(AttemptOutcome.ANSWERED, LAPSED_AT);
+        check(outcome, LAPSED_AT + 0.5);
+        boolean failed = outcome == AttemptOutcome.ERROR
+                || outcome == AttemptOutcome.OVERLOADED
+                || outcome == AttemptOutcome.CONNECT_FAILED;
+        assertEquals(
+                failed ? AttemptRefusal.NODE_UNCONFIRMED : AttemptRefusal.NONE, gate.refusalBy(state, LAPSED_AT + 1));
     }
 
+    /** A stalled router may see the answer to an early check after a rejection. */
     @Test
-    void anIdleNodeIsNotTriedWhileAnotherMemberExecutes() {
-        var busy = new NodeState(new Node("m", "a", 1), state.replicaSet, 10);
-        state.replicaSet.members.add(state);
-        state.replicaSet.members.add(busy);
-        state.lastSeenAt = LAPSED_AT;
-        busy.onBusyReport(LAPSED_AT);
-        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalBy(state, LAPSED_AT + 0.5));
+    void aCheckThatWasSentBeforeARejectionProvesNothing() {
+        finish(AttemptOutcome.OVERLOADED, LAPSED_AT + 0.5);
+        state.onHealthCheckResult(LAPSED_AT + 0.4, AttemptOutcome.ANSWERED, LAPSED_AT + 0.6);
+        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalBy(state, LAPSED_AT + 0.6));
     }
 
     @Test
-    void takesTheRoleOfPrimaryForASignAsADrainingPrimaryHandsItOver() {
+    void neitherALoadReportNorARoleIsASign() {
+        state.reportedLoad = 5;
         state.claimPrimary(LAPSED_AT);
-        assertEquals(AttemptRefusal.NONE, gate.refusalBy(state, LAPSED_AT + 1.9));
-        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalBy(state, LAPSED_AT + 2));
+        state.lastSeenAt = LAPSED_AT;
+        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalBy(state, LAPSED_AT + 0.1));
     }
 }
--- a/core/src/test/java/clayhook/EndpointListOutOfDateTest.java
+++ b/core/src/test/java/clayhook/EndpointListOutOfDateTest.java
@@ -11,63 +11,80 @@
 /** Routing by a list that was confirmed at 1000 s, the time at which the fixture begins, and that lapses at 1006 s. */
 class EndpointListOutOfDateTest {
     private static final double LAPSED = 1006;
+    /** Longer than a passed health check counts. */
+    private static final double CHECK_LAPSES_AFTER = 5;
+
     private final EndpointListLease lease = new EndpointListLease(1000);
     private final RoutingFixture fixture = RoutingFixture.builder().lease(lease).build();
 
+    private Request write() {
+        return fixture.request(fixture.primaryClass(Idempotency.IDEMPOTENT_WITH_KEY), 0);
+    }
+
     @Test
-    void anIdleReplicaGetsNoneWhileAnotherExecutesAndThePrimaryIsKnownByItsRole() {
+    void onlyNodesThatPassedAHealthCheckLatelyGetReads() {
         fixture.now = LAPSED + 2;
-        fixture.reportAll(fixture.now); // alive, and up to date, but with no requests
-        fixture.reportBusy(fixture.replica, Role.REPLICA, fixture.now);
+        fixture.report(fixture.replica, Role.REPLICA, fixture.now);
         assertEquals(Set.of(fixture.replica), fixture.nodesChosenFor(fixture.eventual, 20));
-        Request write = fixture.request(fixture.primaryClass(Idempotency.IDEMPOTENT_WITH_KEY), 0);
-        Decision decision = fixture.policy.route(write, fixture.now);
-        assertEquals(RoutingAction.SEND, decision.action());
-        assertEquals(fixture.primary, decision.attempt().node);
+        fixture.now += CHECK_LAPSES_AFTER;
+        assertEquals(Set.of(), fixture.nodesChosenFor(fixture.eventual, 20));
     }
 
     @Test
-    void aWriteWaitsWhileNothingShowsThatThePrimaryIsStillThePrimary() {
-        fixture.reportAll(fixture.now);
+    void aReadWaitsForACheckAndIsSentWhereItPasses() {
         fixture.now = LAPSED + 2;
-        fixture.reportBusy(fixture.replica, Role.REPLICA, fixture.now);
-        Request write = fixture.request(fixture.primaryClass(Idempotency.IDEMPOTENT_WITH_KEY), 0);
+        Request read = fixture.request(fixture.eventual, 0);
+        assertEquals(RoutingAction.WAIT, fixture.policy.route(read, fixture.now).action());
+        assertTrue(!fixture.policy.tick(fixture.now).healthChecks().isEmpty());
+        fixture.report(fixture.otherReplica, Role.REPLICA, fixture.now);
         assertEquals(
-                RoutingAction.WAIT, fixture.policy.route(write, fixture.now).action());
+                fixture.otherReplica, fixture.policy.route(read, fixture.now).attempt().node);
     }
 
     @Test
-    void anIdleReplicaSetIsServedOnAfterHealthChecks() {
-        fixture.now = LAPSED;
-        fixture.reportAll(LAPSED);
+    void aWriteWaitsForACheckOfThePrimaryAndIsNotSentWhereItFails() {
+        fixture.now = LAPSED + 2;
+        Request write = write();
         assertEquals(
-                Decision.RoutingAction.SEND,
-                fixture.route(fixture.request(fixture.eventual, 0)).action());
+                RoutingAction.WAIT, fixture.policy.route(write, fixture.now).action());
+        assertTrue(fixture.policy.tick(fixture.now).healthChecks().contains(fixture.primary));
+        fixture.failCheck(fixture.primary);
+        assertEquals(
+                RoutingAction.WAIT, fixture.policy.route(write, fixture.now).action());
     }
 
     @Test
-    void aNodeWithRequestsGetsReadsAgainOnceADrainingOneWouldHaveFinishedThem() {
+    void aWriteIsSentOnceThePrimaryPassesACheck() {
         fixture.now = LAPSED + 2;
-        fixture.reportBusy(fixture.replica, Role.REPLICA, fixture.now);
-        assertEquals(Set.of(fixture.replica), fixture.nodesChosenFor(fixture.eventual, 20));
+        Request write = write();
+        fixture.policy.route(write, fixture.now);
+        fixture.report(fixture.primary, Role.PRIMARY, fixture.now);
+        assertEquals(fixture.primary, fixture.policy.route(write, fixture.now).attempt().node);
     }
 
+    /** A router with little traffic checks a node for each request, as what it knew has lapsed by the next one. */
     @Test
-    void healthChecksLookForNodesThatStillExecute() {
-        fixture.now = LAPSED;
-        fixture.policy.route(fixture.request(fixture.eventual, 0), fixture.now);
-        assertTrue(!fixture.policy.tick(fixture.now).healthChecks().isEmpty());
+    void eachRequestOfARouterWithLittleTrafficMayCheckANode() {
+        for (int i = 0; i < 60; i++) {
+            fixture.now = LAPSED + i * CHECK_LAPSES_AFTER;
+            Request read = fixture.request(fixture.eventual, 0);
+            fixture.policy.route(read, fixture.now);
+            fixture.now += 0.001; // a request that is routed again does not arrive again
+            fixture.answerHealthChecks();
+            Decision decision = fixture.policy.route(read, fixture.now);
+            assertEquals(RoutingAction.SEND, decision.action(), "request " + i);
+            fixture.answer(decision.attempt(), 0.001, Role.UNKNOWN, 0);
+        }
     }
 
     @Test
-    void anAttemptThatWaitedForItsConnectionIsRefusedOnceTheListHasLapsed() {
+    void anAttemptThatWaitedForItsConnectionIsRefusedOnceItsNodeFailsACheck() {
         fixture.now = LAPSED - 0.2;
         fixture.reportAll(fixture.now);
         Attempt attempt = fixture.send(fixture.bounded);
-        assertEquals(AttemptRefusal.NONE, fixture.policy.refusalOf(attempt, fixture.now));
         fixture.now = LAPSED;
-        Node busy = attempt.node.equals(fixture.replica) ? fixture.otherReplica : fixture.replica;
-        fixture.reportBusy(busy, Role.REPLICA, LAPSED);
+        assertEquals(AttemptRefusal.NONE, fixture.policy.refusalOf(attempt, fixture.now));
+        fixture.failCheck(attempt.node);
         assertEquals(AttemptRefusal.NODE_UNCONFIRMED, fixture.policy.refusalOf(attempt, LAPSED + 0.1));
     }
 
--- a/core/src/test/java/clayhook/RoutingFixture.java
+++ b/core/src/test/java/clayhook/RoutingFixture.java
@@ -163,9 +163,9 @@
         policy.onHealthCheck(node, result, now);
     }
 
-    /** The same for a node that holds requests, as of a time. */
-    void reportBusy(Node node, Role role, double position) {
-        var result = new AttemptResult(AttemptOutcome.ANSWERED, 0.001, Role.UNKNOWN, 0, role, position, 3);
+    /** A health check of a node fails, as it drains. */
+    void failCheck(Node node) {
+        var result = AttemptResult.withoutReport(AttemptOutcome.ERROR, 0.001);
         healthCheckResults.put(node, result);
         policy.onHealthCheck(node, result, now);
     }
@@ -185,14 +185,17 @@
     Decision route(Request request) {
         Decision decision = policy.route(request, now);
         for (int i = 0; i < 9 && decision.action() == RoutingAction.WAIT; i++) {
-            policy.tick(now)
-                    .healthChecks()
-                    .forEach(node -> policy.onHealthCheck(node, healthCheckResults.get(node), now));
+            answerHealthChecks();
             decision = policy.route(request, now);
         }
         return decision;
     }
 
+    /** Answers the health checks that are due as each node last did. */
+    void answerHealthChecks() {
+        policy.tick(now).healthChecks().forEach(node -> policy.onHealthCheck(node, healthCheckResults.get(node), now));
+    }
+
     /** Routes a new request, which has to be sent, and returns the attempt. */
     Attempt send(RequestClass requestClass) {
         Decision decision = route(request(requestClass, 0));
