--- a/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
@@ -9,19 +9,14 @@
 import clayhook.transport.Transport;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.function.BooleanSupplier;
-import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 
 /**
  * A fleet of router processes that share one discovery service and one replica set, each with a little traffic of its
@@ -44,7 +39,6 @@
     /** Longer than any start takes, even on a busy machine. */
     private static final double START_SECONDS = 60;
 
-    private static final long POLL_MS = 10;
     private static final double MILLIS_PER_SECOND = 1000;
     /** A client waits so long between two requests at most; a router sees a few dozen a second. */
     private static final int MAX_THINK_MS = 150;
@@ -55,7 +49,6 @@
     /** How long draining nodes go on to execute requests. */
     private static final double DRAIN_LEAD_SECONDS = 2;
 
-    private final Path folder = Files.createTempDirectory("fleet");
     private final Transport nodesLoop = Transport.tcp();
     private final Transport clientsLoop = Transport.tcp();
     private final RoutingSettings settings;
@@ -63,10 +56,9 @@
     private final DrainAudit drains = new DrainAudit(MACHINE_SECONDS);
     private final TestReplicaSet replicaSet;
     private final CrowdedDiscovery discovery;
-    private final List<RouterProcess> routers = new ArrayList<>();
+    private final RouterProcesses processes = new RouterProcesses(clientsLoop);
     private final List<Thread> clients = new ArrayList<>();
     private final Map<LoadClient.Answer, Integer> answers = new EnumMap<>(LoadClient.Answer.class);
-    private final Thread atExit = new Thread(() -> routers.forEach(RouterProcess::kill));
     private final int routerCount;
     private final boolean healthChecksAllowed;
     private final long seed;
@@ -91,7 +83,6 @@
         this.routerCount = routerCount;
         this.healthChecksAllowed = healthChecksAllowed;
         this.seed = seed;
-        Runtime.getRuntime().addShutdownHook(atExit);
         settings = parseSettings();
         history = new HistoryRecorder(settings);
         replicaSet = new TestReplicaSet(nodesLoop, nodeCount, ZONES, settings, history);
@@ -102,12 +93,11 @@
         discovery =
                 new CrowdedDiscovery(nodesLoop, replicaSet, drains, names, allCallsSeconds / Math.max(1, routerCount));
         for (String name : names) {
-            int number = routers.size();
-            var router = new RouterProcess(name, TestCluster.spare(), program, folder.resolve(name));
-            routers.add(router);
-            configure(router, number);
+            var router = new RouterProcess(name, SparePorts.next(), program, processes.folder(name));
+            processes.add(router);
+            configure(router, routers().indexOf(router));
         }
-        start(routers);
+        start(routers());
     }
 
     private RoutingSettings parseSettings() {
@@ -142,7 +132,7 @@
     // ---- parts ----
 
     public List<RouterProcess> routers() {
-        return routers;
+        return processes.all();
     }
 
     public CrowdedDiscovery discovery() {
@@ -175,21 +165,11 @@
             router.start();
         }
         for (RouterProcess router : some) {
-            awaitServing(router);
+            processes.awaitServing(router, START_SECONDS);
             history.up(router.name());
         }
     }
 
-    private void awaitServing(RouterProcess router) throws InterruptedException {
-        double until = HistoryRecorder.now() + START_SECONDS;
-        while (!LoadClient.greeted(clientsLoop, router.address(), START_SECONDS)) {
-            if (!router.runs() || HistoryRecorder.now() > until) {
-                throw new IllegalStateException(router.name() + " does not take requests: " + router.since(0));
-            }
-            Thread.sleep(POLL_MS);
-        }
-    }
-
     /** Kills processes without notice; returns when they have ended. */
     public void kill(Collection<RouterProcess> some) throws InterruptedException {
         some.forEach(router -> history.down(router.name()));
@@ -219,7 +199,7 @@
 
     /** Moves discovery to another address for one router, which is told by SIGHUP. */
     public void moveDiscovery(RouterProcess router) throws IOException {
-        int number = routers.indexOf(router);
+        int number = routers().indexOf(router);
         discovery.move(number);
         configure(router, number);
         drains.onReload(router.name());
@@ -244,7 +224,7 @@
     /** Starts the clients of all routers; one whose router is down tries it again. */
     public void startLoad() {
         for (int i = 0; i < CLIENTS_PER_ROUTER * routerCount; i++) {
-            RouterProcess router = routers.get(i % routerCount);
+            RouterProcess router = routers().get(i % routerCount);
             var random = new Random(seed * 31 + i);
             var thread = new Thread(() -> sendRequests(router, random), "client " + i);
             thread.setDaemon(true);
@@ -289,19 +269,12 @@
 
     /** Waits until a condition holds; false where it did not in so many seconds. */
     public boolean await(BooleanSupplier condition, double seconds) throws InterruptedException {
-        double until = HistoryRecorder.now() + seconds;
-        while (!condition.getAsBoolean()) {
-            if (HistoryRecorder.now() > until) {
-                return false;
-            }
-            Thread.sleep(POLL_MS);
-        }
-        return true;
+        return RouterProcesses.await(condition, seconds);
     }
 
     /** Log lines by which routers report violations that they noticed themselves, or faults of their own. */
     public List<String> reportedViolations() {
-        return routers.stream()
+        return routers().stream()
                 .flatMap(router -> router.since(0).stream().filter(RouterFleet::reportsViolation))
                 .toList();
     }
@@ -312,31 +285,22 @@
 
     /** The last lines that each router logged, to explain a verdict. */
     public String logs() {
-        return routers.stream()
-                .map(router -> router.name() + ": " + router.since(Math.max(0, router.mark() - 12)))
-                .collect(Collectors.joining("\n"));
+        return processes.lastLogLines();
     }
 
     @Override
     public void close() throws IOException {
         loaded = false;
         try {
-            routers.forEach(RouterProcess::kill);
+            processes.killAll();
             stopLoad();
-            for (RouterProcess router : routers) {
-                router.ended();
-            }
+            processes.awaitEnds();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
         discovery.close();
         nodesLoop.close();
         clientsLoop.close();
-        Runtime.getRuntime().removeShutdownHook(atExit);
-        try (Stream<Path> all = Files.walk(folder)) {
-            for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
-                Files.delete(path);
-            }
-        }
+        processes.deleteFiles();
     }
 }
--- /dev/null
+++ b/clustertests/src/main/java/clayhook/clustertests/RouterProcesses.java
@@ -0,0 +1,99 @@
+package clayhook.clustertests;
+
+import clayhook.transport.Transport;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/**
+ * The router processes of one test and the folder of their files. Ends the processes when it is closed, or at the
+ * latest when the test's own process ends.
+ */
+final class RouterProcesses {
+    private static final long POLL_MS = 10;
+    /** Log lines of each router that explain a verdict. */
+    private static final int LAST_LINES = 12;
+
+    private final Path folder = Files.createTempDirectory("routers");
+    private final List<RouterProcess> all = new ArrayList<>();
+    private final Transport clients;
+    private final Thread atExit = new Thread(() -> all.forEach(RouterProcess::kill));
+
+    /** {@code clients}: the transport on which routers are asked whether they take requests. */
+    RouterProcesses(Transport clients) throws IOException {
+        this.clients = clients;
+        Runtime.getRuntime().addShutdownHook(atExit);
+    }
+
+    /** Adds a process, which is not started yet. */
+    RouterProcess add(RouterProcess router) {
+        all.add(router);
+        return router;
+    }
+
+    /** A folder for the files of one process. */
+    Path folder(String name) {
+        return folder.resolve(name);
+    }
+
+    List<RouterProcess> all() {
+        return all;
+    }
+
+    /** Waits until a router takes requests; throws IllegalStateException where it ends or takes too long. */
+    void awaitServing(RouterProcess router, double seconds) throws InterruptedException {
+        double until = HistoryRecorder.now() + seconds;
+        while (!LoadClient.greeted(clients, router.address(), seconds)) {
+            if (!router.runs() || HistoryRecorder.now() > until) {
+                throw new IllegalStateException(router.name() + " does not take requests: " + router.since(0));
+            }
+            Thread.sleep(POLL_MS);
+        }
+    }
+
+    /** Waits until a condition holds; false where it did not in so many seconds. */
+    static boolean await(BooleanSupplier condition, double seconds) throws InterruptedException {
+        double until = HistoryRecorder.now() + seconds;
+        while (!condition.getAsBoolean()) {
+            if (HistoryRecorder.now() > until) {
+                return false;
+            }
+            Thread.sleep(POLL_MS);
+        }
+        return true;
+    }
+
+    /** The last lines that each router logged, to explain a verdict. */
+    String lastLogLines() {
+        return all.stream()
+                .map(router -> router.name() + ": " + router.since(Math.max(0, router.mark() - LAST_LINES)))
+                .collect(Collectors.joining("\n"));
+    }
+
+    void killAll() {
+        all.forEach(RouterProcess::kill);
+    }
+
+    /** Waits until all processes have ended. */
+    void awaitEnds() throws InterruptedException {
+        for (RouterProcess router : all) {
+            router.ended();
+        }
+    }
+
+    /** Deletes the files of processes that have ended. */
+    void deleteFiles() throws IOException {
+        Runtime.getRuntime().removeShutdownHook(atExit);
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path path : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(path);
+            }
+        }
+    }
+}
--- a/clustertests/src/main/java/clayhook/clustertests/TestCluster.java
+++ b/clustertests/src/main/java/clayhook/clustertests/TestCluster.java
@@ -7,23 +7,16 @@
 import clayhook.json.Json;
 import clayhook.transport.Transport;
 import java.io.IOException;
-import java.net.DatagramSocket;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 
 /**
  * A fleet of router processes with nodes, discovery, clients and the relay between routers: begun, troubled, judged.
@@ -53,30 +46,23 @@
     /** Longer than any start or answer takes, even where several such trials share a machine. */
     public static final double PATIENCE = 60;
 
-    private static final long POLL_MS = 10;
     /** No session comes to another router sooner than this after its write: a little more than routers count on. */
     public static final long ROAM_MS = 600;
     /** Datagrams by which a fault of links has shown. */
     private static final int ENOUGH = 300;
     /** What a router logs of its members and of each kind of what it shares: its hash and size. */
     private static final Pattern FIGURES = Pattern.compile("members \\d+ alive \\d+, digests( \\S+=\\w+/\\d+)+");
-    /** Below the ports that machines give to connections, so that a router that returns finds its own still free. */
-    private static final int FIRST_PORT = 20_000, PORTS = 12_000;
 
-    private static final AtomicInteger PORT =
-            new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % PORTS));
-
-    private final Path folder = Files.createTempDirectory("trial");
     private final Transport nodesLoop = Transport.tcp();
     private final Transport clientsLoop = Transport.tcp();
     private final HistoryRecorder history = new HistoryRecorder(READ);
     private final TestReplicaSet cluster;
-    private final List<RouterProcess> routers = new ArrayList<>();
+    private final RouterProcesses processes = new RouterProcesses(clientsLoop);
+    private final List<RouterProcess> routers = processes.all();
     private final DiscoveryServer discovery;
     private final DatagramRelay relay;
     private final long seed;
     private final boolean carried;
-    private final Thread atExit = new Thread(() -> routers.forEach(RouterProcess::kill));
     private final List<Thread> load = new ArrayList<>();
     private volatile boolean loaded;
 
@@ -105,35 +91,19 @@
             throws IOException, InterruptedException {
         this.seed = seed;
         this.carried = carried;
-        Runtime.getRuntime().addShutdownHook(atExit);
         cluster = new TestReplicaSet(nodesLoop, 3, ZONES, READ, history);
         List<InetSocketAddress> addresses =
-                IntStream.range(0, count).mapToObj(i -> spare()).toList();
+                IntStream.range(0, count).mapToObj(i -> SparePorts.next()).toList();
         relay = new DatagramRelay(clientsLoop, addresses, seed);
         discovery = new DiscoveryServer(nodesLoop, cluster, () -> up().size());
         for (int i = 0; i < count; i++) {
-            var router = new RouterProcess("r" + i, addresses.get(i), RouterProgram.of(jar), folder.resolve("r" + i));
+            var router = new RouterProcess("r" + i, addresses.get(i), RouterProgram.of(jar), processes.folder("r" + i));
             router.configure(platform(router, i), operator(i, count, sharing));
-            routers.add(router);
+            processes.add(router);
             router.start();
         }
         for (RouterProcess router : routers) {
-            greet(router);
-        }
-    }
-
-    /** A port for both datagrams and connections that nobody uses now. */
-    static InetSocketAddress spare() {
-        while (true) {
-            var address = new InetSocketAddress(
-                    InetAddress.getLoopbackAddress(), FIRST_PORT + PORT.getAndIncrement() % PORTS);
-            try (var datagrams = new DatagramSocket(address);
-                    var connections = new ServerSocket()) {
-                connections.bind(datagrams.getLocalSocketAddress());
-                return address;
-            } catch (IOException e) {
-                // taken; the next one
-            }
+            processes.awaitServing(router, PATIENCE);
         }
     }
 
@@ -160,17 +130,6 @@
                         + text(relay.address(router)) + "\nseeds = [" + seeds + "]\n" + sharing;
     }
 
-    /** Waits until it takes commands. */
-    private void greet(RouterProcess router) throws InterruptedException {
-        double until = HistoryRecorder.now() + PATIENCE;
-        while (!LoadClient.greeted(clientsLoop, router.address(), PATIENCE)) {
-            if (!router.runs() || HistoryRecorder.now() > until) {
-                throw new IllegalStateException(router.name() + " does not take commands: " + router.since(0));
-            }
-            Thread.sleep(POLL_MS);
-        }
-    }
-
     // ---- its parts ----
 
     public List<RouterProcess> routers() {
@@ -225,7 +184,7 @@
                 routers.get(router).start();
             }
             for (int router : killed.routers()) {
-                greet(routers.get(router));
+                processes.awaitServing(routers.get(router), PATIENCE);
                 history.up(routers.get(router).name());
             }
         } else {
@@ -307,14 +266,7 @@
 
     /** Waits until that holds; false where it did not within {@link #PATIENCE}. */
     public boolean await(BooleanSupplier condition) throws InterruptedException {
-        double until = HistoryRecorder.now() + PATIENCE;
-        while (!condition.getAsBoolean()) {
-            if (HistoryRecorder.now() > until) {
-                return false;
-            }
-            Thread.sleep(POLL_MS);
-        }
-        return true;
+        return RouterProcesses.await(condition, PATIENCE);
     }
 
     /** Waits until each of those routers has answered that many more commands of the load with a value. */
@@ -363,29 +315,20 @@
 
     /** What each router logged last, to explain a verdict. */
     public String logs() {
-        return routers.stream()
-                .map(router -> router.since(Math.max(0, router.mark() - 12)).toString())
-                .collect(Collectors.joining("\n"));
+        return processes.lastLogLines();
     }
 
     @Override
     public void close() throws IOException {
         try {
-            routers.forEach(RouterProcess::kill);
+            processes.killAll();
             stopLoad();
-            for (RouterProcess router : routers) {
-                router.ended();
-            }
+            processes.awaitEnds();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
         nodesLoop.close();
         clientsLoop.close();
-        Runtime.getRuntime().removeShutdownHook(atExit);
-        try (Stream<Path> all = Files.walk(folder)) {
-            for (Path path : all.sorted(Comparator.reverseOrder()).toList()) {
-                Files.delete(path);
-            }
-        }
+        processes.deleteFiles();
     }
 }
--- a/daemon/src/main/java/clayhook/discovery/DiscoveryClient.java
+++ b/daemon/src/main/java/clayhook/discovery/DiscoveryClient.java
@@ -241,12 +241,11 @@
                 scheduleCheck(checkDelay.getAsDouble());
             }
         } else if (connection == lateConnection) {
+            reportIfRejected(connection, rejected);
             lateConnection = null;
         } else if (connection == watchConnection) {
             Log.warn("discovery", "discovery failed: " + reason + describeAge(connection));
-            if (rejected) {
-                listener.onWatchEvent(new WatchEvent.Rejected(connection.secondsSincePoll()));
-            }
+            reportIfRejected(connection, rejected);
             watchConnection = null;
             listener.onEndpointListFailed();
         } else {
@@ -254,4 +253,10 @@
         }
         discard(connection);
     }
+
+    private void reportIfRejected(PollConnection watch, boolean rejected) {
+        if (rejected) {
+            listener.onWatchEvent(new WatchEvent.Rejected(watch.secondsSincePoll()));
+        }
+    }
 }
--- a/daemon/src/test/java/clayhook/discovery/EndpointWatcherTest.java
+++ b/daemon/src/test/java/clayhook/discovery/EndpointWatcherTest.java
@@ -1,6 +1,7 @@
 package clayhook.discovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import clayhook.transport.Transport;
@@ -10,6 +11,7 @@
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -17,6 +19,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class EndpointWatcherTest implements EndpointWatcher.Listener {
+    private static final long TIMEOUT_SECONDS = 10;
+
     /** Longer than any test takes, but for the one on late watches. */
     private static final double LONG_POLL_SECONDS = 10;
 
@@ -26,6 +30,7 @@
 
     private final LinkedBlockingQueue<String> calls = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<String> events = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<WatchEvent> watchEvents = new LinkedBlockingQueue<>();
     private EndpointWatcher watcher;
 
     private void start(String... answers) throws InterruptedException {
@@ -108,6 +113,11 @@
         events.add("failed");
     }
 
+    @Override
+    public void onWatchEvent(WatchEvent event) {
+        watchEvents.add(event);
+    }
+
     @Override
     public void onEndpointListLate() {
         events.add("late");
@@ -187,10 +197,14 @@
 
     /** Starts a watch that has been answered once, at a service that answers when the test says so. */
     private LinkedBlockingQueue<HeldCall> startWithHeldCalls() throws Exception {
+        return startWithHeldCalls(LONG_POLL_SECONDS);
+    }
+
+    private LinkedBlockingQueue<HeldCall> startWithHeldCalls(double longPollSeconds) throws Exception {
         var held = new LinkedBlockingQueue<HeldCall>();
         var service = new StubDiscovery(
                 transport, transport.ephemeralAddress(0), (call, answer) -> held.add(new HeldCall(call, answer)));
-        watcher = new EndpointWatcher(transport, service.address(), 41, LONG_POLL_SECONDS, new Random(1), this);
+        watcher = new EndpointWatcher(transport, service.address(), 41, longPollSeconds, new Random(1), this);
         ensureWatching();
         answer(held.take(), list(42, false));
         assertEquals("changes 42", events.take());
@@ -254,4 +268,22 @@
         assertEquals("changes 42", events.take());
         assertTrue(held.take().isWatch());
     }
+
+    /** What checks confirmed while it waited is in doubt, as with a watch that is not late. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void rejectionOfAWatchIsReportedAlsoWhereItIsLateAndAnotherIsOpen(boolean late) throws Exception {
+        LinkedBlockingQueue<HeldCall> held = startWithHeldCalls(late ? 0.05 : LONG_POLL_SECONDS);
+        HeldCall watch = held.take();
+        if (late) {
+            assertEquals("late", events.take());
+            ensureWatching();
+            assertTrue(held.take().isWatch());
+        }
+        watchEvents.clear();
+        answer(watch, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        var rejected = (WatchEvent.Rejected) watchEvents.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        assertNotNull(rejected);
+        assertTrue(rejected.polledSecondsAgo() >= (late ? 0.5 : 0), rejected::toString);
+    }
 }
