Let unused slow-start tokens expire, so that many routers at rest do not overload a node

Cause: the budget of a router for a node in slow start was capped at nought, and at nought a request passes. So each router that had no request for the node kept one, for any time, and all may go out together: 120 where the node takes 14 in its window, 23 with the allowance for random variation. The sum of the rates was right.

Change: SlowStartBudget holds the rule by itself, a token bucket whose only token expires after a third of the overload window (window * (1 / 0.75 - 1)): rate and stock together then stay within what the node takes, for any number of routers; no constant was tuned. Where the next token comes within that time nothing changes, so small fleets are as before. An attempt that waited for its connection is refused (NO_SLOW_START_TOKEN) once its token has expired or its node has started anew.

--- a/core/src/main/java/clayhook/Attempt.java
+++ b/core/src/main/java/clayhook/Attempt.java
@@ -15,15 +15,29 @@
     public final double sentAt;
     /** When the attempt is abandoned. */
     public final double timeoutAt;
+    /** When the right to send it to a node in slow start expires; infinite for other nodes. */
+    public final double slowStartTokenExpiresAt;
     /** How the attempt ended, or null while it is outstanding. */
     public AttemptOutcome outcome;
 
-    /** Creates an outstanding attempt. */
+    /** Creates an outstanding attempt on a node that is not in slow start. */
     public Attempt(Request request, Node node, boolean opensConnection, double sentAt, double timeoutAt) {
+        this(request, node, opensConnection, sentAt, timeoutAt, Double.POSITIVE_INFINITY);
+    }
+
+    /** Creates an outstanding attempt. */
+    public Attempt(
+            Request request,
+            Node node,
+            boolean opensConnection,
+            double sentAt,
+            double timeoutAt,
+            double slowStartTokenExpiresAt) {
         this.request = request;
         this.node = node;
         this.opensConnection = opensConnection;
         this.sentAt = sentAt;
         this.timeoutAt = timeoutAt;
+        this.slowStartTokenExpiresAt = slowStartTokenExpiresAt;
     }
 }
--- a/core/src/main/java/clayhook/AttemptRefusal.java
+++ b/core/src/main/java/clayhook/AttemptRefusal.java
@@ -16,6 +16,8 @@
     NODE_UNCONFIRMED,
     /** The request may have been executed and may not be executed again, or not any more. */
     RETRY_FORBIDDEN,
+    /** The node is in slow start, and this router's token for it has expired or belongs to an earlier process. */
+    NO_SLOW_START_TOKEN,
     /** The node no longer satisfies the read. */
     READ_TOO_STALE
 }
--- a/core/src/main/java/clayhook/NodeState.java
+++ b/core/src/main/java/clayhook/NodeState.java
@@ -86,16 +86,14 @@
     /** Backoffs since the last answer to an attempt. */
     int backoffCount;
 
-    /** Work in seconds that may be sent to the node during slow start; below 0 while it is used up. */
-    double slowStartBudget;
+    /** What this router may send to the node while that is in slow start. */
+    final SlowStartBudget slowStartBudget;
 
-    /** When the budget was last refilled. */
-    double slowStartBudgetAt = NEVER;
-
-    NodeState(Node node, ReplicaSet replicaSet, double concurrencyLimit) {
+    NodeState(Node node, ReplicaSet replicaSet, double concurrencyLimit, double overloadWindowSeconds) {
         this.node = node;
         this.replicaSet = replicaSet;
         this.concurrencyLimit = concurrencyLimit;
+        slowStartBudget = new SlowStartBudget(overloadWindowSeconds);
     }
 
     /** Whether the endpoint list says that the node is draining, or lacks it. */
--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -96,7 +96,6 @@
     private static final double MIN_CONNECT_TIME = 0.02; // a few round trips and some work
     private static final double CONNECT_TIME_SMOOTHING = 0.1; // weight of an attempt
 
-    private static final double SLOW_START_SAFETY_FACTOR = 0.75; // of what would overload the node
     private static final double MIN_FLEET_WORK_RATE = 0.15; // of all routers: a part of one core of a node
     private static final double WORK_RATE_DECAY = 4; // some rotations over the nodes, little of a slow start
     private static final double SERVING_NODE_COUNT_INTERVAL = 0.1; // a count per response costs too much
@@ -255,9 +254,12 @@
         } else if (request.attempts.isEmpty()) {
             retryBudget = Math.min(retryBudgetCap, retryBudget + RETRY_BUDGET_RATIO);
         }
-        node.slowStartBudget -= expectedServiceTimes.get(request.requestClass);
+        double tokenExpiresAt = Double.POSITIVE_INFINITY;
+        if (isInSlowStart(node, now)) {
+            tokenExpiresAt = node.slowStartBudget.spend(expectedServiceTimes.get(request.requestClass));
+        }
         boolean opensConnection = node.useConnection(settings, now);
-        var attempt = new Attempt(request, node.node, opensConnection, now, latestUsefulTime(request));
+        var attempt = new Attempt(request, node.node, opensConnection, now, latestUsefulTime(request), tokenExpiresAt);
         node.outstandingAttempts.add(attempt);
         outstandingAttemptCount++;
         return Decision.send(attempt);
@@ -335,6 +337,8 @@
             return gate.refusalBy(node, now);
         } else if (request.firstPossiblyExecutedAttempt() != attempt && !mayRetry(request, now)) {
             return AttemptRefusal.RETRY_FORBIDDEN;
+        } else if (lacksSlowStartToken(attempt, node, now)) {
+            return AttemptRefusal.NO_SLOW_START_TOKEN;
         }
         boolean primary = request.requiresPrimary() || node.claimsPrimary();
         boolean satisfied = settings.replicasRejectStaleReads() || primary || satisfiesRead(node, request, now);
@@ -661,25 +665,40 @@
 
     // ---- slow start ----
 
-    /** Whether a node in slow start may get a request; the budget is never saved up. */
+    private boolean isInSlowStart(NodeState node, double now) {
+        return settings.capacityFraction(node.startedAt(), now) < 1;
+    }
+
+    /** Whether a node may get a request: always, but in slow start only within this router's budget for it. */
     private boolean withinSlowStartBudget(NodeState node, RequestClass requestClass, double now) {
-        // The budget is this router's part of what the node can take, by the work that warm nodes do for it.
-        double capacity = settings.capacityFraction(node.startedAt(), now);
-        if (capacity >= 1) {
+        if (!isInSlowStart(node, now)) {
             return true;
         }
-        double minWorkRate = MIN_FLEET_WORK_RATE / settings.routerCount();
-        double workRate = Math.max(minWorkRate, completedWorkRate.value(now));
-        double budgetRate = capacity * settings.overloadFactor() * SLOW_START_SAFETY_FACTOR * workRate;
-        if (node.slowStartBudgetAt < node.startedAt()) {
-            // The node has restarted. The random start spreads the first requests of many routers.
-            node.slowStartBudget = -random.nextDouble() * expectedServiceTimes.get(requestClass);
+        SlowStartBudget budget = node.slowStartBudget;
+        double requestWork = expectedServiceTimes.get(requestClass);
+        if (budget.isOlderThan(node.startedAt())) {
+            // The random debt spreads the first requests of many routers.
+            budget.restart(random.nextDouble() * requestWork, now);
         } else {
-            double refill = budgetRate * (now - node.slowStartBudgetAt);
-            node.slowStartBudget = Math.min(0, node.slowStartBudget + refill);
+            budget.refill(toleratedWorkRate(node, now), requestWork, now);
         }
-        node.slowStartBudgetAt = now;
-        return node.slowStartBudget >= 0;
+        return budget.hasToken();
+    }
+
+    /** This router's part of the work that a node in slow start tolerates, by the work that warm nodes do for it. */
+    private double toleratedWorkRate(NodeState node, double now) {
+        double minWorkRate = MIN_FLEET_WORK_RATE / settings.routerCount();
+        double workRate = Math.max(minWorkRate, completedWorkRate.value(now));
+        return settings.capacityFraction(node.startedAt(), now) * settings.overloadFactor() * workRate;
+    }
+
+    /**
+     * Whether an attempt that waited, for its connection say, has lost the right to a node in slow start: its token has
+     * expired, or the node has started since. Otherwise all that waited together would arrive together.
+     */
+    private boolean lacksSlowStartToken(Attempt attempt, NodeState node, double now) {
+        boolean startedSince = attempt.sentAt < node.startedAt();
+        return isInSlowStart(node, now) && (startedSince || now > attempt.slowStartTokenExpiresAt);
     }
 
     /** Counts a response as work done; what was sent to hung or overloaded nodes does not count. */
@@ -903,7 +922,7 @@
 
     private NodeState addNode(Node node) {
         double limit = Math.max(minConcurrencyLimit, INITIAL_FLEET_CONCURRENCY / settings.routerCount());
-        var state = new NodeState(node, replicaSet(node.replicaSetId()), limit);
+        var state = new NodeState(node, replicaSet(node.replicaSetId()), limit, settings.overloadWindowSeconds());
         state.replicaSet.members.add(state);
         return state;
     }
--- a/core/src/test/java/clayhook/AttemptGateTest.java
+++ b/core/src/test/java/clayhook/AttemptGateTest.java
@@ -9,7 +9,7 @@
 class AttemptGateTest {
     private static final double LAPSED_AT = 106;
     private final Node node = new Node("n", "a", 1);
-    private final NodeState state = new NodeState(node, new ReplicaSet(1, null, null), 10);
+    private final NodeState state = new NodeState(node, new ReplicaSet(1, null, null), 10, 3);
     private final EndpointListLease lease = new EndpointListLease(100);
     private final AttemptGate gate = new AttemptGate(lease, true);
     private final AttemptGate gateWithoutChecks = new AttemptGate(lease, false);
--- a/core/src/test/java/clayhook/SlowStartSimulation.java
+++ b/core/src/test/java/clayhook/SlowStartSimulation.java
@@ -39,6 +39,8 @@
     private static final double END = START + 22;
     private static final double BURST_SECONDS = 5;
     private static final double CONNECT_TIMEOUT = 0.25;
+    private static final double CONNECTIONS_HANG_SECONDS = 2.5;
+    private static final double TRAFFIC_SHIFT_FACTOR = 10;
 
     /** What happens. Where nothing else is said, one node in each set joins, and the rest follows soon after. */
     enum Scenario {
@@ -60,7 +62,13 @@
         /** The same, and all other replicas drain. */
         DRAIN_AND_ROUTER_RESTART,
         /** The primary dies, and the node in slow start takes over. */
-        PRIMARY_FAILOVER
+        PRIMARY_FAILOVER,
+        /** All other replicas drain, and every tenth router gets ten times its traffic from then on. */
+        DRAIN_AND_TRAFFIC_SHIFT,
+        /** All other replicas drain; meanwhile no new connection to the joining nodes comes up, and then all do. */
+        DRAIN_WHILE_CONNECTIONS_HANG,
+        /** All other replicas drain, and the joining nodes restart at that moment, in the midst of their slow start. */
+        DRAIN_AND_SECOND_RESTART
     }
 
     private record SimulationEvent(double at, long order, Runnable action) {}
@@ -87,6 +95,9 @@
         /** When the node will have done all work that it has. */
         double idleAt;
 
+        /** New connections come up at this time, where it is not over. */
+        double connectsAt;
+
         final List<ReceivedWork> workInSlowStart = new ArrayList<>();
 
         SlowStartNode(int replicaSetId, int member) {
@@ -206,6 +217,10 @@
                         CONNECT_TIMEOUT, () -> onAttemptFinished(attempt, sentBy, AttemptOutcome.CONNECT_FAILED, node));
                 return;
             }
+            if (attempt.opensConnection && now < node.connectsAt) {
+                schedule(node.connectsAt - now, () -> sendOnLateConnection(attempt, sentBy, node));
+                return;
+            }
             node.receive(work + (attempt.opensConnection ? CONNECT_WORK : 0), this);
             if (node.idleAt - now > 1) {
                 schedule(0.001, () -> onAttemptFinished(attempt, sentBy, AttemptOutcome.OVERLOADED, node));
@@ -220,6 +235,17 @@
                             attempt, sentBy, late ? AttemptOutcome.TIMED_OUT : AttemptOutcome.ANSWERED, node));
         }
 
+        /** Like a server: asks again before the first byte of an attempt that waited for its connection. */
+        private void sendOnLateConnection(Attempt attempt, int sentBy, SlowStartNode node) {
+            if (sentBy != incarnation) {
+                return;
+            } else if (policy.mayStillSend(attempt, now)) {
+                send(attempt);
+            } else {
+                onAttemptFinished(attempt, sentBy, AttemptOutcome.NOT_SENT, node);
+            }
+        }
+
         private void onAttemptFinished(Attempt attempt, int sentBy, AttemptOutcome outcome, SlowStartNode node) {
             if (sentBy != incarnation) {
                 return;
@@ -459,6 +485,21 @@
                         faultAfter,
                         () -> old.stream().filter(node -> !node.primary).forEach(node -> node.dead = true));
             case PRIMARY_FAILOVER -> schedulePrimaryFailover(faultAfter, old, joining);
+            case DRAIN_AND_TRAFFIC_SHIFT ->
+                schedule(faultAfter, () -> {
+                    drainReplicas(old);
+                    shiftTraffic();
+                });
+            case DRAIN_WHILE_CONNECTIONS_HANG ->
+                schedule(faultAfter, () -> {
+                    drainReplicas(old);
+                    joining.forEach(node -> node.connectsAt = now + CONNECTIONS_HANG_SECONDS);
+                });
+            case DRAIN_AND_SECOND_RESTART ->
+                schedule(faultAfter, () -> {
+                    drainReplicas(old);
+                    joining.forEach(this::restart);
+                });
             case DRAIN_ONE_SET_IN_BURST -> scheduleDrainOfFirstSetInBurst(faultAfter, old);
             default -> {}
         }
@@ -504,6 +545,27 @@
         });
     }
 
+    /** The node's process starts anew; what it got before does not count against the new one. */
+    private void restart(SlowStartNode node) {
+        node.startedAt = now;
+        node.workInSlowStart.clear();
+        publishEndpoint(node);
+    }
+
+    /** Every tenth router, of those with little traffic, gets ten times as much; the whole grows by that. */
+    private void shiftTraffic() {
+        double before = cumulativeTraffic[cumulativeTraffic.length - 1];
+        double previous = 0;
+        double sum = 0;
+        for (int i = 0; i < cumulativeTraffic.length; i++) {
+            double share = cumulativeTraffic[i] - previous;
+            previous = cumulativeTraffic[i];
+            sum += i % 10 == 1 ? share * TRAFFIC_SHIFT_FACTOR : share;
+            cumulativeTraffic[i] = sum;
+        }
+        requestRate *= sum / before;
+    }
+
     private void schedulePrimaryFailover(double after, List<SlowStartNode> old, List<SlowStartNode> joining) {
         schedule(after, () -> old.stream().filter(node -> node.primary).forEach(node -> {
             node.dead = true;
