Judge slow start, stale reads, departed clients, told timeouts and keys in the soak

Need: the soak's judge did not look at four rules, and was shown to fail on three broken builds only.

Change: SlowStartAudit judges what nodes in slow start get in each window; AttemptAudit what is sent to nodes for clients that have left, the time that nodes are told, and the key of writes; EndpointNotifications, taken out of DrainAudit, says when a router counts as notified, for both. New faults: nodes that die and come back in slow start, replicas whose log stands still, bursts of clients that leave; one of ten requests is given up by its client. Nodes drop repeats by the idempotency key, as the protocol has it, in place of the request id. Shutdowns have clients with a write that may not be repeated. The fleet's slow start lasts 10 s with a factor of 2, so that a window is short beside it.

--- a/clustertests/src/main/java/clayhook/clustertests/ClusterNode.java
+++ b/clustertests/src/main/java/clayhook/clustertests/ClusterNode.java
@@ -202,7 +202,7 @@
         }
 
         private ByteBuf run(KeyValueStatement statement) {
-            cluster.requestArrived(router, node);
+            cluster.requestArrived(new NodeRequest(router, node, statement, HistoryRecorder.now()));
             if (rejectsAsDraining()) {
                 return MessageEncoder.error(false, "53300", "draining", null);
             }
@@ -212,7 +212,7 @@
             }
             recordSlowStartWork();
             boolean writes = group.consistency() == ConsistencyLevel.WRITE;
-            double position = writes ? cluster.write(group, statement.requestId) : position();
+            double position = writes ? cluster.write(group, statement.outcomeKey) : position();
             cluster.history.ran(statement.requestId, node, position);
             return row(Double.toString(position), writes ? position : position());
         }
--- a/clustertests/src/main/java/clayhook/clustertests/CrowdedDiscovery.java
+++ b/clustertests/src/main/java/clayhook/clustertests/CrowdedDiscovery.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -65,7 +66,8 @@
         return thread;
     });
     private final TestReplicaSet cluster;
-    private final DrainAudit audit;
+    private final EndpointNotifications notifications;
+    private final Consumer<TestReplicaSet> changeListener;
     private final double secondsPerCall;
     /** Two for each router, of which one is in use at a time; the other answers as well. */
     private final List<List<StubDiscovery>> addresses = new ArrayList<>();
@@ -82,13 +84,21 @@
     /**
      * Listens at one address for each router.
      *
+     * @param notifications records what is written to each router
+     * @param changeListener hears of each new version of the list
      * @param secondsPerCall how long the service works on a call
      */
     CrowdedDiscovery(
-            Transport transport, TestReplicaSet cluster, DrainAudit audit, List<String> routers, double secondsPerCall)
+            Transport transport,
+            TestReplicaSet cluster,
+            EndpointNotifications notifications,
+            Consumer<TestReplicaSet> changeListener,
+            List<String> routers,
+            double secondsPerCall)
             throws InterruptedException {
         this.cluster = cluster;
-        this.audit = audit;
+        this.notifications = notifications;
+        this.changeListener = changeListener;
         this.secondsPerCall = secondsPerCall;
         for (String router : routers) {
             addresses.add(List.of(listen(transport, router), listen(transport, router)));
@@ -124,7 +134,7 @@
     /** Changes what becomes of calls from now on. */
     public synchronized void mode(Mode next) {
         mode = next;
-        audit.onReachable(next != Mode.DOWN);
+        notifications.onReachable(next != Mode.DOWN);
         if (next == Mode.DOWN) {
             parked.forEach(call -> reject(call, 0));
         }
@@ -183,12 +193,12 @@
         int version = cluster.version();
         // Told from before the write on, as the router may act on it before this thread goes on.
         if (call.answer.test(cluster.list())) {
-            audit.onWritten(call.router, version);
+            notifications.onWritten(call.router, version);
         }
     }
 
     private synchronized void onChange() {
-        audit.onChange(cluster);
+        changeListener.accept(cluster);
         double now = HistoryRecorder.now();
         List<Call> all = List.copyOf(parked);
         parked.clear();
--- a/clustertests/src/main/java/clayhook/clustertests/FaultSoak.java
+++ b/clustertests/src/main/java/clayhook/clustertests/FaultSoak.java
@@ -12,9 +12,18 @@
 final class FaultSoak {
     /** What a run showed; empty lists for a run that kept all rules. */
     record Verdict(
-            List<String> drainViolations, Map<?, Integer> brokenRules, List<String> reported, String firstBroken) {
+            List<String> drainViolations,
+            List<String> slowStartViolations,
+            List<String> attemptViolations,
+            Map<?, Integer> brokenRules,
+            List<String> reported,
+            String firstBroken) {
         boolean isClean() {
-            return drainViolations.isEmpty() && brokenRules.isEmpty() && reported.isEmpty();
+            return drainViolations.isEmpty()
+                    && slowStartViolations.isEmpty()
+                    && attemptViolations.isEmpty()
+                    && brokenRules.isEmpty()
+                    && reported.isEmpty();
         }
     }
 
@@ -51,7 +60,12 @@
             reported.addAll(soak.failures);
         }
         return new Verdict(
-                fleet.drains().violations(), fleet.brokenRules(), List.copyOf(reported), fleet.firstBroken());
+                fleet.drains().violations(),
+                fleet.slowStarts().violations(),
+                fleet.attempts().violations(),
+                fleet.brokenRules(),
+                List.copyOf(reported),
+                fleet.firstBroken());
     }
 
     private void start(List<TimedFault> lane, double startedAt) {
--- a/clustertests/src/main/java/clayhook/clustertests/HistoryRecorder.java
+++ b/clustertests/src/main/java/clayhook/clustertests/HistoryRecorder.java
@@ -3,6 +3,7 @@
 import clayhook.Node;
 import clayhook.RequestClass;
 import clayhook.RequestClass.ConsistencyLevel;
+import clayhook.RequestClass.Idempotency;
 import clayhook.RoutingSettings;
 import clayhook.lab.model.RuleAudit;
 import clayhook.warmup.StubClient;
@@ -35,6 +36,7 @@
     private static final double WALL = System.currentTimeMillis() / 1000.0 - System.nanoTime() / 1e9;
 
     private final RuleAudit audit;
+    private final AttemptAudit attempts = new AttemptAudit();
     private final Map<String, Asked> commands = new HashMap<>();
     private final Map<String, Up> routers = new HashMap<>();
     /** Since when routers know that a node drains; one that was down since it is up. */
@@ -99,6 +101,19 @@
         commands.put(
                 id, new Asked(group, now, wroteAt, router, routers.computeIfAbsent(router, any -> new Up()).changes));
         audit.sent(id, group, now + wait);
+        boolean keyed = group.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY;
+        attempts.onSent(id, group.clientTimeoutSeconds(), keyed ? id : null);
+    }
+
+    /** The client of a request has closed its connection: no answer is owed any more. */
+    synchronized void left(String id) {
+        audit.excused(id);
+        attempts.onLeft(id);
+    }
+
+    /** Judges what routers send to nodes for the clients. */
+    AttemptAudit attempts() {
+        return attempts;
     }
 
     /** Its answer came; {@code throttled} says that it never ran. */
--- a/clustertests/src/main/java/clayhook/clustertests/LoadClient.java
+++ b/clustertests/src/main/java/clayhook/clustertests/LoadClient.java
@@ -50,6 +50,11 @@
         NONE
     }
 
+    /** Sends a request and leaves after so many seconds, unless it is answered before. */
+    Answer askAndLeave(RouterProcess router, RequestClass group, double patienceSeconds) throws InterruptedException {
+        return ask(router, group, "c" + IDS.incrementAndGet(), patienceSeconds);
+    }
+
     /** Sends a request and waits for the answer. */
     public Answer ask(RouterProcess router, RequestClass group) throws InterruptedException {
         return ask(router, group, "c" + IDS.incrementAndGet());
@@ -57,6 +62,11 @@
 
     /** The same with the id of an earlier request, which for one with a key names the same write. */
     public Answer ask(RouterProcess router, RequestClass group, String id) throws InterruptedException {
+        return ask(router, group, id, Double.POSITIVE_INFINITY);
+    }
+
+    private Answer ask(RouterProcess router, RequestClass group, String id, double patienceSeconds)
+            throws InterruptedException {
         boolean writes = group.consistency() == ConsistencyLevel.WRITE;
         boolean own = group.consistency() == ConsistencyLevel.SESSION && wroteAt > 0;
         double waitSeconds = group.clientTimeoutSeconds() + HistoryRecorder.MACHINE;
@@ -68,7 +78,12 @@
                         + Math.round(group.clientTimeoutSeconds() * 1000)
                         + (group.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY ? ",k=" + id : "")
                         + (own && carries ? ",after=" + (long) Math.ceil(wroteAt * 1000) : ""));
-        String response = responseTo(router, statement, waitSeconds);
+        String response = responseTo(router, statement, Math.min(waitSeconds, patienceSeconds));
+        if (response == null && patienceSeconds < waitSeconds) {
+            disconnect(router);
+            history.left(id);
+            return Answer.NONE;
+        }
         boolean value = response != null && response.indexOf('.') > 0;
         if (response == null
                 || response.equals(StubClient.NO_CONNECTION)
--- a/clustertests/src/main/java/clayhook/clustertests/RecordingClient.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RecordingClient.java
@@ -35,9 +35,13 @@
     private static final Set<String> REFUSALS = Set.of("53300", "57P03");
     private static final double MILLIS_PER_SECOND = 1000;
     private static final int LENGTH_BYTES = 4;
+    private static final String READ_CLASS = "any";
+    /** Of {@link RouterFleet}: not idempotent. */
+    private static final String WRITE_CLASS = "charge";
 
     private record Sent(String id, double at) {}
 
+    private final AttemptAudit attempts;
     private final String router;
     private final String kind;
     private final double timeoutSeconds;
@@ -53,12 +57,15 @@
     /**
      * Connects.
      *
+     * @param attempts judges what becomes of its requests at nodes
      * @param router its name, for the records
      * @param address of the router, or of a relay to it
      * @param kind of the client, for the records
      * @param timeoutSeconds how long it waits for an answer
      */
-    RecordingClient(String router, InetSocketAddress address, String kind, double timeoutSeconds) throws IOException {
+    RecordingClient(AttemptAudit attempts, String router, InetSocketAddress address, String kind, double timeoutSeconds)
+            throws IOException {
+        this.attempts = attempts;
         this.router = router;
         this.kind = kind;
         this.timeoutSeconds = timeoutSeconds;
@@ -110,6 +117,21 @@
         bytes.readBytes(socket.getOutputStream(), bytes.readableBytes());
     }
 
+    /** Sends a write that may not be repeated and waits for its answer. */
+    void exchangeWrite() {
+        if (ended) {
+            return;
+        }
+        String id = nextId();
+        try {
+            write(statement(true, WRITE_CLASS, id));
+        } catch (IOException e) {
+            writeFailed = true;
+        }
+        unanswered.add(new Sent(id, HistoryRecorder.now()));
+        awaitAnswers();
+    }
+
     /** Sends one request and waits for its answer; false where the connection has ended. */
     boolean exchange() {
         sendWithoutLooking(1);
@@ -147,8 +169,10 @@
 
     /** Sends a request and closes the connection without waiting; nothing is recorded of it. */
     void sendAndLeave() throws IOException {
-        write(statement(nextId()));
+        String id = nextId();
+        write(statement(id));
         socket.close();
+        attempts.onLeft(id);
     }
 
     private static String nextId() {
@@ -156,8 +180,13 @@
     }
 
     private ByteBuf statement(String id) {
+        return statement(false, READ_CLASS, id);
+    }
+
+    private ByteBuf statement(boolean isWrite, String requestClass, String id) {
+        attempts.onSent(id, timeoutSeconds, null);
         long deadline = Math.round(timeoutSeconds * MILLIS_PER_SECOND);
-        return StubClient.statement(false, "id=" + id + ",c=any,cluster=1,d=" + deadline);
+        return StubClient.statement(isWrite, "id=" + id + ",c=" + requestClass + ",cluster=1,d=" + deadline);
     }
 
     /** Waits until all requests are answered, or the connection or their time is over; false where it is. */
--- a/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
@@ -20,8 +20,8 @@
 
 /**
  * A fleet of router processes that share one discovery service and one replica set, each with a little traffic of its
- * own, for faults of discovery, of nodes and of the processes. The rules are judged by {@link HistoryRecorder} and
- * {@link DrainAudit}.
+ * own, for faults of discovery, of nodes and of the processes. The rules are judged by {@link HistoryRecorder},
+ * {@link DrainAudit}, {@link SlowStartAudit} and {@link AttemptAudit}.
  */
 public final class RouterFleet implements AutoCloseable {
     /** Times far beyond what a busy machine takes; drains are judged by {@link DrainAudit}. */
@@ -29,7 +29,7 @@
             """
             {"balancers": %1$d, "zone": "%2$s", "domain": {"read_level": ["any", "bounded", "write", "write"],
             "max_age": [0, 1e9, 0, 0], "when_behind": "off", "write_marks": "carried"}, "limits": {"most_tries": 3, "probing": %3$s},
-            "rules": {"start_capacity": 0.2, "warm_after": 2e9, "overload_factor": 3, "overload_for": 1e9}, "grades": [
+            "rules": {"start_capacity": 0.2, "warm_after": 1e10, "overload_factor": 2, "overload_for": 1e9}, "grades": [
             {"name": "any", "effect": "idempotent", "aim": %4$s, "hard_limit": %5$s},
             {"name": "bounded", "effect": "idempotent", "aim": %4$s, "hard_limit": %5$s},
             {"name": "write", "effect": "deduplicated", "group": "cell", "repeat_window": 2e10, "aim": %4$s, "hard_limit": %5$s},
@@ -47,6 +47,12 @@
     private static final int MAX_THINK_MS = 150;
 
     private static final int CLIENTS_PER_ROUTER = 2;
+    /** Requests a second that a warm node does for each router at least; the load is about three. */
+    private static final double NODE_CAPACITY_PER_ROUTER = 4;
+    /** One of so many requests is given up by its client. */
+    private static final int REQUESTS_PER_DEPARTURE = 10;
+
+    private static final double MAX_PATIENCE_SECONDS = 0.3;
     /** What this machine may add before a node reads a request, while it runs all processes and nodes. */
     private static final double MACHINE_SECONDS = 0.35;
     /** How long draining nodes go on to execute requests. */
@@ -56,7 +62,9 @@
     private final Transport clientsLoop = Transport.tcp();
     private final RoutingSettings settings;
     private final HistoryRecorder history;
-    private final DrainAudit drains = new DrainAudit(MACHINE_SECONDS);
+    private final EndpointNotifications notifications = new EndpointNotifications();
+    private final DrainAudit drains = new DrainAudit(notifications, MACHINE_SECONDS);
+    private final SlowStartAudit slowStarts;
     private final TestReplicaSet replicaSet;
     private final CrowdedDiscovery discovery;
     private final RouterProcesses processes = new RouterProcesses(clientsLoop);
@@ -78,10 +86,14 @@
             }
         }
         replicaSet.rejectWhileDraining(DRAIN_LEAD_SECONDS);
+        slowStarts = new SlowStartAudit(notifications, settings, NODE_CAPACITY_PER_ROUTER * spec.routerCount());
         replicaSet.onRequests(drains::onRequest);
+        replicaSet.onRequests(slowStarts::onRequest);
+        replicaSet.onRequests(history.attempts()::onAttempt);
         List<String> names =
                 IntStream.range(0, spec.routerCount()).mapToObj(i -> "r" + i).toList();
-        discovery = new CrowdedDiscovery(nodesLoop, replicaSet, drains, names, spec.allCallsSeconds() / names.size());
+        discovery = new CrowdedDiscovery(
+                nodesLoop, replicaSet, notifications, this::onChange, names, spec.allCallsSeconds() / names.size());
         for (String name : names) {
             var router = new RouterProcess(name, SparePorts.next(), spec.program(), processes.folder(name));
             processes.add(router);
@@ -90,6 +102,11 @@
         start(routers());
     }
 
+    private void onChange(TestReplicaSet changed) {
+        drains.onChange(changed);
+        slowStarts.onChange(changed);
+    }
+
     private RoutingSettings parseSettings() {
         try {
             String file = "{\"name\": \"any\", \"listen\": \"any:1\", \"discovery\": \"any:1\", \"seed\": \"1\","
@@ -153,12 +170,22 @@
         return drains;
     }
 
+    /** Judges what nodes in slow start get. */
+    SlowStartAudit slowStarts() {
+        return slowStarts;
+    }
+
+    /** Judges what routers send to nodes for their clients. */
+    AttemptAudit attempts() {
+        return history.attempts();
+    }
+
     // ---- processes ----
 
     /** Starts processes with the list of their first start; returns when they take requests. */
     public void start(Collection<RouterProcess> some) throws IOException, InterruptedException {
         for (RouterProcess router : some) {
-            drains.onStarted(router.name());
+            notifications.onStarted(router.name());
             router.start();
         }
         for (RouterProcess router : some) {
@@ -206,7 +233,7 @@
             throws IOException, InterruptedException {
         kill(some);
         for (RouterProcess router : some) {
-            drains.onStarted(router.name());
+            notifications.onStarted(router.name());
             router.start();
         }
         Thread.sleep((long) (afterSeconds * MILLIS_PER_SECOND));
@@ -230,7 +257,7 @@
         int number = routers().indexOf(router);
         discovery.move(number);
         configure(router, number);
-        drains.onReload(router.name());
+        notifications.onReload(router.name());
         router.signal("HUP");
     }
 
@@ -266,8 +293,12 @@
         List<RequestClass> classes = settings.requestClasses();
         try {
             while (loaded) {
-                LoadClient.Answer answer = client.ask(router, classes.get(random.nextInt(classes.size())));
-                count(answer);
+                RequestClass requestClass = classes.get(random.nextInt(classes.size()));
+                boolean leaves = random.nextInt(REQUESTS_PER_DEPARTURE) == 0;
+                count(
+                        leaves
+                                ? client.askAndLeave(router, requestClass, MAX_PATIENCE_SECONDS * random.nextDouble())
+                                : client.ask(router, requestClass));
                 Thread.sleep(1 + random.nextInt(MAX_THINK_MS));
             }
         } catch (InterruptedException e) {
@@ -277,6 +308,14 @@
         }
     }
 
+    /** A client of its own sends a request of one of the classes, in turn, and leaves after so many seconds. */
+    void sendAndLeave(RouterProcess router, int number, double patienceSeconds) throws InterruptedException {
+        var client = new LoadClient(clientsLoop, history, true);
+        List<RequestClass> classes = settings.requestClasses();
+        client.askAndLeave(router, classes.get(number % classes.size()), patienceSeconds);
+        client.close();
+    }
+
     private synchronized void count(LoadClient.Answer answer) {
         answers.merge(answer, 1, Integer::sum);
     }
--- a/clustertests/src/main/java/clayhook/clustertests/ShutdownClients.java
+++ b/clustertests/src/main/java/clayhook/clustertests/ShutdownClients.java
@@ -56,9 +56,12 @@
         /** Leaves while its request is open. */
         LEAVING,
         /** Connects after the signal. */
-        NEWCOMER
+        NEWCOMER,
+        /** Sends a write that may not be repeated, which no router gives up early. */
+        WRITING
     }
 
+    private final AttemptAudit attempts;
     private final String router;
     private final InetSocketAddress address;
     private final double timeoutSeconds;
@@ -72,7 +75,13 @@
     private final List<RequestRecord> records = new ArrayList<>();
     private final List<String> failures = new ArrayList<>();
 
-    ShutdownClients(String router, InetSocketAddress address, double timeoutSeconds, double killSeconds) {
+    ShutdownClients(
+            AttemptAudit attempts,
+            String router,
+            InetSocketAddress address,
+            double timeoutSeconds,
+            double killSeconds) {
+        this.attempts = attempts;
         this.router = router;
         this.address = address;
         this.timeoutSeconds = timeoutSeconds;
@@ -113,7 +122,7 @@
             if (kind == Kind.STARTED || kind == Kind.CONNECTED) {
                 awaitSignal(Math.max(0, sendAfter - FIRST_REQUEST_LEAD_SECONDS));
             }
-            try (var client = new RecordingClient(router, address, kind.toString(), timeoutSeconds)) {
+            try (var client = new RecordingClient(attempts, router, address, kind.toString(), timeoutSeconds)) {
                 try {
                     play(kind, client, sendAfter, random);
                 } finally {
@@ -132,7 +141,7 @@
 
     private double sendAfter(Kind kind, Random random) {
         return switch (kind) {
-            case RESTING, STARTED, CONNECTED, HALTING, LEAVING ->
+            case RESTING, STARTED, CONNECTED, HALTING, LEAVING, WRITING ->
                 SWEEP_BEGINS_SECONDS + random.nextDouble() * (killSeconds - SWEEP_BEGINS_SECONDS);
             case RESTING_TO_THE_END -> random.nextDouble() * MAX_NOTICE_SECONDS;
             default -> 0;
@@ -171,6 +180,11 @@
                 client.startUpAndExchange();
             }
             case NEWCOMER -> client.startUpAndExchange();
+            case WRITING -> {
+                client.exchange();
+                awaitSignal(sendAfter);
+                client.exchangeWrite();
+            }
             case HALTING -> {
                 client.exchange();
                 awaitSignal(sendAfter);
--- a/clustertests/src/main/java/clayhook/clustertests/ShutdownScenario.java
+++ b/clustertests/src/main/java/clayhook/clustertests/ShutdownScenario.java
@@ -94,7 +94,11 @@
         for (RouterProcess router : routers) {
             logMarks.put(router, router.mark());
             var ofRouter = new ShutdownClients(
-                    router.name(), addressOf(router), fleet.spec().clientTimeoutSeconds(), killSeconds);
+                    fleet.attempts(),
+                    router.name(),
+                    addressOf(router),
+                    fleet.spec().clientTimeoutSeconds(),
+                    killSeconds);
             clients.put(router, ofRouter);
             ofRouter.start(plan.clientsOfEachKind(), random);
         }
@@ -149,6 +153,9 @@
             routers.forEach(fleet::onEnded);
         }
         RouterProcess.signalRunning(routers, signal);
+        if (signal.equals("CONT")) {
+            routers.forEach(router -> fleet.attempts().onContinued(router.name()));
+        }
     }
 
     private void kill() throws InterruptedException {
--- a/clustertests/src/main/java/clayhook/clustertests/SoakFault.java
+++ b/clustertests/src/main/java/clayhook/clustertests/SoakFault.java
@@ -76,6 +76,32 @@
         }
     }
 
+    /** A node dies and comes back in slow start. */
+    record NodeRestart(int node) implements SoakFault {
+        @Override
+        public void begin(RouterFleet fleet) {
+            fleet.nodes().get(node).behavior(ClusterNode.Behavior.DEAD);
+        }
+
+        @Override
+        public void end(RouterFleet fleet) {
+            fleet.nodes().get(node).restart();
+        }
+    }
+
+    /** A replica stops applying its log, and answers as quickly as ever. */
+    record LogStall(int node) implements SoakFault {
+        @Override
+        public void begin(RouterFleet fleet) {
+            fleet.nodes().get(node).stall(true);
+        }
+
+        @Override
+        public void end(RouterFleet fleet) {
+            fleet.nodes().get(node).stall(false);
+        }
+    }
+
     /** Another node becomes primary. */
     record Failover(int node) implements SoakFault {
         @Override
@@ -151,6 +177,23 @@
         }
     }
 
+    /** Clients send requests of all classes to routers and leave a moment later, unless they are answered before. */
+    record Departures(List<Integer> routers, int clients) implements SoakFault {
+        private static final double PATIENCE_SECONDS = 0.05;
+
+        @Override
+        public void begin(RouterFleet fleet) throws InterruptedException {
+            for (int i = 0; i < clients; i++) {
+                for (RouterProcess router : processes(fleet, routers)) {
+                    fleet.sendAndLeave(router, i, PATIENCE_SECONDS);
+                }
+            }
+        }
+
+        @Override
+        public void end(RouterFleet fleet) {}
+    }
+
     /** The links to a node delay what passes, reset all connections, or pass nothing on and reset them at the end. */
     record NodeLinkFault(int node, Kind kind, double delaySeconds) implements SoakFault {
         /** What becomes of bytes. */
--- a/clustertests/src/main/java/clayhook/clustertests/SoakSchedule.java
+++ b/clustertests/src/main/java/clayhook/clustertests/SoakSchedule.java
@@ -2,14 +2,17 @@
 
 import clayhook.clustertests.CrowdedDiscovery.Mode;
 import clayhook.clustertests.SoakFault.Crowd;
+import clayhook.clustertests.SoakFault.Departures;
 import clayhook.clustertests.SoakFault.DiscoveryFault;
 import clayhook.clustertests.SoakFault.DiscoveryMove;
 import clayhook.clustertests.SoakFault.Drain;
 import clayhook.clustertests.SoakFault.Failover;
 import clayhook.clustertests.SoakFault.Kill;
+import clayhook.clustertests.SoakFault.LogStall;
 import clayhook.clustertests.SoakFault.NodeFault;
 import clayhook.clustertests.SoakFault.NodeLinkFault;
 import clayhook.clustertests.SoakFault.NodeLinkFault.Kind;
+import clayhook.clustertests.SoakFault.NodeRestart;
 import clayhook.clustertests.SoakFault.Shutdown;
 import clayhook.clustertests.SoakFault.Stall;
 import clayhook.clustertests.SoakFault.TerminateInStart;
@@ -42,6 +45,11 @@
     private static final double MAX_DRAIN_SECONDS = 10;
     private static final double MAX_NODE_SECONDS = 3;
     private static final double MAX_DOWN_SECONDS = 2;
+    private static final double MAX_DEPARTURES_SECONDS = 3;
+    private static final int MAX_ROUTERS_WITH_DEPARTURES = 3;
+    private static final int DEPARTING_CLIENTS = 8;
+    /** Several times the age that reads allow. */
+    private static final double MAX_LOG_STALL_SECONDS = 5;
     /** What the operators allow a router to be held up. */
     private static final double MAX_STALL_SECONDS = 0.15;
 
@@ -87,6 +95,9 @@
         if (spec.nodesBehindRelays()) {
             schedule.lane(seconds, MAX_NODE_SECONDS, schedule::nodeLinkFault);
         }
+        schedule.lane(seconds, MAX_NODE_SECONDS, () -> new NodeRestart(schedule.replica()));
+        schedule.lane(seconds, MAX_LOG_STALL_SECONDS, () -> new LogStall(schedule.replica()));
+        schedule.lane(seconds, MAX_DEPARTURES_SECONDS, schedule::departures);
         return List.copyOf(schedule.faults);
     }
 
@@ -117,6 +128,15 @@
                 MAX_LINK_DELAY_SECONDS * random.nextDouble());
     }
 
+    private SoakFault departures() {
+        return new Departures(some(0, MAX_ROUTERS_WITH_DEPARTURES, routers), DEPARTING_CLIENTS);
+    }
+
+    /** One that is a replica at first. */
+    private int replica() {
+        return 1 + random.nextInt(nodes - 1);
+    }
+
     private SoakFault discoveryFault() {
         return new DiscoveryFault(DISCOVERY_FAULTS.get(random.nextInt(DISCOVERY_FAULTS.size())));
     }
--- a/clustertests/src/main/java/clayhook/clustertests/TestReplicaSet.java
+++ b/clustertests/src/main/java/clayhook/clustertests/TestReplicaSet.java
@@ -10,7 +10,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BiConsumer;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 /**
@@ -28,8 +29,8 @@
     private final Map<String, Double> written = new HashMap<>();
 
     private volatile Runnable watcher = () -> {};
-    /** Hears of each statement that a router sent to a node. */
-    private volatile BiConsumer<String, Node> requestListener = (router, node) -> {};
+    /** Hear of each statement that a router sent to a node. */
+    private final List<Consumer<NodeRequest>> requestListeners = new CopyOnWriteArrayList<>();
     /** From so long after the list says that they drain, nodes reject statements; infinite for never. */
     private volatile double drainLeadSeconds = Double.POSITIVE_INFINITY;
 
@@ -81,14 +82,14 @@
         return before;
     }
 
-    /** Reports each statement from now on, with the router that sent it, on the event loop of the nodes. */
-    void onRequests(BiConsumer<String, Node> listener) {
-        requestListener = listener;
+    /** Reports each statement from now on, on the event loop of the nodes. */
+    void onRequests(Consumer<NodeRequest> listener) {
+        requestListeners.add(listener);
     }
 
-    void requestArrived(String router, Node node) {
-        history.came(router, node);
-        requestListener.accept(router, node);
+    void requestArrived(NodeRequest request) {
+        history.came(request.router(), request.node());
+        requestListeners.forEach(listener -> listener.accept(request));
     }
 
     /** Lets draining nodes reject statements, from so many seconds after the list says that they drain. */
--- a/clustertests/src/test/java/clayhook/clustertests/BrokenBuild.java
+++ b/clustertests/src/test/java/clayhook/clustertests/BrokenBuild.java
@@ -8,8 +8,9 @@
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.regex.Pattern;
 import javax.tools.JavaCompiler;
 import javax.tools.JavaFileObject;
@@ -18,31 +19,39 @@
 
 /** A build of the router with faults on purpose, on which a judge has to fail. */
 final class BrokenBuild {
-    private final List<JavaFileObject> sources = new ArrayList<>();
+    /** The texts that differ from the real build, by source file. */
+    private final Map<String, String> texts = new LinkedHashMap<>();
 
     /** Replaces one place in a source file; fails where it is not there exactly once. */
     BrokenBuild replace(String module, String sourceFile, String from, String to) throws IOException {
         Path path = Path.of("..", module, "src", "main", "java").resolve(sourceFile);
-        String text = Files.readString(path);
+        String text = texts.containsKey(sourceFile) ? texts.get(sourceFile) : Files.readString(path);
         assertEquals(2, text.split(Pattern.quote(from), -1).length, from + " in " + sourceFile);
         return withSource(sourceFile, text.replace(from, to));
     }
 
     /** Replaces a whole source file. */
     BrokenBuild withSource(String sourceFile, String text) {
-        sources.add(new SimpleJavaFileObject(URI.create("string:///" + sourceFile), JavaFileObject.Kind.SOURCE) {
+        texts.put(sourceFile, text);
+        return this;
+    }
+
+    private static JavaFileObject source(String sourceFile, String text) {
+        return new SimpleJavaFileObject(URI.create("string:///" + sourceFile), JavaFileObject.Kind.SOURCE) {
             @Override
             public CharSequence getCharContent(boolean ignoreEncodingErrors) {
                 return text;
             }
-        });
-        return this;
+        };
     }
 
     /** Compiles the replaced classes into a folder, against the jar whose place they take. */
     RouterProgram compile(Path folder) {
         JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
         var messages = new StringWriter();
+        List<JavaFileObject> sources = texts.entrySet().stream()
+                .map(each -> source(each.getKey(), each.getValue()))
+                .toList();
         List<String> options =
                 List.of("-proc:none", "-nowarn", "-cp", ClusterTest.JAR.toString(), "-d", folder.toString());
         assertTrue(
--- a/clustertests/src/test/java/clayhook/clustertests/FaultSoakTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/FaultSoakTest.java
@@ -54,7 +54,7 @@
         return LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[range.length - 1]));
     }
 
-    private static Verdict play(FleetSpec spec, List<TimedFault> faults) throws IOException, InterruptedException {
+    static Verdict play(FleetSpec spec, List<TimedFault> faults) throws IOException, InterruptedException {
         try (var fleet = new RouterFleet(spec)) {
             fleet.startLoad();
             return FaultSoak.run(fleet, faults);
--- a/clustertests/src/test/java/clayhook/clustertests/GracefulShutdownTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/GracefulShutdownTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import clayhook.clustertests.RequestRecord.Outcome;
+import clayhook.clustertests.ShutdownPlan.TimedSignal;
 import clayhook.clustertests.ShutdownScenario.Result;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -59,10 +61,58 @@
         assertLost(play(program), "");
     }
 
+    /** All nodes hang from the signal on, so that requests are pending until the router gives them up. */
+    private static final ShutdownPlan HUNG_NODES = new ShutdownPlan(3, 0, List.of(), List.of(0, 1, 2, 3));
+
+    /** Longer than the router has until the kill. */
+    private static final double LONG_TIMEOUT_SECONDS = 6;
+
+    @Test
+    void requestsThatArePendingAtTheEndAreAnswered() throws Exception {
+        Result result = play(RouterProgram.of(ClusterTest.JAR), HUNG_NODES, LONG_TIMEOUT_SECONDS);
+        assertTrue(result.violations().isEmpty(), result::toString);
+    }
+
+    /** Two places answer them: the one that fails pending requests, and the end of the sessions before the exit. */
+    @Test
+    void judgeFailsOnABuildThatFailsNoPendingRequests(@TempDir Path classes) throws Exception {
+        RouterProgram program = new BrokenBuild()
+                .replace(DAEMON, "clayhook/serve/Router.java", "inbox.add(now -> openRequests.failAll());", "")
+                .replace(DAEMON, "clayhook/serve/Router.java", "frontend.endSessionsBeforeExit();", "")
+                .compile(classes);
+        assertLost(play(program, HUNG_NODES, LONG_TIMEOUT_SECONDS), "");
+    }
+
+    /** The router is held up from before the last clients connect until it stops to listen. */
+    private static final ShutdownPlan STALLED_UNTIL_IT_STOPS_LISTENING =
+            new ShutdownPlan(10, 0, List.of(new TimedSignal(0.01, "STOP"), new TimedSignal(1.4, "CONT")), List.of());
+
+    @Test
+    void clientsInTheBacklogAreServedWhenTheRouterStopsToListen() throws Exception {
+        Result result = play(RouterProgram.of(ClusterTest.JAR), STALLED_UNTIL_IT_STOPS_LISTENING, 1);
+        assertTrue(result.violations().isEmpty(), result::toString);
+    }
+
+    @Test
+    void judgeFailsOnABuildThatClosesOverItsBacklog(@TempDir Path classes) throws Exception {
+        RouterProgram program = new BrokenBuild()
+                .replace(
+                        DAEMON,
+                        "clayhook/transport/Transport.java",
+                        "&& channel.acceptBacklog(MAX_ACCEPTS_PER_TICK)) {",
+                        "&& !channel.isOpen()) {")
+                .compile(classes);
+        assertLost(play(program, STALLED_UNTIL_IT_STOPS_LISTENING, 1), "NEWCOMER");
+    }
+
     private static Result play(RouterProgram program) throws Exception {
-        var spec = new FleetSpec(program, 2, NODES, ALL_CALLS_SECONDS, true, 1).withClientTimeout(1);
+        return play(program, ShutdownPlan.plain(4), 1);
+    }
+
+    private static Result play(RouterProgram program, ShutdownPlan plan, double timeoutSeconds) throws Exception {
+        var spec = new FleetSpec(program, 2, NODES, ALL_CALLS_SECONDS, true, 1).withClientTimeout(timeoutSeconds);
         try (var fleet = new RouterFleet(spec)) {
-            return ShutdownScenario.play(fleet, fleet.routers(), ShutdownPlan.plain(4), new Random(1));
+            return ShutdownScenario.play(fleet, fleet.routers(), plan, new Random(1));
         }
     }
 
