Judge slow start in the soak by which routers know of it alone; print a run's figures

Cause, from the trace: the history's own rule on slow start knows neither which routers have been notified of a start nor what nodes bear: it goes by a fixed capacity of 2,000 requests a second, and in the soak busy clients of routers that shut down send thousands. The rule counts only where two thirds come from notified ones.

The trials keep the fixed capacity. The soak prints answers, requests in shutdowns and the largest window of slow start beside each verdict.

--- a/clustertests/src/main/java/clayhook/clustertests/ClusterNode.java
+++ b/clustertests/src/main/java/clayhook/clustertests/ClusterNode.java
@@ -140,7 +140,8 @@
         return leads() ? HistoryRecorder.now() : stalled > 0 ? stalled : HistoryRecorder.now() - TestReplicaSet.LAG;
     }
 
-    private void recordSlowStartWork() {
+    /** Records the work of a request for the history's rule on slow start, which goes by a fixed capacity. */
+    void recordSlowStartWork() {
         double age = HistoryRecorder.now() - startedAt;
         double cold = cluster.settings.initialCapacityFraction();
         if (startedAt > 0 && age < cluster.settings.slowStartSeconds()) {
@@ -210,7 +211,6 @@
             if (group == null || (group.requiresPrimary() && !leads())) {
                 return MessageEncoder.error(false, "25006", "not here", null);
             }
-            recordSlowStartWork();
             boolean writes = group.consistency() == ConsistencyLevel.WRITE;
             double position = writes ? cluster.write(group, statement.outcomeKey) : position();
             cluster.history.ran(statement.requestId, node, position);
--- a/clustertests/src/main/java/clayhook/clustertests/FaultSoak.java
+++ b/clustertests/src/main/java/clayhook/clustertests/FaultSoak.java
@@ -17,7 +17,8 @@
             List<String> attemptViolations,
             Map<?, Integer> brokenRules,
             List<String> reported,
-            String firstBroken) {
+            String firstBroken,
+            String figures) {
         boolean isClean() {
             return drainViolations.isEmpty()
                     && slowStartViolations.isEmpty()
@@ -65,7 +66,8 @@
                 fleet.attempts().violations(),
                 fleet.brokenRules(),
                 List.copyOf(reported),
-                fleet.firstBroken());
+                fleet.firstBroken(),
+                fleet.figures());
     }
 
     private void start(List<TimedFault> lane, double startedAt) {
--- a/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
@@ -170,6 +170,14 @@
         return drains;
     }
 
+    /** What the run came to, to stand beside a verdict. */
+    synchronized String figures() {
+        int requests =
+                shutdowns.stream().mapToInt(each -> each.records().size()).sum();
+        return "answers " + answers + ", shutdowns " + shutdowns.size() + " with " + requests
+                + " requests, slow start at most: " + slowStarts.largestWindow();
+    }
+
     /** Judges what nodes in slow start get. */
     SlowStartAudit slowStarts() {
         return slowStarts;
--- a/clustertests/src/main/java/clayhook/clustertests/SlowStartAudit.java
+++ b/clustertests/src/main/java/clayhook/clustertests/SlowStartAudit.java
@@ -50,6 +50,8 @@
     private final NavigableMap<Long, WarmLoad> warmLoads = new TreeMap<>();
 
     private final List<String> violations = new ArrayList<>();
+    private double largestUse;
+    private String largestWindow = "no node was in slow start";
 
     /** {@code minNodeCapacity}: the requests that a warm node does in a second at least. */
     SlowStartAudit(EndpointNotifications notifications, RoutingSettings settings, double minNodeCapacity) {
@@ -85,16 +87,23 @@
         }
         double tolerable = tolerableRequests(Math.max(0, windowStart - start.at()));
         long fromNotified = window.stream().filter(Arrival::senderNotified).count();
+        String description = String.format(
+                Locale.ROOT,
+                "%s got %d requests in %.1f s, %d of them from notified routers, %.2f s after its start; %.1f are"
+                        + " tolerable where a warm node does %.1f a second",
+                request.node().id(),
+                window.size(),
+                settings.overloadWindowSeconds(),
+                fromNotified,
+                request.at() - start.at(),
+                tolerable,
+                nodeCapacity());
+        if (window.size() > largestUse * tolerable) {
+            largestUse = window.size() / tolerable;
+            largestWindow = description;
+        }
         if (window.size() > tolerable && fromNotified > NOTIFIED_FRACTION * window.size()) {
-            violations.add(String.format(
-                    Locale.ROOT,
-                    "%s got %d requests in %.1f s, %d of them from notified routers, %.2f s after its start; %.1f are tolerable",
-                    request.node().id(),
-                    window.size(),
-                    settings.overloadWindowSeconds(),
-                    fromNotified,
-                    request.at() - start.at(),
-                    tolerable));
+            violations.add(description);
             window.clear();
         }
     }
@@ -124,6 +133,11 @@
         return Math.max(minNodeCapacity, busiest);
     }
 
+    /** The window in which a node in slow start got most beside what it tolerates, in words. */
+    synchronized String largestWindow() {
+        return largestWindow;
+    }
+
     /** All nodes that were overloaded, in words. */
     synchronized List<String> violations() {
         return List.copyOf(violations);
--- a/clustertests/src/main/java/clayhook/clustertests/TestCluster.java
+++ b/clustertests/src/main/java/clayhook/clustertests/TestCluster.java
@@ -92,6 +92,7 @@
         this.seed = seed;
         this.carried = carried;
         cluster = new TestReplicaSet(nodesLoop, 3, ZONES, READ, history);
+        cluster.recordSlowStartWork();
         List<InetSocketAddress> addresses =
                 IntStream.range(0, count).mapToObj(i -> SparePorts.next()).toList();
         relay = new DatagramRelay(clientsLoop, addresses, seed);
--- a/clustertests/src/main/java/clayhook/clustertests/TestReplicaSet.java
+++ b/clustertests/src/main/java/clayhook/clustertests/TestReplicaSet.java
@@ -66,6 +66,13 @@
         listChanged();
     }
 
+    /** From now on the history judges what nodes in slow start get, whichever routers know of their start. */
+    void recordSlowStartWork() {
+        onRequests(request -> nodes.stream()
+                .filter(each -> each.node().equals(request.node()))
+                .forEach(ClusterNode::recordSlowStartWork));
+    }
+
     /** Null for one that is not known. */
     RequestClass group(String name) {
         return groups.get(name);
--- a/clustertests/src/test/java/clayhook/clustertests/FaultSoakTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/FaultSoakTest.java
@@ -75,6 +75,8 @@
         FleetSpec spec = spec(RouterProgram.of(ClusterTest.JAR), seed);
         List<TimedFault> faults = SoakSchedule.random(spec, SECONDS);
         Verdict verdict = play(spec, faults);
+        System.out.println(
+                "soak seed " + seed + ": " + (verdict.isClean() ? "clean, " : "FAILED, ") + verdict.figures());
         assertTrue(verdict.isClean(), () -> verdict + "\n" + faults);
     }
 
