Keep a draining session open for 0.3 s after an answer to what is no request as well

What callers saw: a client whose empty query, invalid statement, extended query or function call was answered as its router shut down, or closed idle sessions, found the fatal 57P03 of the end right behind that answer, and could take it for a second one.

Cause: the 0.3 s went by quietSince, which only answers to requests move, as idle time-outs go by it, too.

Change: SessionActivity keeps when the last answer was written, whoever gave it, and every answer of a session goes through writeAnswer. Idle time-outs are as they were.

--- a/daemon/src/main/java/clayhook/frontend/ClientSession.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientSession.java
@@ -273,18 +273,18 @@
             activity.onRequest();
             handleSql(query.text());
         } else if (message instanceof ClientMessage.EmptyQuery) {
-            connection.write(MessageEncoder.emptyQueryResponse());
+            writeAnswer(MessageEncoder.emptyQueryResponse());
         } else if (message instanceof ClientMessage.UnreadableQuery unreadable) {
             Log.warn("client", "invalid statement: " + unreadable.reason());
-            connection.write(ClientResponses.invalidStatement(unreadable.reason()));
+            writeAnswer(ClientResponses.invalidStatement(unreadable.reason()));
         } else if (message instanceof ClientMessage.Extended) {
             state = State.SKIPPING_TO_SYNC;
-            connection.write(ClientResponses.extendedQueryRejected());
+            writeAnswer(ClientResponses.extendedQueryRejected());
         } else if (message instanceof ClientMessage.Sync) {
             state = State.READY;
-            connection.write(MessageEncoder.readyForQuery());
+            writeAnswer(MessageEncoder.readyForQuery());
         } else if (message instanceof ClientMessage.FunctionCall) {
-            connection.write(ClientResponses.functionCallRejected());
+            writeAnswer(ClientResponses.functionCallRejected());
         } else if (message instanceof ClientMessage.Terminate) {
             // As at a server, the requests before it have been answered.
             closeAfter(EndCause.TERMINATE, Unpooled.EMPTY_BUFFER);
@@ -303,7 +303,7 @@
             closeAfter(drainCause, ClientResponses.connectionEnds(drainCause));
         } else {
             activity.onQuiet(clock.getAsDouble());
-            connection.write(ClientResponses.connectionEndsSoon(drainCause));
+            writeAnswer(ClientResponses.connectionEndsSoon(drainCause));
         }
     }
 
@@ -321,10 +321,10 @@
     private void handleSql(byte[] text) {
         SessionSettings.Reply reply = settings.asked(text);
         if (reply instanceof SessionSettings.Reply.Refused refused) {
-            connection.write(ClientResponses.settingRejected(refused.why()));
+            writeAnswer(ClientResponses.settingRejected(refused.why()));
         } else if (reply instanceof SessionSettings.Reply.Done done) {
             String reported = ReportedParameters.reportedName(done.name());
-            connection.write(MessageEncoder.commandComplete(done.tag(), reported, done.value()));
+            writeAnswer(MessageEncoder.commandComplete(done.tag(), reported, done.value()));
         } else {
             beginRequest();
             requestHandler.onSqlStatement(this, text);
@@ -396,10 +396,16 @@
         }
         state = State.READY;
         activity.onQuiet(clock.getAsDouble());
-        connection.write(bytes);
+        writeAnswer(bytes);
         processPendingMessages();
     }
 
+    /** Right behind an answer the connection must not end, as its last error could be taken for a second answer. */
+    private void writeAnswer(ByteBuf bytes) {
+        activity.onAnswer(clock.getAsDouble());
+        connection.write(bytes);
+    }
+
     // ---- idleness and time limits ----
 
     private boolean isIdle() {
--- a/daemon/src/main/java/clayhook/frontend/SessionActivity.java
+++ b/daemon/src/main/java/clayhook/frontend/SessionActivity.java
@@ -28,6 +28,8 @@
     private double partialMessageSince = NONE;
 
     private boolean hasSentRequest;
+    /** When the last answer was written, whoever gave it. */
+    private double answeredAt = Double.NEGATIVE_INFINITY;
 
     SessionActivity(double connectedAt) {
         quietSince = connectedAt;
@@ -54,13 +56,18 @@
         quietSince = now;
     }
 
+    /** An answer is written, also one to what is no request: an empty query, a setting, an invalid statement. */
+    void onAnswer(double now) {
+        answeredAt = now;
+    }
+
     boolean hasSentRequest() {
         return hasSentRequest;
     }
 
-    /** How long until the client has read its last response, as a rule; not above 0 once it has, or there was none. */
+    /** How long until the client has read its last answer, as a rule; not above 0 once it has, or there was none. */
     double secondsUntilAnswerSettles(double now) {
-        return hasSentRequest ? quietSince + ANSWER_SETTLE_SECONDS - now : 0;
+        return answeredAt + ANSWER_SETTLE_SECONDS - now;
     }
 
     /** Whether the last response has been waiting too long for the client to read it, if it is not fully written. */
--- a/daemon/src/test/java/clayhook/frontend/ClientSessionRaceTest.java
+++ b/daemon/src/test/java/clayhook/frontend/ClientSessionRaceTest.java
@@ -238,6 +238,37 @@
         fixture.assertNothingReadIsUnanswered();
     }
 
+    /**
+     * An answer that no node gave counts as well. Before, the router shut down right behind the error of an invalid
+     * statement, and its client, which had sent one request, found two errors: the second 0 ms behind the first.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"empty query", "invalid statement", "extended query", "function call"})
+    void keepsDrainingSessionOpenUntilAnAnswerWithoutARequestIsRead(String kind) throws Exception {
+        fixture.start(9);
+        SocketClient client = fixture.connectWithFirstResponse();
+        fixture.advanceClock(0.5);
+        client.send(
+                switch (kind) {
+                    case "empty query" -> MessageEncoder.query(new byte[0]);
+                    case "invalid statement" -> MessageEncoder.query(new byte[] {'x'});
+                    case "extended query" ->
+                        Unpooled.buffer()
+                                .writeByte('P')
+                                .writeInt(4)
+                                .writeByte('S')
+                                .writeInt(4);
+                    default -> Unpooled.buffer().writeByte('F').writeInt(4);
+                });
+        assertNotEquals("", client.readResponse());
+        fixture.runOnLoop(this::drain);
+        client.socket.setSoTimeout(400);
+        assertTrue(client.readResponse().contains("SocketTimeoutException"));
+        fixture.advanceClock(0.5);
+        client.socket.setSoTimeout(20_000);
+        assertEquals("57P03 closed", client.readResponse());
+    }
+
     @Test
     void closesDrainingSessionOfClientThatKeepsSending() throws Exception {
         fixture.start(9);
