Give only the first request of a pipelined batch a deadline in the soak's judge

Change: of a batch only the first request has a deadline for AttemptAudit; requests sent alone keep theirs.

--- a/clustertests/src/main/java/clayhook/clustertests/RecordingClient.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RecordingClient.java
@@ -103,6 +103,9 @@
         for (int i = 0; i < count; i++) {
             String id = nextId();
             ids.add(id);
+            // Time spent behind earlier requests of the connection does not count, so that only the first has a
+            // deadline.
+            attempts.onSent(id, i == 0 ? timeoutSeconds : Double.POSITIVE_INFINITY, null);
             all.writeBytes(statement(id));
         }
         try {
@@ -123,6 +126,7 @@
             return;
         }
         String id = nextId();
+        attempts.onSent(id, timeoutSeconds, null);
         try {
             write(statement(true, WRITE_CLASS, id));
         } catch (IOException e) {
@@ -156,6 +160,7 @@
             return;
         }
         String id = nextId();
+        attempts.onSent(id, timeoutSeconds, null);
         ByteBuf all = statement(id);
         try {
             write(all.readSlice(all.readableBytes() / 2));
@@ -170,6 +175,7 @@
     /** Sends a request and closes the connection without waiting; nothing is recorded of it. */
     void sendAndLeave() throws IOException {
         String id = nextId();
+        attempts.onSent(id, timeoutSeconds, null);
         write(statement(id));
         socket.close();
         attempts.onLeft(id);
@@ -184,7 +190,6 @@
     }
 
     private ByteBuf statement(boolean isWrite, String requestClass, String id) {
-        attempts.onSent(id, timeoutSeconds, null);
         long deadline = Math.round(timeoutSeconds * MILLIS_PER_SECOND);
         return StubClient.statement(isWrite, "id=" + id + ",c=" + requestClass + ",cluster=1,d=" + deadline);
     }
