--- a/clustertests/src/test/java/clayhook/clustertests/CrowdedDiscoveryTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/CrowdedDiscoveryTest.java
@@ -8,6 +8,7 @@
 import clayhook.clustertests.LoadClient.Answer;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -26,6 +27,7 @@
     private static final double RECOVERY_SECONDS = 10;
 
     @ParameterizedTest
+    @Tag("known-red")
     @ValueSource(booleans = {true, false})
     void nothingNewGoesToDrainingNodesWhileDiscoveryRejectsPolls(boolean healthChecksAllowed) throws Exception {
         try (var fleet = new RouterFleet(new FleetSpec(
