Let the soak judge's broken builds break their rules many times in a play

The judge, its bounds and the checks are as before. The plays have eight routers in place of three, three failures of the primary in place of one, and all replicas' logs stop for six seconds.

--- a/clustertests/src/test/java/clayhook/clustertests/SoakJudgeTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/SoakJudgeTest.java
@@ -14,6 +14,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -36,6 +37,16 @@
     private static final double PRIMARY_DOWN_SECONDS = 2.3;
 
     private static final double CLIENT_TIMEOUT_SECONDS = 6;
+    /** Each of them holds few writes until the primary is back: the others use up their attempts before. */
+    private static final int ROUTERS = 8;
+    /** So that a play in which no router happens to hold a write that the judge sees is out of the question. */
+    private static final List<Double> PRIMARY_DOWN_AT = List.of(1.0, 6.0, 11.0);
+
+    /** Bounded reads allow a second, and judges another one for a busy machine. */
+    private static final double LOG_STALL_SECONDS = 6;
+
+    private static final double DEPARTURE_SECONDS = 0.1;
+    private static final int DEPARTING_CLIENTS = 4;
 
     @TempDir
     Path classes;
@@ -58,9 +69,20 @@
         assertTrue(violations.stream().anyMatch(text -> text.contains(what)), verdict::toString);
     }
 
-    /** Writes wait for the primary, which comes back when some of their clients have left. */
+    /** Writes wait for the primary, which comes back some times. */
     private static List<TimedFault> primaryIsDownForAWhile() {
-        return List.of(new TimedFault(0, 1, PRIMARY_DOWN_SECONDS, new NodeFault(0, Behavior.DEAD)));
+        return PRIMARY_DOWN_AT.stream()
+                .map(at -> new TimedFault(0, at, PRIMARY_DOWN_SECONDS, new NodeFault(0, Behavior.DEAD)))
+                .toList();
+    }
+
+    /** Clients leave soon after the primary went down. */
+    private static List<TimedFault> clientsLeaveWhilePrimaryIsDown() {
+        List<Integer> allRouters = IntStream.range(0, ROUTERS).boxed().toList();
+        var departures = new Departures(allRouters, DEPARTING_CLIENTS);
+        return PRIMARY_DOWN_AT.stream()
+                .map(at -> new TimedFault(1, at + DEPARTURE_SECONDS, DEPARTURE_SECONDS, departures))
+                .toList();
     }
 
     @Test
@@ -76,8 +98,8 @@
                         "ClientRequest request = openRequests.remove(session);",
                         "ClientRequest request = null;");
         var faults = new ArrayList<>(primaryIsDownForAWhile());
-        faults.add(new TimedFault(1, 1.1, 0.1, new Departures(List.of(0, 1, 2), 4)));
-        Verdict verdict = play(3, CLIENT_TIMEOUT_SECONDS, faults);
+        faults.addAll(clientsLeaveWhilePrimaryIsDown());
+        Verdict verdict = play(ROUTERS, CLIENT_TIMEOUT_SECONDS, faults);
         assertReported(verdict.attemptViolations(), "after the client left", verdict);
     }
 
@@ -89,7 +111,7 @@
                 QUERY_TEXT,
                 "request.statement.textWithTimeout("
                         + "request.attempt.request.deadline - request.attempt.request.arrivedAt)");
-        Verdict verdict = play(3, CLIENT_TIMEOUT_SECONDS, primaryIsDownForAWhile());
+        Verdict verdict = play(ROUTERS, CLIENT_TIMEOUT_SECONDS, primaryIsDownForAWhile());
         assertReported(verdict.attemptViolations(), "longer than the client waits", verdict);
     }
 
@@ -118,7 +140,10 @@
                         POLICY,
                         "|| replica.lagSeconds <= lagGate(request.requestClass));",
                         "|| replica.lagSeconds < Double.MAX_VALUE);");
-        Verdict verdict = play(3, 2, List.of(new TimedFault(0, 1, 3, new LogStall(1))));
+        List<TimedFault> faults = IntStream.range(1, NODES)
+                .mapToObj(node -> new TimedFault(node, 1, LOG_STALL_SECONDS, new LogStall(node)))
+                .toList();
+        Verdict verdict = play(ROUTERS, 2, faults);
         assertTrue(verdict.brokenRules().containsKey(RuleKept.NO_STALE_READ), verdict::toString);
     }
 
