Tell stalls of the soak's judge and the times of violations, and keep routers' logs

The verdict now names each time at which the process in which nodes read and are judged did not run for 0.1 s or more; violations have the time at which they came, in the form of the routers' logs; and -Dclayhook.soak.logs=FOLDER keeps these logs where a seed failed.

--- a/clustertests/src/main/java/clayhook/clustertests/DrainAudit.java
+++ b/clustertests/src/main/java/clayhook/clustertests/DrainAudit.java
@@ -50,7 +50,8 @@
         if (request.at() > notifiedAt + GRACE_SECONDS + machineSeconds) {
             violations.add(String.format(
                     Locale.ROOT,
-                    "%s sent to %s, %.2f s after it was notified that the node drains (version %d, %.2f s ago)",
+                    "%s: %s sent to %s, %.2f s after it was notified that the node drains (version %d, %.2f s ago)",
+                    ProcessStalls.format(request.at()),
                     request.router(),
                     request.node().id(),
                     request.at() - notifiedAt,
--- a/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
@@ -9,6 +9,8 @@
 import clayhook.transport.Transport;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumMap;
@@ -67,6 +69,7 @@
     private final SlowStartAudit slowStarts;
     private final TestReplicaSet replicaSet;
     private final CrowdedDiscovery discovery;
+    private final ProcessStalls stalls = new ProcessStalls();
     private final RouterProcesses processes = new RouterProcesses(clientsLoop);
     private final List<Thread> clients = new ArrayList<>();
     private final Map<LoadClient.Answer, Integer> answers = new EnumMap<>(LoadClient.Answer.class);
@@ -175,7 +178,8 @@
         int requests =
                 shutdowns.stream().mapToInt(each -> each.records().size()).sum();
         return "answers " + answers + ", shutdowns " + shutdowns.size() + " with " + requests
-                + " requests, slow start at most: " + slowStarts.largestWindow();
+                + " requests, slow start at most: " + slowStarts.largestWindow()
+                + ", stalls of the judge " + stalls;
     }
 
     /** Judges what nodes in slow start get. */
@@ -376,9 +380,18 @@
         return processes.lastLogLines();
     }
 
+    /** Writes all that the routers logged to a folder, a file for each. */
+    void writeLogs(Path folder) throws IOException {
+        Files.createDirectories(folder);
+        for (RouterProcess router : routers()) {
+            Files.write(folder.resolve(router.name() + ".log"), router.since(0));
+        }
+    }
+
     @Override
     public void close() throws IOException {
         loaded = false;
+        stalls.close();
         try {
             processes.killAll();
             stopLoad();
--- a/clustertests/src/main/java/clayhook/clustertests/SlowStartAudit.java
+++ b/clustertests/src/main/java/clayhook/clustertests/SlowStartAudit.java
@@ -89,8 +89,9 @@
         long fromNotified = window.stream().filter(Arrival::senderNotified).count();
         String description = String.format(
                 Locale.ROOT,
-                "%s got %d requests in %.1f s, %d of them from notified routers, %.2f s after its start; %.1f are"
+                "%s: %s got %d requests in %.1f s, %d of them from notified routers, %.2f s after its start; %.1f are"
                         + " tolerable where a warm node does %.1f a second",
+                ProcessStalls.format(request.at()),
                 request.node().id(),
                 window.size(),
                 settings.overloadWindowSeconds(),
--- a/clustertests/src/test/java/clayhook/clustertests/FaultSoakTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/FaultSoakTest.java
@@ -26,6 +26,9 @@
 class FaultSoakTest {
     private static final int ROUTERS = Integer.getInteger("clayhook.soak.routers", 10);
     private static final int SECONDS = Integer.getInteger("clayhook.soak.seconds", 20);
+    /** Where the logs of the routers of failed seeds go, or null for nowhere. */
+    private static final String LOGS = System.getProperty("clayhook.soak.logs");
+
     private static final int NODES = 8;
     private static final double ALL_CALLS_SECONDS = 3;
     /** Seconds; the platform counts at most three of them at a shutdown. */
@@ -57,7 +60,11 @@
     static Verdict play(FleetSpec spec, List<TimedFault> faults) throws IOException, InterruptedException {
         try (var fleet = new RouterFleet(spec)) {
             fleet.startLoad();
-            return FaultSoak.run(fleet, faults);
+            Verdict verdict = FaultSoak.run(fleet, faults);
+            if (!verdict.isClean() && LOGS != null) {
+                fleet.writeLogs(Path.of(LOGS, "seed-" + spec.seed()));
+            }
+            return verdict;
         }
     }
 
