Count the list of a starting router as being as old as its process

Cause: the age of the process was counted from the begin of the program, plus one second for the virtual machine, which took longer.

ProcessAge reads when the system created the process; the greater of the two ages counts, so that no list is relied on longer than before. It holds for any delay before the program runs, as the shell that executes it is the same process.

--- a/cli/src/main/java/clayhook/cli/ServeCommand.java
+++ b/cli/src/main/java/clayhook/cli/ServeCommand.java
@@ -24,8 +24,8 @@
         versionProvider = Commands.Version.class,
         description = "Routes on sockets, as the file named by LB_CONFIG says and the operator's own file.")
 final class ServeCommand implements Callable<Integer> {
-    /** What the virtual machine takes before it runs this class, on half a core. */
-    private static final double MACHINE_START_SECONDS = 1;
+    /** What the virtual machine takes at least before it runs this class, on half a core. */
+    private static final double MIN_MACHINE_START_SECONDS = 1;
 
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -76,8 +76,14 @@
         }
     }
 
+    /**
+     * How old the process is, which the list of its configuration is as well. Where many processes start at once, the
+     * virtual machine alone takes seconds; a list that counted as younger than it is would be relied on too long.
+     */
     private static double secondsSinceStart(long startNanos) {
-        return MACHINE_START_SECONDS + (System.nanoTime() - startNanos) / NANOS_PER_SECOND;
+        double sinceMain = (System.nanoTime() - startNanos) / NANOS_PER_SECOND;
+        return Math.max(
+                MIN_MACHINE_START_SECONDS + sinceMain, ProcessAge.seconds().orElse(0));
     }
 
     private static void shutDown(ServerLifecycle lifecycle) {
--- a/clustertests/src/main/java/clayhook/clustertests/RouterProcess.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RouterProcess.java
@@ -45,6 +45,7 @@
     private final Path folder;
     private final List<String> lines = new ArrayList<>();
     private Process process;
+    private double startDelaySeconds;
 
     /** {@code address} is where it listens, {@code folder} is its own. */
     RouterProcess(String name, InetSocketAddress address, RouterProgram program, Path folder) throws IOException {
@@ -74,12 +75,21 @@
         return folder.resolve("clayhook.toml");
     }
 
+    /** From now on each life begins so long before its virtual machine, as where many start at once. */
+    synchronized void delayStarts(double seconds) {
+        startDelaySeconds = seconds;
+    }
+
     /** Begins a life. Throws IOException where there is no such jar. */
     synchronized void start() throws IOException {
         if (!Files.exists(program.jar())) {
             throw new IOException("no jar at " + program.jar() + "; mvn verify makes it");
         }
         var command = new ArrayList<String>();
+        if (startDelaySeconds > 0) {
+            // The shell becomes the virtual machine: it is one process, which has started now.
+            command.addAll(List.of("sh", "-c", "sleep " + startDelaySeconds + "; exec \"$0\" \"$@\""));
+        }
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(OPTIONS);
         Path archive = program.jar().resolveSibling("clayhook.jsa");
--- /dev/null
+++ b/clustertests/src/test/java/clayhook/clustertests/SlowProcessStartTest.java
@@ -0,0 +1,54 @@
+package clayhook.clustertests;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import clayhook.clustertests.CrowdedDiscovery.Mode;
+import java.time.Instant;
+import java.util.List;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A router whose virtual machine takes seconds to start, as those of many routers do that start at once on a busy
+ * machine. What discovery has to tell counts as told six seconds after the start of the process, whenever its program
+ * began.
+ *
+ * <p>The router took one second for what its virtual machine needs, and counted from the begin of its program. In a
+ * trial of {@link CrowdedDiscoveryTest} while 30 other processes started, a restarted router took over five seconds to
+ * its first poll, and then sent nine requests to draining nodes, up to 1.30 s after it counted as notified of that
+ * ({@code r6 sent to n6, 0.65 s after it was notified that the node drains (version 2, 6.67 s ago)}).
+ */
+class SlowProcessStartTest {
+    private static final double VIRTUAL_MACHINE_START_SECONDS = 2.5;
+    /** What a busy machine may add to the time of a log line. */
+    private static final double MACHINE_SECONDS = 0.35;
+
+    private static final double ALL_CALLS_SECONDS = 0.5;
+    private static final double WAIT_SECONDS = 20;
+    private static final double MILLIS_PER_SECOND = 1000;
+    private static final Pattern OUT_OF_DATE = Pattern.compile("^(\\S+) .*the endpoint list is out of date");
+
+    @Test
+    void listIsOutOfDateSixSecondsAfterTheStartOfTheProcess() throws Exception {
+        try (var fleet =
+                new RouterFleet(new FleetSpec(RouterProgram.of(ClusterTest.JAR), 1, 2, ALL_CALLS_SECONDS, true, 1))) {
+            RouterProcess router = fleet.routers().get(0);
+            fleet.startLoad(); // an idle router notices a second later
+            fleet.kill(List.of(router));
+            fleet.discovery().mode(Mode.SILENT);
+            router.delayStarts(VIRTUAL_MACHINE_START_SECONDS);
+            int mark = router.mark();
+            double startedAt = HistoryRecorder.now();
+            fleet.start(List.of(router));
+            fleet.await(() -> router.last(mark, OUT_OF_DATE) != null, WAIT_SECONDS);
+            String line = router.last(mark, OUT_OF_DATE);
+            assertNotNull(line, fleet::logs);
+            String time = line.substring(0, line.indexOf(' '));
+            double seconds = Instant.parse(time).toEpochMilli() / MILLIS_PER_SECOND - startedAt;
+            assertTrue(
+                    seconds < EndpointNotifications.NOTIFIED_AFTER_SECONDS + MACHINE_SECONDS,
+                    () -> seconds + " s: " + fleet.logs());
+        }
+    }
+}
