Let watches that follow an outage of discovery be answered within seconds

Callers: for up to ten seconds after discovery was back, routers with the newest list sent only to nodes that had lately passed a health check, or had lately answered where checks are not allowed.

Cause: after rejections the liveness checks are up to 14 s apart, and a watch at the newest version is answered only when its wait of 7 to 10 s is over.

After two rejections in a row a watch waits for 3 to 3.6 s. It holds because the answer and the two seconds of a service's queue fit into the six after which a change counts as notified, and it costs a crowded service less than a check.

The test is unchanged but for its story and its tag.

--- a/clustertests/src/test/java/clayhook/clustertests/CrowdedDiscoveryTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/CrowdedDiscoveryTest.java
@@ -8,11 +8,19 @@
 import clayhook.clustertests.LoadClient.Answer;
 import java.util.List;
 import java.util.Map;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Real router processes, most of which are restarted while discovery rejects their polls and nodes drain. */
+/**
+ * Real router processes, most of which are restarted while discovery rejects their polls and nodes drain.
+ *
+ * <p>It failed once in four runs of CI: ten seconds after discovery was back fewer of its answers had come than there
+ * are routers. A trace of all calls (seed 1 without health checks, beside a soak) showed why. The four routers that
+ * were not restarted had the newest version; their watches, opened 0.3 to 2.1 s after the return, were taken up and
+ * waited for a change for 9.1 s ({@code call r11 after=2 wait=9.1}, {@code park r11}); and after the rejections their
+ * next checks were up to 14 seconds away. Until an answer their lists were out of date, though discovery was well. Now
+ * a watch that is opened after two rejections waits three seconds, and all are answered after 4.7 to 7.3 s.
+ */
 class CrowdedDiscoveryTest {
     private static final int ROUTERS = Integer.getInteger("clayhook.routers", 12);
     private static final int NODES = 9;
@@ -27,7 +35,6 @@
     private static final double RECOVERY_SECONDS = 10;
 
     @ParameterizedTest
-    @Tag("known-red")
     @ValueSource(booleans = {true, false})
     void nothingNewGoesToDrainingNodesWhileDiscoveryRejectsPolls(boolean healthChecksAllowed) throws Exception {
         try (var fleet = new RouterFleet(new FleetSpec(
--- a/daemon/src/main/java/clayhook/discovery/DiscoveryClient.java
+++ b/daemon/src/main/java/clayhook/discovery/DiscoveryClient.java
@@ -35,6 +35,8 @@
     private PollConnection watchConnection;
     /** The answer to the watch is late. */
     private boolean watchIsLate;
+    /** Polls of the watch that were rejected since anything was answered. */
+    private int rejectedWatches;
     /**
      * Carried the watch before and is late, or null: its answer is still accepted. It leaves with any answer, or when
      * its poll times out.
@@ -122,7 +124,12 @@
     /** Polls on a connection: with a wait for changes on all but the one for checks. */
     private void poll(PollConnection connection) {
         boolean waits = version != PollConnection.NO_VERSION && connection != checkConnection;
-        connection.poll(version, waits ? longPollMs : PollConnection.NO_WAIT);
+        connection.poll(version, waits ? watchWaitMs() : PollConnection.NO_WAIT);
+    }
+
+    private int watchWaitMs() {
+        double waitSeconds = livenessCheck.nextWatchWaitSeconds(rejectedWatches);
+        return (int) Math.min(longPollMs, waitSeconds * MILLIS_PER_SECOND);
     }
 
     // ---- what connections report ----
@@ -153,6 +160,9 @@
             return;
         } else if (response.status() == SERVICE_UNAVAILABLE) {
             livenessCheck.onRejected();
+            if (connection == watchConnection) {
+                rejectedWatches++;
+            }
             fail(connection, describe(response), true, livenessCheck::nextIntervalSeconds);
             return;
         } else if (response.status() != OK) {
@@ -166,6 +176,7 @@
             onFailure(connection, e.getMessage());
             return;
         }
+        rejectedWatches = 0;
         scheduleCheck(livenessCheck.nextIntervalSeconds());
         double polledSecondsAgo = connection.secondsSincePoll();
         // The service may have made the answer to a watch as long before as it takes for a call.
--- a/daemon/src/main/java/clayhook/discovery/WatchLivenessCheck.java
+++ b/daemon/src/main/java/clayhook/discovery/WatchLivenessCheck.java
@@ -20,6 +20,12 @@
     /** Before any further retry at most. */
     private static final double MAX_RETRY_SECONDS = 1.2;
 
+    /** With jitter and the time in a queue, less than after which a change counts as notified. */
+    private static final double RECOVERY_WAIT_SECONDS = 3;
+
+    /** So many rejections in a row are an outage; a crowded service rejects a few calls without one. */
+    private static final int OUTAGE_REJECTIONS = 2;
+
     private static final double RETRY_BACKOFF_FACTOR = 2;
 
     /** Random part added to each delay, so that routers do not all poll together after each change. */
@@ -62,6 +68,16 @@
         return withJitter(intervalSeconds);
     }
 
+    /**
+     * Seconds that a watch waits at most, with jitter. After several rejections in a row the list is out of date, and a
+     * watch that is opened then is to confirm it soon: its answer costs a crowded service less than a check beside it.
+     *
+     * @param rejectedWatches polls of the watch that were rejected since anything was answered
+     */
+    double nextWatchWaitSeconds(int rejectedWatches) {
+        return rejectedWatches < OUTAGE_REJECTIONS ? Double.POSITIVE_INFINITY : withJitter(RECOVERY_WAIT_SECONDS);
+    }
+
     /** Seconds from the failure of a check to its retry, with exponential backoff and jitter. */
     double nextRetrySeconds() {
         double delay = retrySeconds;
--- a/daemon/src/test/java/clayhook/discovery/DiscoverySimulation.java
+++ b/daemon/src/test/java/clayhook/discovery/DiscoverySimulation.java
@@ -20,6 +20,8 @@
         final double longPollSeconds;
         double checkAt;
         boolean watched;
+        /** Calls for a watch that were rejected since a call was answered. */
+        int rejectedWatches;
         /** When it found out that its watch is silent. */
         double foundAt = Double.POSITIVE_INFINITY;
 
@@ -82,6 +84,7 @@
             scheduleCheck(router, now, router.livenessCheck.nextIntervalSeconds());
         } else {
             rejectedWatches++;
+            router.rejectedWatches++;
             queue.add(new ScheduledCall(now + 0.5 + random.nextDouble(), router, false));
         }
     }
@@ -91,8 +94,11 @@
             router.livenessCheck.onAnswered(answeredAt - sentAt);
         } else {
             watches++;
-            queue.add(new ScheduledCall(sentAt + router.longPollSeconds, router, false));
+            double maxWaitSeconds = router.livenessCheck.nextWatchWaitSeconds(router.rejectedWatches);
+            double waitSeconds = Math.min(router.longPollSeconds, maxWaitSeconds);
+            queue.add(new ScheduledCall(sentAt + waitSeconds, router, false));
         }
+        router.rejectedWatches = 0;
         if (answeredAt >= silentAt) {
             router.foundAt = Math.min(router.foundAt, answeredAt);
         }
--- a/daemon/src/test/java/clayhook/discovery/EndpointWatcherTest.java
+++ b/daemon/src/test/java/clayhook/discovery/EndpointWatcherTest.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -24,6 +26,13 @@
     /** Longer than any test takes, but for the one on late watches. */
     private static final double LONG_POLL_SECONDS = 10;
 
+    private static final int REJECTIONS = 3;
+    /** A crowded service queues a call for so long before it rejects it. */
+    private static final double QUEUE_SECONDS = 2;
+
+    private static final double NOTIFIED_AFTER_SECONDS = 6;
+    private static final Pattern WAIT = Pattern.compile("wait_ms=(\\d+) ");
+
     private final Transport transport = Transport.tcp();
     /** For a service whose event loop a test blocks. */
     private final Transport blockedTransport = Transport.tcp();
@@ -302,6 +311,30 @@
         assertTrue(held.take().isWatch());
     }
 
+    /** Else a router that has the newest version would not hear for up to the wait of its watch. */
+    @Test
+    void watchThatFollowsAnOutageWaitsLessThanUntilAChangeCountsAsNotified() throws Exception {
+        LinkedBlockingQueue<HeldCall> held = startWithHeldCalls();
+        HeldCall watch = held.take();
+        for (int i = 0; i < REJECTIONS; i++) {
+            answer(watch, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+            assertEquals("failed", events.take());
+            ensureWatching();
+            watch = held.take();
+            assertTrue(watch.isWatch(), watch.call());
+        }
+        assertTrue(waitSeconds(watch) + QUEUE_SECONDS < NOTIFIED_AFTER_SECONDS, watch.call());
+        answer(watch, list(42, false));
+        assertEquals("changes 42", events.take());
+        assertEquals(LONG_POLL_SECONDS, waitSeconds(held.take()));
+    }
+
+    private static double waitSeconds(HeldCall watch) {
+        Matcher matcher = WAIT.matcher(watch.call());
+        assertTrue(matcher.find(), watch.call());
+        return Double.parseDouble(matcher.group(1)) / 1000;
+    }
+
     /** What checks confirmed while it waited is in doubt, as with a watch that is not late. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
