Skip a statement for which no memory is left instead of ending its connection

Callers: while long statements of others held the memory, a client's connection ended with 53300, and the requests that it had sent ahead got no answer.

Cause: the decoder took such a message for one that cannot be read, and discarded all input after it, though its length is known.

A query is now skipped as it arrives, and a SkippedQuery in its place is answered with 53300. It holds for any split of the bytes, and a session that waits for the rest of one counts as in the middle of a request.

answersRequestsBehindOneForWhichNoMemoryIsLeft got "53300 closed" before; 99 tests of listener, decoders and races green. longStatementsOfAllClientsShareOneMemoryBudget asked for Malformed, which pinned the fault: it now asks for the skipped query and for the one behind it.

--- a/daemon/src/main/java/clayhook/frontend/ClientResponses.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientResponses.java
@@ -42,6 +42,11 @@
         return error(SqlState.SYNTAX_ERROR, reason);
     }
 
+    /** The request was rejected and may safely be sent again. */
+    static ByteBuf noMemoryLeft(String reason) {
+        return error(SqlState.TOO_MANY_CONNECTIONS, reason);
+    }
+
     static ByteBuf settingRejected(String reason) {
         return error(SqlState.FEATURE_NOT_SUPPORTED, reason);
     }
--- a/daemon/src/main/java/clayhook/frontend/ClientSession.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientSession.java
@@ -277,6 +277,9 @@
         } else if (message instanceof ClientMessage.UnreadableQuery unreadable) {
             Log.warn("client", "invalid statement: " + unreadable.reason());
             writeAnswer(ClientResponses.invalidStatement(unreadable.reason()));
+        } else if (message instanceof ClientMessage.SkippedQuery skipped) {
+            activity.onRequest();
+            writeAnswer(ClientResponses.noMemoryLeft(skipped.reason()));
         } else if (message instanceof ClientMessage.Extended) {
             state = State.SKIPPING_TO_SYNC;
             writeAnswer(ClientResponses.extendedQueryRejected());
@@ -294,7 +297,9 @@
     }
 
     private static boolean isRequest(Object message) {
-        return message instanceof ClientMessage.Query || message instanceof ClientMessage.SqlQuery;
+        return message instanceof ClientMessage.Query
+                || message instanceof ClientMessage.SqlQuery
+                || message instanceof ClientMessage.SkippedQuery;
     }
 
     /** Refuses a request that came too late; the connection ends with it unless more has been read. */
--- a/daemon/src/main/java/clayhook/protocol/ClientMessage.java
+++ b/daemon/src/main/java/clayhook/protocol/ClientMessage.java
@@ -35,6 +35,12 @@
     /** A query that cannot be parsed; the session continues. {@code reason} is for the client. */
     record UnreadableQuery(String reason) implements ClientMessage {}
 
+    /**
+     * A query for which no memory was left: it was not kept, and the session continues. {@code reason} is for the
+     * client.
+     */
+    record SkippedQuery(String reason) implements ClientMessage {}
+
     /** A message of the extended query protocol: all up to the next Sync get one error. */
     record Extended() implements ClientMessage {}
 
--- a/daemon/src/main/java/clayhook/protocol/ClientMessageDecoder.java
+++ b/daemon/src/main/java/clayhook/protocol/ClientMessageDecoder.java
@@ -22,6 +22,9 @@
     /** Shorter messages need it where a client has sent more than this ahead. */
     private static final int MAX_UNRESERVED_BYTES = 32 * MAX_UNRESERVED_LENGTH;
 
+    private static final char QUERY = 'Q';
+    private static final String NO_MEMORY = "no memory is left for a long statement";
+
     private final boolean acceptsAnyStatement;
     private boolean startupDone;
 
@@ -53,7 +56,18 @@
 
     @Override
     Object outOfMemory() {
-        return new ClientMessage.Malformed(SqlState.TOO_MANY_CONNECTIONS, "no memory is left for a long statement");
+        return new ClientMessage.Malformed(SqlState.TOO_MANY_CONNECTIONS, NO_MEMORY);
+    }
+
+    /** Statements that follow one without memory may be in the same segment; they have to be answered as well. */
+    @Override
+    boolean maySkip(byte type) {
+        return type == QUERY;
+    }
+
+    @Override
+    Object skipped() {
+        return new ClientMessage.SkippedQuery(NO_MEMORY);
     }
 
     @Override
@@ -67,7 +81,7 @@
             return decodeFirstMessage(body);
         }
         return switch (type) {
-            case 'Q' -> decodeQuery(body);
+            case QUERY -> decodeQuery(body);
             case 'X' -> new ClientMessage.Terminate();
             case 'S' -> new ClientMessage.Sync();
             case 'P', 'B', 'D', 'E', 'C' -> new ClientMessage.Extended();
--- a/daemon/src/main/java/clayhook/protocol/FrameDecoder.java
+++ b/daemon/src/main/java/clayhook/protocol/FrameDecoder.java
@@ -24,6 +24,9 @@
 
     private int unreservedBytes;
 
+    /** Bytes that are still to come of a message that is skipped. */
+    private int bytesToSkip;
+
     private boolean discarding;
     /** The header of the current message has been checked, and its memory reserved. */
     private boolean admitted;
@@ -40,6 +43,10 @@
             in.skipBytes(in.readableBytes());
             return;
         }
+        if (bytesToSkip > 0) {
+            skip(in, out);
+            return;
+        }
         int typeBytes = hasTypeByte() ? 1 : 0;
         if (in.readableBytes() < typeBytes + LENGTH_BYTES) {
             return;
@@ -50,7 +57,7 @@
             return;
         }
         if (!admitted && !reserveMemory(length)) {
-            discardAfter(outOfMemory(), in, out);
+            skipOrDiscard(typeBytes + length, in, out);
             return;
         }
         admitted = in.readableBytes() < typeBytes + length;
@@ -59,6 +66,25 @@
         }
     }
 
+    private void skipOrDiscard(int messageBytes, ByteBuf in, List<Object> out) {
+        if (hasTypeByte() && maySkip(in.getByte(in.readerIndex()))) {
+            bytesToSkip = messageBytes;
+            skip(in, out);
+        } else {
+            discardAfter(outOfMemory(), in, out);
+        }
+    }
+
+    /** Drops a message without keeping any of it; once it has come whole, another stands in its place. */
+    private void skip(ByteBuf in, List<Object> out) {
+        int length = Math.min(bytesToSkip, in.readableBytes());
+        in.skipBytes(length);
+        bytesToSkip -= length;
+        if (bytesToSkip == 0) {
+            out.add(skipped());
+        }
+    }
+
     private void discardAfter(Object lastMessage, ByteBuf in, List<Object> out) {
         discarding = true;
         in.skipBytes(in.readableBytes());
@@ -100,7 +126,7 @@
 
     /** Whether part of a message has arrived. */
     public final boolean hasPartialMessage() {
-        return actualReadableBytes() > 0;
+        return actualReadableBytes() > 0 || bytesToSkip > 0;
     }
 
     @Override
@@ -127,11 +153,21 @@
     /** The message that is emitted in place of one that cannot be read. */
     abstract Object malformed(String reason);
 
-    /** The message that is emitted in place of one for which no memory is left. */
+    /** The message that is emitted in place of one for which no memory is left and after which nothing is read. */
     Object outOfMemory() {
         return malformed("a message too long for now");
     }
 
+    /** Whether a message of that type may be skipped where no memory is left for it; {@link #skipped} then follows. */
+    boolean maySkip(byte type) {
+        return false;
+    }
+
+    /** The message that is emitted in place of one that was skipped. */
+    Object skipped() {
+        throw new IllegalStateException("no message is skipped");
+    }
+
     /** Reads text up to and with its closing zero; throws IllegalArgumentException if there is none. */
     static String readString(ByteBuf body) {
         int length = body.bytesBefore((byte) 0);
--- a/daemon/src/test/java/clayhook/frontend/ClientListenerFixture.java
+++ b/daemon/src/test/java/clayhook/frontend/ClientListenerFixture.java
@@ -6,12 +6,14 @@
 
 import clayhook.metrics.EventCounters;
 import clayhook.protocol.KeyValueStatement;
+import clayhook.protocol.MessageEncoder;
 import clayhook.transport.DescriptorBudget;
 import clayhook.transport.EventLoopStall;
 import clayhook.transport.Transport;
 import clayhook.warmup.StubClient;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -27,6 +29,7 @@
 
     private static final long MEMORY_BYTES = 1 << 28;
     private static final int TIMEOUT_SECONDS = 20;
+    private static final int LONG_VALUE_BYTES = 1000;
 
     final Transport transport = Transport.tcp();
     /** The sessions whose requests, cancel requests and disconnects came, in order. */
@@ -42,9 +45,14 @@
 
     /** Listens for at most so many clients at a time. */
     void start(int maxClients) throws InterruptedException {
+        start(maxClients, MEMORY_BYTES);
+    }
+
+    /** The same with so much memory for the process. */
+    void start(int maxClients, long memoryBytes) throws InterruptedException {
         var descriptors = new DescriptorBudget(RESERVED_DESCRIPTORS + 2 * maxClients);
         listener = new ClientListener(
-                transport, transport.ephemeralAddress(0), descriptors, MEMORY_BYTES, null, () -> now, this, counters);
+                transport, transport.ephemeralAddress(0), descriptors, memoryBytes, null, () -> now, this, counters);
     }
 
     ClientListener listener() {
@@ -76,6 +84,14 @@
         return StubClient.statement(false, "id=1,c=a,d=5000,cluster=1");
     }
 
+    /** A write request of more than a KiB, for which memory has to be left. */
+    static ByteBuf longRequest() {
+        String value = "9f".repeat(LONG_VALUE_BYTES);
+        String text = "INSERT INTO state (uid, val) VALUES ('k', '\\x" + value + "') RETURNING val"
+                + " /* id=1,c=a,d=5000,k=7,cluster=1 */";
+        return MessageEncoder.query(text.getBytes(StandardCharsets.UTF_8));
+    }
+
     /** That many read requests, one after the other. */
     static ByteBuf requests(int count) {
         ByteBuf all = Unpooled.buffer();
--- a/daemon/src/test/java/clayhook/frontend/ClientListenerTest.java
+++ b/daemon/src/test/java/clayhook/frontend/ClientListenerTest.java
@@ -1,5 +1,6 @@
 package clayhook.frontend;
 
+import static clayhook.frontend.ClientListenerFixture.longRequest;
 import static clayhook.frontend.ClientListenerFixture.request;
 import static clayhook.frontend.ClientListenerFixture.requests;
 import static clayhook.frontend.ClientListenerFixture.take;
@@ -13,6 +14,7 @@
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -21,6 +23,8 @@
 class ClientListenerTest {
     /** More than any of these tests connects. */
     private static final int MANY_CLIENTS = 488;
+    /** Bytes of the process; an eighth is for long statements, each of whose bytes takes four. */
+    private static final long MEMORY_FOR_ONE_LONG_REQUEST = 100_000;
 
     private final ClientListenerFixture fixture = new ClientListenerFixture();
 
@@ -80,6 +84,48 @@
         assertEquals(0, fixture.receivedRequests.size());
     }
 
+    /**
+     * The connection ended with the error to the first one, and what had been sent behind it was read and not answered:
+     * a client that sends ahead while others hold the memory lost requests. Found by reading; the second answer was
+     * {@code 53300 closed} here.
+     */
+    @Test
+    @Timeout(60)
+    void answersRequestsBehindOneForWhichNoMemoryIsLeft() throws Exception {
+        fixture.start(MANY_CLIENTS, MEMORY_FOR_ONE_LONG_REQUEST);
+        var first = client(StubClient.startupAndFirst(longRequest()));
+        assertEquals("ready", first.nextAnswer());
+        ClientSession holdsMemory = take(fixture.receivedRequests);
+        var second = client(StubClient.startupAndFirst(Unpooled.wrappedBuffer(longRequest(), request())));
+        assertEquals("ready", second.nextAnswer());
+        assertEquals("53300", second.nextAnswer());
+        fixture.respondToNextRequest();
+        assertEquals("40003", second.nextAnswer());
+        fixture.runOnLoop(holdsMemory::respondInDoubt);
+        assertEquals("40003", first.nextAnswer());
+        second.send(longRequest());
+        fixture.respondToNextRequest();
+        assertEquals("40003", second.nextAnswer());
+        fixture.assertNothingReadIsUnanswered();
+    }
+
+    /** A session is not taken for idle while the rest of such a statement is on its way. */
+    @Test
+    @Timeout(60)
+    void drainingSessionAnswersAStatementWithoutMemoryOfWhichPartHasArrived() throws Exception {
+        fixture.start(MANY_CLIENTS, MEMORY_FOR_ONE_LONG_REQUEST);
+        var first = client(StubClient.startupAndFirst(longRequest()));
+        assertEquals("ready", first.nextAnswer());
+        take(fixture.receivedRequests);
+        ByteBuf rest = longRequest();
+        var second = client(StubClient.startupAndFirst(rest.readRetainedSlice(rest.readableBytes() / 2)));
+        assertEquals("ready", second.nextAnswer());
+        fixture.runOnLoop(() -> fixture.listener().drain());
+        second.send(rest);
+        assertEquals("53300", second.nextAnswer());
+        fixture.assertNothingReadIsUnanswered();
+    }
+
     @Test
     void evictsSilentClientsBeforeActiveOnes() throws Exception {
         fixture.start(2);
--- a/daemon/src/test/java/clayhook/protocol/MessageDecodersTest.java
+++ b/daemon/src/test/java/clayhook/protocol/MessageDecodersTest.java
@@ -195,7 +195,7 @@
     }
 
     @Test
-    void longStatementsOfAllClientsShareOneMemoryBudget() {
+    void longStatementsOfAllClientsShareOneMemoryBudgetAndAreSkippedWhereItIsSpent() {
         var allowance = new MemoryBudget(200_000);
         ByteBuf most = Unpooled.wrappedBuffer(
                 MessageEncoder.startupMessage("client", "core"),
@@ -203,9 +203,13 @@
                 Unpooled.buffer(10).writeZero(9));
         var first = new EmbeddedChannel(new ClientMessageDecoder(allowance));
         first.writeInbound(most.retainedDuplicate());
+        ByteBuf whole = Unpooled.wrappedBuffer(
+                most.retainedDuplicate(),
+                Unpooled.buffer(50_000).writeZero(50_000 - 4 - 9),
+                MessageEncoder.query(READ.getBytes(UTF_8)));
         assertEquals(
-                List.of("Startup", "Malformed"),
-                decodedTypes(new ClientMessageDecoder(allowance), most.retainedDuplicate(), 99));
+                List.of("Startup", "SkippedQuery", "Query"),
+                decodedTypes(new ClientMessageDecoder(allowance), whole, 99));
         first.finishAndReleaseAll();
         assertEquals(List.of("Startup"), decodedTypes(new ClientMessageDecoder(allowance), most, 99));
     }
