Share the half close of client connections, and name the history recorder's parts

HistoryRecorder, ClusterNode and AttemptAudit of the cluster tests had words of the earlier style (told, asked, came, ran, MACHINE, WORK); their types, methods and constants have the field's terms and units. No behaviour changes.

--- a/clustertests/src/main/java/clayhook/clustertests/AttemptAudit.java
+++ b/clustertests/src/main/java/clayhook/clustertests/AttemptAudit.java
@@ -62,12 +62,12 @@
         }
         double heldUpUntil = continuedAt.getOrDefault(attempt.router(), 0.0);
         double late = attempt.at() - Math.max(request.leftAt, heldUpUntil) - LEFT_GRACE_SECONDS;
-        if (attempt.at() > request.leftAt && late > HistoryRecorder.MACHINE) {
+        if (attempt.at() > request.leftAt && late > HistoryRecorder.MACHINE_SECONDS) {
             report(attempt, "%.2f s after the client left", attempt.at() - request.leftAt);
         }
         double excess = attempt.statement().timeoutSeconds - (request.deadlineAt - attempt.at());
         boolean heldUp = heldUpUntil > request.sentAt;
-        if (!heldUp && excess > TIMEOUT_SLACK_SECONDS + HistoryRecorder.MACHINE) {
+        if (!heldUp && excess > TIMEOUT_SLACK_SECONDS + HistoryRecorder.MACHINE_SECONDS) {
             report(attempt, "with a timeout that is %.2f s longer than the client waits", excess);
         }
         boolean sameKey = attempt.statement().outcomeKey.equals(request.idempotencyKey);
--- a/clustertests/src/main/java/clayhook/clustertests/ClusterNode.java
+++ b/clustertests/src/main/java/clayhook/clustertests/ClusterNode.java
@@ -22,26 +22,26 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** A node on a socket that tells the history what it runs, for whom. Its state may be changed by any thread. */
+/** A node on a socket that tells the history what it executes, for whom. Its state may be changed by any thread. */
 @SuppressWarnings("FutureReturnValueIgnored") // a write or close that fails shows as the end of its channel
 public final class ClusterNode {
     /** What it does with a statement. */
     public enum Behavior {
         WELL,
-        /** Takes it and does nothing. */
+        /** Reads it and does nothing. */
         HUNG,
-        /** Runs it and says nothing: what becomes of a charge is known to nobody but the node. */
+        /** Executes it and does not answer: the outcome of a write is known to nobody but the node. */
         SILENT,
-        /** Runs it and resets the connection. */
+        /** Executes it and resets the connection. */
         RESETTING,
         /** Ends each connection at once. */
         DEAD
     }
 
-    /**
-     * Seconds of work of a command, and of work that a warm node does in a second: far more than any trial asks for.
-     */
-    private static final double WORK = 0.001, CAPACITY = 2;
+    /** Of a request. */
+    private static final double WORK_SECONDS = 0.001;
+    /** What a warm node does in a second: far more than any run asks for. */
+    private static final double WORK_SECONDS_PER_SECOND = 2;
 
     final Node node;
     private final TestReplicaSet cluster;
@@ -52,7 +52,7 @@
     private volatile Endpoint.State state = Endpoint.State.READY;
     private volatile double stateSince;
     private volatile double startedAt;
-    /** Where its log stands still; 0 while it goes on. */
+    /** The position at which its log has stalled; 0 while it goes on. */
     private volatile double stalledAt;
 
     ClusterNode(TestReplicaSet cluster, Node node, Transport transport) throws InterruptedException {
@@ -119,14 +119,14 @@
         }
     }
 
-    /** Comes back cold after its death. */
+    /** Comes back after its death, in slow start. */
     public void restart() {
         startedAt = HistoryRecorder.now();
         behavior = Behavior.WELL;
         cluster.listChanged();
     }
 
-    /** A replica's log stands still, or goes on and is whole again. */
+    /** Stalls a replica's log, or lets it catch up. */
     public void stall(boolean stalls) {
         stalledAt = stalls ? position() : 0;
     }
@@ -143,10 +143,11 @@
     /** Records the work of a request for the history's rule on slow start, which goes by a fixed capacity. */
     void recordSlowStartWork() {
         double age = HistoryRecorder.now() - startedAt;
-        double cold = cluster.settings.initialCapacityFraction();
-        if (startedAt > 0 && age < cluster.settings.slowStartSeconds()) {
-            cluster.history.worked(
-                    node, WORK, CAPACITY * (cold + (1 - cold) * age / cluster.settings.slowStartSeconds()));
+        double slowStartSeconds = cluster.settings.slowStartSeconds();
+        if (startedAt > 0 && age < slowStartSeconds) {
+            double initial = cluster.settings.initialCapacityFraction();
+            double fraction = initial + (1 - initial) * age / slowStartSeconds;
+            cluster.history.worked(node, WORK_SECONDS, WORK_SECONDS_PER_SECOND * fraction);
         }
     }
 
@@ -213,7 +214,7 @@
             }
             boolean writes = group.consistency() == ConsistencyLevel.WRITE;
             double position = writes ? cluster.write(group, statement.outcomeKey) : position();
-            cluster.history.ran(statement.requestId, node, position);
+            cluster.history.executed(statement.requestId, node, position);
             return row(Double.toString(position), writes ? position : position());
         }
 
@@ -223,7 +224,7 @@
         }
     }
 
-    /** Null for what is a look at the node. */
+    /** Null for a health check. */
     private static KeyValueStatement statement(byte[] text) {
         try {
             return KeyValueStatement.parse(text);
--- a/clustertests/src/main/java/clayhook/clustertests/DiscoveryServer.java
+++ b/clustertests/src/main/java/clayhook/clustertests/DiscoveryServer.java
@@ -65,7 +65,8 @@
             }
         }
         if (answered >= routers.getAsInt()) {
-            cluster.nodes().forEach(node -> cluster.history.told(node.node, node.state() == Endpoint.State.DRAINING));
+            cluster.nodes()
+                    .forEach(node -> cluster.history.notified(node.node, node.state() == Endpoint.State.DRAINING));
         }
     }
 }
--- a/clustertests/src/main/java/clayhook/clustertests/LoadClient.java
+++ b/clustertests/src/main/java/clayhook/clustertests/LoadClient.java
@@ -69,8 +69,8 @@
             throws InterruptedException {
         boolean writes = group.consistency() == ConsistencyLevel.WRITE;
         boolean own = group.consistency() == ConsistencyLevel.SESSION && wroteAt > 0;
-        double waitSeconds = group.clientTimeoutSeconds() + HistoryRecorder.MACHINE;
-        history.asked(id, group, own ? wroteAt : 0, router.name(), waitSeconds);
+        double waitSeconds = group.clientTimeoutSeconds() + HistoryRecorder.MACHINE_SECONDS;
+        history.sent(id, group, own ? wroteAt : 0, router.name(), waitSeconds);
         ByteBuf statement = StubClient.statement(
                 writes,
                 name,
--- a/clustertests/src/main/java/clayhook/clustertests/RecordingClient.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RecordingClient.java
@@ -198,7 +198,8 @@
     boolean awaitAnswers() {
         while (!unanswered.isEmpty() && !ended) {
             // Requests behind others wait for these, which does not count.
-            double until = HistoryRecorder.now() + timeoutSeconds + LATE_ANSWER_SECONDS + HistoryRecorder.MACHINE;
+            double until =
+                    HistoryRecorder.now() + timeoutSeconds + LATE_ANSWER_SECONDS + HistoryRecorder.MACHINE_SECONDS;
             try {
                 Outcome outcome = readAnswer(until);
                 record(unanswered.poll(), outcome);
--- a/clustertests/src/main/java/clayhook/clustertests/RequestAudit.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RequestAudit.java
@@ -44,6 +44,6 @@
     }
 
     private static double latest(RequestRecord record) {
-        return record.timeoutSeconds() + RecordingClient.LATE_ANSWER_SECONDS + HistoryRecorder.MACHINE;
+        return record.timeoutSeconds() + RecordingClient.LATE_ANSWER_SECONDS + HistoryRecorder.MACHINE_SECONDS;
     }
 }
--- a/clustertests/src/main/java/clayhook/clustertests/ShutdownScenario.java
+++ b/clustertests/src/main/java/clayhook/clustertests/ShutdownScenario.java
@@ -175,7 +175,7 @@
         var records = new ArrayList<RequestRecord>();
         for (RouterProcess router : routers) {
             ShutdownClients ofRouter = clients.get(router);
-            if (!ofRouter.awaitDone(killSeconds + HistoryRecorder.MACHINE)) {
+            if (!ofRouter.awaitDone(killSeconds + HistoryRecorder.MACHINE_SECONDS)) {
                 violations.add("clients of " + router.name() + " are not done");
             }
             violations.addAll(ofRouter.failures());
--- a/clustertests/src/main/java/clayhook/clustertests/TestCluster.java
+++ b/clustertests/src/main/java/clayhook/clustertests/TestCluster.java
@@ -273,9 +273,9 @@
     /** Waits until each of those routers has answered that many more commands of the load with a value. */
     public boolean serve(List<RouterProcess> those, int more) throws InterruptedException {
         List<Integer> before =
-                those.stream().map(router -> history.answered(router.name())).toList();
+                those.stream().map(router -> history.served(router.name())).toList();
         return await(() -> IntStream.range(0, those.size())
-                .allMatch(i -> history.answered(those.get(i).name()) >= before.get(i) + more));
+                .allMatch(i -> history.served(those.get(i).name()) >= before.get(i) + more));
     }
 
     /** The routers that neither stand still nor are gone. */
--- a/clustertests/src/main/java/clayhook/clustertests/TestReplicaSet.java
+++ b/clustertests/src/main/java/clayhook/clustertests/TestReplicaSet.java
@@ -95,7 +95,7 @@
     }
 
     void requestArrived(NodeRequest request) {
-        history.came(request.router(), request.node());
+        history.arrived(request.router(), request.node());
         requestListeners.forEach(listener -> listener.accept(request));
     }
 
--- a/clustertests/src/test/java/clayhook/clustertests/ClusterTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/ClusterTest.java
@@ -33,9 +33,9 @@
         ClusterNode replica = cluster.nodes().get(1);
         replica.state(Endpoint.State.DRAINING);
         assertTrue(fleet.serve(fleet.up(), 5 * SOME), fleet::logs);
-        int before = fleet.history().runs(replica.node());
+        int before = fleet.history().executions(replica.node());
         assertTrue(fleet.serve(fleet.up(), 2 * SOME), fleet::logs);
-        assertEquals(before, fleet.history().runs(replica.node()));
+        assertEquals(before, fleet.history().executions(replica.node()));
         replica.state(Endpoint.State.READY);
         for (Behavior behavior : Behavior.values()) {
             replica.behavior(behavior);
--- a/clustertests/src/test/java/clayhook/clustertests/HistoryRecorderTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/HistoryRecorderTest.java
@@ -12,7 +12,7 @@
     private static final Node FIRST = new Node("n0", "a", 1), SECOND = new Node("n1", "a", 1);
 
     private static void ask(HistoryRecorder history, RequestClass group) {
-        history.asked("id", group, HistoryRecorder.now(), "r0", 1);
+        history.sent("id", group, HistoryRecorder.now(), "r0", 1);
     }
 
     @ParameterizedTest
@@ -53,9 +53,9 @@
             history.up("r0");
         }
         double age = what.startsWith("older") ? 1.1 : what.startsWith("within") ? 0.9 : 0;
-        history.ran("id", FIRST, writes ? 0 : HistoryRecorder.now() - age);
+        history.executed("id", FIRST, writes ? 0 : HistoryRecorder.now() - age);
         if (what.contains("twice")) {
-            history.ran("id", SECOND, 0);
+            history.executed("id", SECOND, 0);
         }
         if ((rule.equals("ONE_ANSWER") && !what.startsWith("two"))
                 || what.startsWith("killed")
--- a/clustertests/src/test/java/clayhook/clustertests/SharingClusterTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/SharingClusterTest.java
@@ -66,13 +66,13 @@
             replica.state(Endpoint.State.DRAINING);
             fleet.load();
             assertTrue(fleet.serve(fleet.up(), SOME), fleet::logs);
-            int before = fleet.history().runs(replica.node());
+            int before = fleet.history().executions(replica.node());
             assertTrue(before > 0);
             fleet.discovery().answers(1);
             assertTrue(fleet.serve(fleet.up(), 5 * SOME), fleet::logs);
-            before = fleet.history().runs(replica.node());
+            before = fleet.history().executions(replica.node());
             assertTrue(fleet.serve(fleet.up(), 2 * SOME), fleet::logs);
-            assertEquals(shares, before == fleet.history().runs(replica.node()));
+            assertEquals(shares, before == fleet.history().executions(replica.node()));
             verdict(fleet);
         }
     }
--- a/daemon/src/main/java/clayhook/frontend/LingeringClose.java
+++ b/daemon/src/main/java/clayhook/frontend/LingeringClose.java
@@ -4,9 +4,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.DuplexChannel;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Closes a client connection without losing the last response. Closing a socket that holds unread bytes resets the
@@ -20,12 +17,11 @@
     /** More than a client has in transit when it learns of the close; one that sends more is reset. */
     private static final int MAX_DISCARDED_BYTES = 1 << 20;
 
-    private final Channel channel;
+    private final HalfClose halfClose;
     private int discardedBytes;
-    private Future<?> lingerTimeout;
 
     private LingeringClose(Channel channel) {
-        this.channel = channel;
+        halfClose = new HalfClose(channel);
     }
 
     /** Discards all input from now on; responses may still be written. */
@@ -42,15 +38,7 @@
      * @param onWritten runs once the bytes are written or have failed
      */
     void finish(ByteBuf lastBytes, Runnable onWritten) {
-        channel.writeAndFlush(lastBytes).addListener(done -> {
-            onWritten.run();
-            if (done.isSuccess() && channel instanceof DuplexChannel socket) {
-                socket.shutdownOutput();
-                lingerTimeout = channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
-            } else {
-                channel.close();
-            }
-        });
+        halfClose.begin(lastBytes, LINGER_MS, onWritten);
     }
 
     @Override
@@ -66,9 +54,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        if (lingerTimeout != null) {
-            lingerTimeout.cancel(false);
-        }
+        halfClose.onClosed();
         ctx.fireChannelInactive();
     }
 
