Let the tests' relay pass a reset on behind what was sent before it

Callers saw nothing. The record does not tell whether the router or the relay was at fault. By reading, the relay was: bytes of a client that found the router's connection reset made it reset the client at once, past the answer that it still delayed, which no network does.

The reset is now passed on by the reader of the other side, in its order. No check or bound of the soak is changed.

--- a/clustertests/src/main/java/clayhook/clustertests/TcpRelay.java
+++ b/clustertests/src/main/java/clayhook/clustertests/TcpRelay.java
@@ -151,7 +151,7 @@
                 out.write(chunk.bytes());
             }
         } catch (IOException e) {
-            reset(from);
+            // The receiver has reset the connection. Its reader passes that on, behind what it sent before.
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
