Let the cluster tests' nodes keep what they had as the primary where their log stalls

Callers saw nothing.

Cause: the stand-in's position went back. No node loses what it has told, so the check is right and the node was wrong; the check and its bounds are unchanged.

A node that leads moves the place of its stall on. It holds because a position is only told out of the same method. ClusterNodeTest, history and judge tests green.

--- a/clustertests/src/main/java/clayhook/clustertests/ClusterNode.java
+++ b/clustertests/src/main/java/clayhook/clustertests/ClusterNode.java
@@ -52,8 +52,8 @@
     private volatile Endpoint.State state = Endpoint.State.READY;
     private volatile double stateSince;
     private volatile double startedAt;
-    /** The position at which its log has stalled; 0 while it goes on. */
-    private volatile double stalledAt;
+    /** The position at which its log has stalled; 0 while it goes on. Guarded by this. */
+    private double stalledAt;
 
     ClusterNode(TestReplicaSet cluster, Node node, Transport transport) throws InterruptedException {
         this.cluster = cluster;
@@ -127,7 +127,7 @@
     }
 
     /** Stalls a replica's log, or lets it catch up. */
-    public void stall(boolean stalls) {
+    public synchronized void stall(boolean stalls) {
         stalledAt = stalls ? position() : 0;
     }
 
@@ -135,9 +135,18 @@
         return cluster.primary() == this;
     }
 
-    private double position() {
-        double stalled = stalledAt;
-        return leads() ? HistoryRecorder.now() : stalled > 0 ? stalled : HistoryRecorder.now() - TestReplicaSet.LAG;
+    /** Where its log stands; what it had as the primary it keeps, also where its log stalled meanwhile. */
+    synchronized double position() {
+        double now = HistoryRecorder.now();
+        if (leads()) {
+            stalledAt = stalledAt > 0 ? now : 0;
+            return now;
+        }
+        return stalledAt > 0 ? stalledAt : now - TestReplicaSet.LAG;
+    }
+
+    private synchronized void keepApplied(double position) {
+        stalledAt = stalledAt > 0 ? Math.max(stalledAt, position) : 0;
     }
 
     /** Records the work of a request for the history's rule on slow start, which goes by a fixed capacity. */
@@ -214,6 +223,7 @@
             }
             boolean writes = group.consistency() == ConsistencyLevel.WRITE;
             double position = writes ? cluster.write(group, statement.outcomeKey) : position();
+            keepApplied(position);
             cluster.history.executed(statement.requestId, node, position);
             return row(Double.toString(position), writes ? position : position());
         }
