Log the memory reserved for long messages and the direct memory in use

The summary now has the bytes reserved now and at most, the refused reservations and the direct memory in use.

--- a/daemon/src/main/java/clayhook/backend/BackendClient.java
+++ b/daemon/src/main/java/clayhook/backend/BackendClient.java
@@ -221,6 +221,11 @@
         return counts.toString();
     }
 
+    /** The memory of the nodes' long answers since the last call, as text for the log. */
+    public String takeMemorySummary() {
+        return answerMemory.takeSummary();
+    }
+
     /** The number of connections to nodes that are open or being opened. */
     public int connectionCount() {
         return descriptors.nodeCount();
--- a/daemon/src/main/java/clayhook/frontend/ClientListener.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientListener.java
@@ -195,6 +195,11 @@
         return sessions.size();
     }
 
+    /** The memory of the clients' long messages since the last call, as text for the log. */
+    public String takeMemorySummary() {
+        return memoryBudget.takeSummary();
+    }
+
     /** The number of sessions with a registered cancel key. */
     int cancelKeyCount() {
         return cancelKeys.size();
--- a/daemon/src/main/java/clayhook/protocol/MemoryBudget.java
+++ b/daemon/src/main/java/clayhook/protocol/MemoryBudget.java
@@ -5,11 +5,20 @@
     /** Memory in bytes that a message occupies per byte of its length while it is received, kept and forwarded. */
     private static final int BYTES_PER_MESSAGE_BYTE = 4;
 
+    private static final int BYTES_PER_KIB = 1024;
+
+    private final long limitBytes;
     private long availableBytes;
+    /** The least number of available bytes since the last {@link #takeSummary}. */
+    private long leastAvailableBytes;
+    /** The number of reservations refused since the last {@link #takeSummary}. */
+    private int refusals;
 
     /** Creates a budget of the given number of bytes. */
     public MemoryBudget(long bytes) {
+        limitBytes = bytes;
         availableBytes = bytes;
+        leastAvailableBytes = bytes;
     }
 
     /**
@@ -21,9 +30,11 @@
     public boolean tryReserve(int length) {
         long bytes = (long) length * BYTES_PER_MESSAGE_BYTE;
         if (availableBytes < bytes) {
+            refusals++;
             return false;
         }
         availableBytes -= bytes;
+        leastAvailableBytes = Math.min(leastAvailableBytes, availableBytes);
         return true;
     }
 
@@ -31,4 +42,17 @@
     public void release(int length) {
         availableBytes += (long) length * BYTES_PER_MESSAGE_BYTE;
     }
+
+    /** The bytes reserved now and at most since the last call, and the refused reservations since then, for the log. */
+    public String takeSummary() {
+        String summary = kib(limitBytes - availableBytes) + " KiB reserved, at most "
+                + kib(limitBytes - leastAvailableBytes) + " of " + kib(limitBytes) + ", refused " + refusals;
+        leastAvailableBytes = availableBytes;
+        refusals = 0;
+        return summary;
+    }
+
+    private static long kib(long bytes) {
+        return bytes / BYTES_PER_KIB;
+    }
 }
--- a/daemon/src/main/java/clayhook/serve/SummaryLog.java
+++ b/daemon/src/main/java/clayhook/serve/SummaryLog.java
@@ -7,10 +7,12 @@
 import clayhook.log.Log;
 import clayhook.metrics.EventCounters;
 import clayhook.transport.DescriptorBudget;
+import io.netty.util.internal.PlatformDependent;
 
 /** Logs a summary of the router's activity at fixed intervals. Event loop only. */
 final class SummaryLog {
     private static final double INTERVAL_SECONDS = 10;
+    private static final int BYTES_PER_KIB = 1024;
 
     private final ClientListener frontend;
     private final BackendClient backend;
@@ -58,6 +60,9 @@
                 + descriptors.peak() + ", event loop delay at most " + Math.round(timer.maxDelay() * 1000) + " ms, "
                 + counters.takeSummary());
         Log.info("nodes: " + policy.describeNodes(now) + ", in flight " + backend.inFlightByNode());
+        Log.info("memory: client messages " + frontend.takeMemorySummary() + "; answers " + backend.takeMemorySummary()
+                + "; direct " + PlatformDependent.usedDirectMemory() / BYTES_PER_KIB + " KiB of "
+                + PlatformDependent.maxDirectMemory() / BYTES_PER_KIB);
         if (sql.isEnabled()) {
             Log.info("statements: " + sql.admission().summary());
         }
