Keep the memory reserved for a message until the message has been answered

Cause: ClientSession released the memory of all messages of its connection whenever no whole message waited, also after a read that brought only a part of one. So any number of long messages was admitted, and the direct memory ran out. In the other direction, a client that always sent ahead got nothing back until it paused. By reading, Netty held up to twice the bytes of a message, and a part of a few bytes could hold a receive buffer of 64 KiB.

Change: each reservation belongs to one message and ends when that is answered (MessageMemory); a message that arrives in parts is copied into a buffer of its own length. Both decoders, of clients and of nodes, have it.

Before the fix, with the tests alone: ClientListenerTest.partOfALongRequestKeepsItsMemoryUntilItIsAnswered and answeredRequestReleasesItsMemoryWhileThePartOfTheNextOneKeepsIts failed (expected 53300, no answer), and MessageDecodersTest.partialMessageDoesNotHoldTheReceiveBuffer failed in 5 cases of 5.

--- a/daemon/src/main/java/clayhook/backend/NodeConnection.java
+++ b/daemon/src/main/java/clayhook/backend/NodeConnection.java
@@ -210,9 +210,15 @@
             return;
         }
         switch (state) {
-            case STARTING -> onStartupMessage(message);
+            case STARTING -> {
+                onStartupMessage(message);
+                decoder.releaseMemoryOfAllBut(0);
+            }
             case IDLE -> failProtocol("an unsolicited message");
-            case CHANGING_SETTINGS -> onSettingsMessage(message);
+            case CHANGING_SETTINGS -> {
+                onSettingsMessage(message);
+                decoder.releaseMemoryOfAllBut(0);
+            }
             case ANSWERING -> onAnswerMessage(message);
         }
     }
@@ -355,7 +361,7 @@
     private void completeRequest(AttemptCompletion completion) {
         BackendRequest completed = request;
         request = null;
-        decoder.releaseMemory();
+        decoder.releaseMemoryOfAllBut(0);
         answer.releaseMemory();
         if (completed != null) {
             pool.complete(completed, completion, this);
--- a/daemon/src/main/java/clayhook/frontend/ClientConnection.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientConnection.java
@@ -126,9 +126,9 @@
         return decoder.hasPartialMessage();
     }
 
-    /** Releases the memory reserved for the messages received so far, which the session no longer needs. */
-    void releaseMemory() {
-        decoder.releaseMemory();
+    /** Releases the memory of all messages received so far except the newest ones, which the session still needs. */
+    void releaseMemoryOfAllBut(int newestMessages) {
+        decoder.releaseMemoryOfAllBut(newestMessages);
     }
 
     /**
@@ -162,15 +162,14 @@
      */
     void closeDiscardingInput(ByteBuf lastBytes) {
         discardInput();
-        releaseMemory();
+        decoder.discardInputAndReleaseMemory();
         pendingWrites++;
         lingeringClose.finish(lastBytes, () -> pendingWrites--);
     }
 
     /** Stops reading, writes the last bytes, shuts down the output, and closes the connection after a short delay. */
     void closeWithoutReading(ByteBuf lastBytes) {
-        decoder.discardInput();
-        releaseMemory();
+        decoder.discardInputAndReleaseMemory();
         pendingWrites++;
         CloseWithoutReading.begin(context.channel(), lastBytes, () -> pendingWrites--);
     }
--- a/daemon/src/main/java/clayhook/frontend/ClientSession.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientSession.java
@@ -225,12 +225,17 @@
                 handleMessage(message);
             }
         }
-        if (isIdle()) {
-            connection.releaseMemory();
+        if (state != State.CLOSING) {
+            connection.releaseMemoryOfAllBut(messagesInUse());
         }
         closeIfDrained();
     }
 
+    /** The number of received messages that are in flight or wait to be handled. */
+    private int messagesInUse() {
+        return pendingMessages.size() + (state == State.AWAITING_RESPONSE ? 1 : 0);
+    }
+
     private boolean mayHandleMessage() {
         return state != State.AWAITING_RESPONSE && state != State.CLOSING;
     }
--- a/daemon/src/main/java/clayhook/protocol/FrameDecoder.java
+++ b/daemon/src/main/java/clayhook/protocol/FrameDecoder.java
@@ -1,6 +1,7 @@
 package clayhook.protocol;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.nio.charset.StandardCharsets;
@@ -8,71 +9,133 @@
 
 /**
  * Splits a byte stream into messages, each of which consists of an optional type byte, a length that includes itself,
- * and a body. Buffers only bytes that have been received. For a message that cannot be decoded it emits a message that
- * describes the error, and then discards all further input. Confined to the event loop.
+ * and a body. For a message that cannot be decoded it emits a message that describes the error, and then discards all
+ * further input. Confined to the event loop.
+ *
+ * <p>A message that arrives in parts is copied into a heap buffer of its own length, once memory is reserved for it.
+ * Netty would append the parts to the receive buffer instead, which grows by doubling and lies in direct memory, so
+ * that a connection would hold several times the bytes of its message.
  */
 abstract class FrameDecoder extends ByteToMessageDecoder {
     private static final int LENGTH_BYTES = 4;
 
-    private final MemoryBudget memoryBudget;
-    /** Messages up to this length in bytes need no reservation. */
-    private final int maxUnreservedLength;
-    /** The number of bytes that need no reservation, summed over all messages since the memory was last released. */
-    private final int maxUnreservedBytes;
-    /** Bytes of received messages with reserved memory; the owner of the connection releases it. */
-    private int reservedBytes;
+    private final MessageMemory memory;
 
-    private int unreservedBytes;
+    /** The bytes received of a message that arrives in parts: its header, or all of it; null between messages. */
+    private ByteBuf partialMessage;
+    /** The number of bytes of {@link #partialMessage} to receive. */
+    private int partialMessageBytes;
 
     /** Bytes still to be received of a message that is being skipped. */
     private int bytesToSkip;
 
     private boolean discarding;
-    /** Whether the header of the current message has been checked and memory has been reserved for it. */
-    private boolean headerAccepted;
 
+    /**
+     * Creates the decoder of one connection.
+     *
+     * @param memoryBudget limits the memory of all connections of one kind
+     * @param maxUnreservedLength messages up to this length in bytes need no reservation
+     * @param maxUnreservedBytes the number of bytes that need no reservation, summed over the messages in use; without
+     *     a limit if it is {@code Integer.MAX_VALUE}
+     */
     FrameDecoder(MemoryBudget memoryBudget, int maxUnreservedLength, int maxUnreservedBytes) {
-        this.memoryBudget = memoryBudget;
-        this.maxUnreservedLength = maxUnreservedLength;
-        this.maxUnreservedBytes = maxUnreservedBytes;
+        memory = new MessageMemory(memoryBudget, maxUnreservedLength, maxUnreservedBytes);
     }
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
         if (discarding) {
             in.skipBytes(in.readableBytes());
-            return;
-        }
-        if (bytesToSkip > 0) {
+        } else if (bytesToSkip > 0) {
             skip(in, out);
+        } else if (partialMessage != null) {
+            continueMessage(in, out);
+        } else {
+            beginMessage(in, out);
+        }
+    }
+
+    private void beginMessage(ByteBuf in, List<Object> out) {
+        int headerBytes = headerBytes();
+        if (in.readableBytes() < headerBytes) {
+            partialMessageBytes = headerBytes;
+            partialMessage = Unpooled.buffer(headerBytes);
+            continueMessage(in, out);
             return;
         }
-        int typeBytes = hasTypeByte() ? 1 : 0;
-        if (in.readableBytes() < typeBytes + LENGTH_BYTES) {
+        int messageBytes = acceptHeader(in, in, out);
+        if (messageBytes == 0) {
             return;
         }
-        int length = in.getInt(in.readerIndex() + typeBytes);
-        if (length < LENGTH_BYTES || length > maxMessageLength()) {
-            emitAndDiscardInput(malformed("a message of length " + Integer.toUnsignedString(length)), in, out);
+        if (in.readableBytes() >= messageBytes) {
+            emit(decodeMessage(in.readSlice(messageBytes)), out);
+        } else {
+            partialMessageBytes = messageBytes;
+            partialMessage = Unpooled.buffer(messageBytes);
+            continueMessage(in, out);
+        }
+    }
+
+    /** Copies further bytes of the message that arrives in parts, and decodes it once it is complete. */
+    private void continueMessage(ByteBuf in, List<Object> out) {
+        copyPart(in);
+        if (partialMessage.readableBytes() < partialMessageBytes) {
             return;
         }
-        if (!headerAccepted && !reserveMemory(length)) {
-            skipOrDiscard(typeBytes + length, in, out);
+        if (partialMessageBytes == headerBytes() && !acceptPartialHeader(in, out)) {
             return;
         }
-        headerAccepted = in.readableBytes() < typeBytes + length;
-        if (!headerAccepted) {
-            out.add(decodeMessage(in.readSlice(typeBytes + length)));
+        copyPart(in);
+        if (partialMessage.readableBytes() == partialMessageBytes) {
+            ByteBuf message = partialMessage;
+            partialMessage = null;
+            emit(decodeMessage(message), out);
         }
     }
 
-    private void skipOrDiscard(int messageBytes, ByteBuf in, List<Object> out) {
-        if (hasTypeByte() && maySkip(in.getByte(in.readerIndex()))) {
-            bytesToSkip = messageBytes;
-            skip(in, out);
+    private void copyPart(ByteBuf in) {
+        int missingBytes = partialMessageBytes - partialMessage.readableBytes();
+        partialMessage.writeBytes(in, Math.min(missingBytes, in.readableBytes()));
+    }
+
+    /** Handles a header that arrived in parts; returns whether the rest of its message is to be received. */
+    private boolean acceptPartialHeader(ByteBuf in, List<Object> out) {
+        ByteBuf header = partialMessage;
+        int messageBytes = acceptHeader(header, in, out);
+        if (messageBytes == 0) {
+            partialMessage = null;
+            return false;
+        }
+        partialMessageBytes = messageBytes;
+        partialMessage.capacity(messageBytes);
+        return true;
+    }
+
+    /**
+     * Checks the header of a message and reserves memory for the message. If either fails, skips the message or
+     * discards all further input.
+     *
+     * @param header the buffer that starts with the header: {@code in}, or the bytes received before it
+     * @return the length of the message in bytes, including its header; 0 if it is not to be received
+     */
+    private int acceptHeader(ByteBuf header, ByteBuf in, List<Object> out) {
+        int typeBytes = hasTypeByte() ? 1 : 0;
+        int length = header.getInt(header.readerIndex() + typeBytes);
+        if (length < LENGTH_BYTES || length > maxMessageLength()) {
+            emitAndDiscardInput(malformed("a message of length " + Integer.toUnsignedString(length)), in, out);
+            return 0;
+        }
+        if (memory.tryReserve(length)) {
+            return typeBytes + length;
+        }
+        if (hasTypeByte() && maySkip(header.getByte(header.readerIndex()))) {
+            bytesToSkip = typeBytes + length;
+            skip(header, out);
         } else {
             emitAndDiscardInput(outOfMemory(), in, out);
         }
+        return 0;
     }
 
     /** Drops the bytes of a message as they are received; emits {@link #skipped} in its place after the last one. */
@@ -81,14 +144,19 @@
         in.skipBytes(length);
         bytesToSkip -= length;
         if (bytesToSkip == 0) {
-            out.add(skipped());
+            emit(skipped(), out);
         }
     }
 
     private void emitAndDiscardInput(Object lastMessage, ByteBuf in, List<Object> out) {
         discarding = true;
         in.skipBytes(in.readableBytes());
-        out.add(lastMessage);
+        emit(lastMessage, out);
+    }
+
+    private void emit(Object message, List<Object> out) {
+        memory.onMessageComplete();
+        out.add(message);
     }
 
     private Object decodeMessage(ByteBuf message) {
@@ -102,36 +170,38 @@
         }
     }
 
-    private boolean reserveMemory(int length) {
-        if (length <= maxUnreservedLength && length <= maxUnreservedBytes - unreservedBytes) {
-            unreservedBytes += length;
-            return true;
-        }
-        boolean reserved = memoryBudget.tryReserve(length);
-        reservedBytes += reserved ? length : 0;
-        return reserved;
+    private int headerBytes() {
+        return (hasTypeByte() ? 1 : 0) + LENGTH_BYTES;
+    }
+
+    /**
+     * Releases the memory of all complete messages except the newest ones, which the caller still uses. A message that
+     * has been received only in part keeps its memory.
+     */
+    public final void releaseMemoryOfAllBut(int newestMessages) {
+        memory.releaseAllBut(newestMessages);
     }
 
-    /** Releases the memory of all received messages, which the caller no longer uses. */
-    public final void releaseMemory() {
-        memoryBudget.release(reservedBytes);
-        reservedBytes = 0;
-        unreservedBytes = 0;
+    /** Discards all further input, including the part received of a message, and releases all memory. */
+    public final void discardInputAndReleaseMemory() {
+        discardInput();
+        memory.releaseAll();
     }
 
-    /** Discards all further input. */
+    /** Discards all further input, including the part received of a message. */
     public final void discardInput() {
         discarding = true;
+        partialMessage = null;
     }
 
     /** Whether a message has been received only in part. */
     public final boolean hasPartialMessage() {
-        return actualReadableBytes() > 0 || bytesToSkip > 0;
+        return actualReadableBytes() > 0 || partialMessage != null || bytesToSkip > 0;
     }
 
     @Override
     protected final void handlerRemoved0(ChannelHandlerContext context) {
-        releaseMemory();
+        discardInputAndReleaseMemory();
     }
 
     /** Whether the next message starts with a type byte. */
--- a/daemon/src/main/java/clayhook/protocol/MemoryBudget.java
+++ b/daemon/src/main/java/clayhook/protocol/MemoryBudget.java
@@ -2,7 +2,10 @@
 
 /** Limits the total memory of long messages on all connections of one kind. Confined to the event loop. */
 public final class MemoryBudget {
-    /** Memory in bytes that a message occupies per byte of its length while it is received, kept and forwarded. */
+    /**
+     * Memory in bytes that a message occupies per byte of its length while it is received, kept and forwarded: the
+     * received bytes, a decoded copy, and the bytes to send on up to two connections.
+     */
     private static final int BYTES_PER_MESSAGE_BYTE = 4;
 
     private static final int BYTES_PER_KIB = 1024;
--- a/daemon/src/test/java/clayhook/frontend/ClientListenerTest.java
+++ b/daemon/src/test/java/clayhook/frontend/ClientListenerTest.java
@@ -109,6 +109,53 @@
         fixture.assertAllReadInputAnswered();
     }
 
+    /**
+     * Guards against commands received in part that fill the memory of the process. Their reservation was released
+     * after their first read, so that any number of them were admitted at once.
+     */
+    @Test
+    @Timeout(60)
+    void partOfALongRequestKeepsItsMemoryUntilItIsAnswered() throws Exception {
+        fixture.start(MANY_CLIENTS, MEMORY_FOR_ONE_LONG_REQUEST);
+        ByteBuf rest = longRequest();
+        var slow = client(StubClient.startupAndFirst(rest.readRetainedSlice(rest.readableBytes() / 2)));
+        assertEquals("ready", slow.nextAnswer());
+        var other = client(StubClient.startupAndFirst(longRequest()));
+        assertEquals("ready", other.nextAnswer());
+        assertEquals("53300", other.nextAnswer());
+        slow.send(rest);
+        fixture.respondToNextRequest();
+        assertEquals("40003", slow.nextAnswer());
+        other.send(longRequest());
+        fixture.respondToNextRequest();
+        assertEquals("40003", other.nextAnswer());
+    }
+
+    /**
+     * Guards against a client that always sends ahead and so never releases memory: the memory of all its requests was
+     * released only once it had none left, and further ones were refused.
+     */
+    @Test
+    @Timeout(60)
+    void answeredRequestReleasesItsMemoryWhileThePartOfTheNextOneKeepsIts() throws Exception {
+        fixture.start(MANY_CLIENTS, 2 * MEMORY_FOR_ONE_LONG_REQUEST);
+        ByteBuf second = longRequest();
+        var client = client(StubClient.startupAndFirst(
+                Unpooled.wrappedBuffer(longRequest(), second.readRetainedSlice(second.readableBytes() / 2))));
+        assertEquals("ready", client.nextAnswer());
+        for (int i = 0; i < 4; i++) {
+            ByteBuf next = longRequest();
+            fixture.respondToNextRequest();
+            assertEquals("40003", client.nextAnswer());
+            client.send(Unpooled.wrappedBuffer(second, next.readRetainedSlice(next.readableBytes() / 2)));
+            second = next;
+        }
+        takeNext(fixture.receivedRequests);
+        var other = client(StubClient.startupAndFirst(longRequest()));
+        assertEquals("ready", other.nextAnswer());
+        assertEquals("53300", other.nextAnswer());
+    }
+
     /** A session must not count as idle while the rest of a rejected statement is in transit. */
     @Test
     @Timeout(60)
--- a/daemon/src/test/java/clayhook/protocol/MessageDecodersTest.java
+++ b/daemon/src/test/java/clayhook/protocol/MessageDecodersTest.java
@@ -213,4 +213,21 @@
         firstClient.finishAndReleaseAll();
         assertEquals(List.of("Startup"), decodedTypes(new ClientMessageDecoder(memoryBudget), incomplete, 99));
     }
+
+    /**
+     * Guards against partial messages that hold receive buffers, which can be many times as long: 32 MB of direct
+     * memory were full with 128 clients, each with a message of 128 KiB in a buffer of 256 KiB.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 4, 5, 700, 40_000})
+    void partialMessageDoesNotHoldTheReceiveBuffer(int bytes) {
+        var client = new EmbeddedChannel(new ClientMessageDecoder(new MemoryBudget(1 << 20)));
+        client.writeInbound(MessageEncoder.startupMessage("client", "core"));
+        ByteBuf received = client.alloc().directBuffer(1 << 16);
+        received.writeByte('Q').writeInt(50_000).writeZero(50_000).writerIndex(bytes);
+        client.writeInbound(received);
+        assertEquals(0, received.refCnt());
+        assertTrue(client.pipeline().get(ClientMessageDecoder.class).hasPartialMessage());
+        client.finishAndReleaseAll();
+    }
 }
