Use a connection to a node again only once an empty query has been answered

Cause: a connection was used again 2 ms after an answer, and nothing tied the bytes read to the request. A node's system without TCP_NODELAY holds the copy back until the answer is acknowledged, which the router does with its next request. Excluded: a check that misses bytes that have arrived, and answers mixed within one read; both have tests that passed before, and the new test writes the copy only after the next request has been read.

Change: after each answer, and after each change of session settings, the connection sends an empty query, which has no effect, and is used again once that is answered. A node answers in order, so anything in excess has arrived before; then the connection is closed. A barrier that is not answered within the connect timeout closes its connection, and requests that wait for it get another.

Tests: ConnectionRaceTest.secondCopyThatIsHeldBackIsNotReadAsTheAnswerToTheNextRequest failed before (the new request was answered from the copy, no new connection was opened; 50 s time limit) and passes now; the others hold the answers that count as a barrier's. The stand-ins of the tests, the laboratory and the warm-up answer empty queries now; two tests pass the barrier before they wait for an idle connection.

--- a/clustertests/src/main/java/clayhook/clustertests/ClusterNode.java
+++ b/clustertests/src/main/java/clayhook/clustertests/ClusterNode.java
@@ -203,6 +203,8 @@
             } else if (message instanceof ClientMessage.Startup startup) {
                 router = startup.parameters().getOrDefault("user", "");
                 ctx.writeAndFlush(MessageEncoder.startupResponse(0, Map.of()));
+            } else if (message instanceof ClientMessage.EmptyQuery) {
+                ctx.writeAndFlush(MessageEncoder.emptyQueryResponse());
             } else if (message instanceof ClientMessage.SqlQuery sql) {
                 KeyValueStatement statement = parseStatement(sql.text());
                 ByteBuf answer = statement == null ? healthCheckAnswer() : execute(statement);
--- a/daemon/src/main/java/clayhook/backend/ConnectionPool.java
+++ b/daemon/src/main/java/clayhook/backend/ConnectionPool.java
@@ -9,11 +9,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * The connections to one node and the requests waiting for one of them. A waiting request takes the first connection
  * that becomes idle, whether or not it was opened for that request. Connections are opened while more requests wait
- * than connections are being prepared.
+ * than connections are being prepared or verified.
  *
  * <p>Event loop only. Completions are reported from within the methods of this class and may call back into it, so
  * every loop iterates over a copy.
@@ -26,6 +27,8 @@
     private final ArrayDeque<NodeConnection> idle = new ArrayDeque<>();
     /** Connections that are starting up or changing their session settings. */
     private final Set<NodeConnection> preparing = new LinkedHashSet<>();
+    /** Connections whose request is answered and that await the answer to a barrier query before they are idle. */
+    private final Set<NodeConnection> verifying = new LinkedHashSet<>();
 
     private final ArrayDeque<BackendRequest> waiting = new ArrayDeque<>();
     /** The number of connections that are idle, being prepared or in use. */
@@ -87,7 +90,7 @@
                 assignIdle(request);
             }
         }
-        while (preparing.size() < waiting.size()) {
+        while (preparing.size() + verifying.size() < waiting.size()) {
             openConnection();
         }
     }
@@ -193,8 +196,17 @@
         }
     }
 
+    /**
+     * Called when the request of a connection is answered and the connection is to be verified; {@link #onIdle} is
+     * called once that is done. Returns false if it must be closed instead, because the node's address has changed.
+     */
+    boolean startVerifying(NodeConnection connection) {
+        return connection.address.equals(address) && verifying.add(connection);
+    }
+
     /** Called when a connection is available for the next request. Closes it if the node's address has changed. */
     void onIdle(NodeConnection connection) {
+        verifying.remove(connection);
         if (connection.address.equals(address)) {
             connection.idleSince = client.now();
             idle.push(connection);
@@ -206,7 +218,8 @@
 
     /**
      * Called when a connection was closed. If it was being prepared and the remaining ones in preparation are fewer
-     * than the waiting requests, completes the request that has waited longest.
+     * than the waiting requests, completes the request that has waited longest. If it was being verified, opens another
+     * connection for a request that waits for it.
      *
      * @param started whether its startup was complete
      * @param startupSqlState the SQLSTATE of an error during startup, or null
@@ -215,6 +228,9 @@
         connectionCount--;
         idle.remove(connection);
         client.releaseDescriptor();
+        if (verifying.remove(connection)) {
+            assignConnections();
+        }
         if (preparing.remove(connection) && waiting.size() > preparing.size()) {
             boolean overloaded = !started && AttemptCompletion.TOO_MANY_CONNECTIONS.equals(startupSqlState);
             complete(
@@ -237,8 +253,10 @@
         closeIdleBefore(Double.POSITIVE_INFINITY);
         // Cleared before closing: a failed connection to the old address must not fail a request, which would count
         // against the node.
-        List<NodeConnection> outdated = List.copyOf(preparing);
+        List<NodeConnection> outdated = new ArrayList<>(preparing);
+        outdated.addAll(verifying);
         preparing.clear();
+        verifying.clear();
         outdated.forEach(NodeConnection::close);
         assignConnections();
     }
@@ -247,7 +265,7 @@
      * Cancels waiting requests that may no longer be sent, closes overdue connections and fails an overdue health
      * check.
      *
-     * @param startedBefore connections in preparation and health checks that started before this time are overdue;
+     * @param startedBefore preparations, verifications and health checks that started before this time are overdue;
      *     clock seconds
      * @param idleBefore connections idle since before this time are closed; clock seconds
      */
@@ -258,8 +276,9 @@
                 abandon(request, new AttemptCompletion.Cancelled(request.phase));
             }
         }
-        List.copyOf(preparing).stream()
+        Stream.concat(preparing.stream(), verifying.stream())
                 .filter(connection -> connection.preparingSince < startedBefore)
+                .toList()
                 .forEach(NodeConnection::close);
         if (healthCheck != null && healthCheck.startedAt < startedBefore) {
             abandon(healthCheck, new AttemptCompletion.TimedOut(healthCheck.phase));
--- a/daemon/src/main/java/clayhook/backend/NodeConnection.java
+++ b/daemon/src/main/java/clayhook/backend/NodeConnection.java
@@ -12,22 +12,18 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 
 /**
  * A connection to a node, with at most one {@link BackendRequest} in flight. Handles the startup, changes of session
  * settings and the order of requests and answers; {@link AnswerReader} validates the messages of an answer. Event loop
  * only.
+ *
+ * <p>Nothing in the protocol ties an answer to its request, and a node may send more than the answer, such as a second
+ * copy, at any time. After each answer the connection therefore sends a {@link BarrierQuery} and is available again
+ * only once that is answered: the node answers in order, so whatever it sent before has then been received.
  */
 @SuppressWarnings("FutureReturnValueIgnored") // a failed write or close leads to channelInactive
 final class NodeConnection extends ChannelInboundHandlerAdapter {
-    /**
-     * The time in milliseconds for which a connection stays unavailable after an answer. It is a few times the interval
-     * between two successive writes of a node, so that surplus bytes after the answer are detected before the next
-     * request is written.
-     */
-    private static final int QUIET_PERIOD_MS = 2;
-
     /** SQLSTATE insufficient_resources: out_of_memory. */
     private static final String OUT_OF_MEMORY = "53200";
 
@@ -38,12 +34,15 @@
         STARTING,
         IDLE,
         CHANGING_SETTINGS,
-        ANSWERING
+        ANSWERING,
+        AWAITING_BARRIER
     }
 
     final NodeMessageDecoder decoder;
     final InetSocketAddress address;
-    /** The time at which the startup or the last change of session settings began, in clock seconds. */
+    /**
+     * The time at which the startup, the last change of session settings or the last barrier began, in clock seconds.
+     */
     double preparingSince;
     /** The time at which the connection last became idle, in clock seconds. */
     double idleSince;
@@ -51,6 +50,7 @@
     private final ConnectionPool pool;
     private final ConnectionProfile profile;
     private final AnswerReader answer;
+    private final BarrierQuery barrier = new BarrierQuery();
     private final NodeReport report;
     private ChannelHandlerContext context;
     private State state = State.STARTING;
@@ -58,8 +58,8 @@
     private boolean closed;
     /** The action to run once all messages of the current read have been handled, or null. */
     private Runnable onReadComplete;
-    /** Whether the last statement may have changed the node's session, which must then not be reused. */
-    private boolean closeAfterAnswer;
+    /** The action to run once the barrier query has been answered. */
+    private Runnable onBarrierPassed;
     /** The request in flight, or null. */
     private BackendRequest request;
     /** Whether the last byte of {@link #request} was written to the socket. */
@@ -220,6 +220,7 @@
                 decoder.releaseMemoryOfAllBut(0);
             }
             case ANSWERING -> onAnswerMessage(message);
+            case AWAITING_BARRIER -> onBarrierMessage(message);
         }
     }
 
@@ -261,7 +262,7 @@
         AttemptCompletion.LocalAnswer refusal =
                 settingsError == null ? null : new AttemptCompletion.LocalAnswer(List.of(settingsError));
         settings = refusal == null ? requested : settings;
-        onReadComplete = () -> pool.onSettingsChanged(this, refusal, requested);
+        onReadComplete = () -> sendBarrier(() -> pool.onSettingsChanged(this, refusal, requested));
     }
 
     private void onAnswerMessage(Object message) {
@@ -316,9 +317,10 @@
             onParameterStatus("load", answer.rowValue());
         }
         state = State.IDLE;
-        onReadComplete = this::releaseAfterQuietPeriod;
         boolean freeForm = request.hasFreeFormResult();
-        closeAfterAnswer = freeForm && request.statement.mayChangeSession();
+        boolean closeAfterAnswer = freeForm && request.statement.mayChangeSession();
+        onReadComplete =
+                closeAfterAnswer || !BarrierQuery.separates(answer.sqlState()) ? this::close : this::verifyBeforeReuse;
         decoder.expectFreeFormResult(false);
         completeRequest(AttemptCompletion.ofAnswer(answer.sqlState(), freeForm, closeAfterAnswer));
     }
@@ -344,18 +346,31 @@
         ctx.fireChannelReadComplete();
     }
 
-    private void releaseAfterQuietPeriod() {
-        context.executor()
-                .schedule(
-                        () -> {
-                            if (!closed && closeAfterAnswer) {
-                                close();
-                            } else if (!closed) {
-                                pool.onIdle(this);
-                            }
-                        },
-                        QUIET_PERIOD_MS,
-                        TimeUnit.MILLISECONDS);
+    private void verifyBeforeReuse() {
+        preparingSince = pool.now();
+        if (pool.startVerifying(this)) {
+            sendBarrier(() -> pool.onIdle(this));
+        } else {
+            close();
+        }
+    }
+
+    private void sendBarrier(Runnable onPassed) {
+        onBarrierPassed = onPassed;
+        barrier.begin();
+        state = State.AWAITING_BARRIER;
+        context.writeAndFlush(BarrierQuery.message());
+    }
+
+    private void onBarrierMessage(Object message) {
+        switch (barrier.read(message)) {
+            case INCOMPLETE -> {}
+            case PASSED -> {
+                state = State.IDLE;
+                onReadComplete = onBarrierPassed;
+            }
+            case SURPLUS -> failProtocol("more than the answer to a request");
+        }
     }
 
     private void completeRequest(AttemptCompletion completion) {
--- a/daemon/src/main/java/clayhook/protocol/NodeMessageDecoder.java
+++ b/daemon/src/main/java/clayhook/protocol/NodeMessageDecoder.java
@@ -53,8 +53,7 @@
                 switch (type) {
                     case 'R' -> decodeAuthentication(body);
                     case 'S' -> new NodeMessage.ParameterStatus(readString(body), readString(body));
-                    case 'T', 'D', 'C' -> decodeResult(type, body);
-                    case 'I' -> freeFormResult ? decodeResult(type, body) : malformed("an answer to an empty query");
+                    case 'T', 'D', 'C', 'I' -> decodeResult(type, body);
                     case 'E' -> decodeError(body);
                     case 'N' -> new NodeMessage.Notice(decodeError(body).message());
                     case 'A' -> freeFormResult ? decodeNotification(body) : malformed("a notification");
--- a/daemon/src/main/java/clayhook/warmup/StubNode.java
+++ b/daemon/src/main/java/clayhook/warmup/StubNode.java
@@ -136,6 +136,8 @@
                 ctx.writeAndFlush(MessageEncoder.startupResponse(0, Map.of()));
             } else if (message instanceof ClientMessage.Query query) {
                 respond(ctx, responses.apply(query.statement()));
+            } else if (message instanceof ClientMessage.EmptyQuery) {
+                ctx.writeAndFlush(MessageEncoder.emptyQueryResponse());
             } else if (message instanceof ClientMessage.UnreadableQuery && !role.equals(UNRESPONSIVE)) {
                 respond(ctx, StubResponse.answer(loadReport()));
             }
--- a/daemon/src/test/java/clayhook/backend/ConnectionRaceTest.java
+++ b/daemon/src/test/java/clayhook/backend/ConnectionRaceTest.java
@@ -27,6 +27,10 @@
      */
     private static final int BEYOND_SOCKET_BUFFERS = 1 << 26;
 
+    private static final int SHORT_CONNECT_TIMEOUT_MS = 50;
+    /** Longer than Linux delays an acknowledgement, for which a node's system may hold back a small write. */
+    private static final int HELD_BACK_MS = 250;
+
     private final BackendClientFixture backend = new BackendClientFixture();
     private ScriptedNode scriptedNode;
     private Node node;
@@ -56,6 +60,7 @@
         assertEquals("before\0", connection.readQuery());
         connection.write(ScriptedNode.answer("before"));
         assertEquals("before", backend.finished.take().value());
+        connection.passBarrier();
         backend.awaitIdle(1);
         assertEquals(1, backend.connectionCount());
         return connection;
@@ -96,6 +101,109 @@
         assertAnsweredOnNewConnection();
     }
 
+    /**
+     * Guards against serving a client with the value of another request: a second copy of an answer that the node's
+     * system held back until the next request was written was taken as the answer to that request.
+     */
+    @Test
+    void secondCopyThatIsHeldBackIsNotReadAsTheAnswerToTheNextRequest() throws Exception {
+        backend.send(node, "before");
+        ScriptedConnection connection = scriptedNode.acceptAndStart();
+        assertEquals("before\0", connection.readQuery());
+        connection.write(ScriptedNode.answer("before"));
+        assertEquals("before", backend.finished.take().value());
+        Thread.sleep(HELD_BACK_MS);
+        backend.send(node, "new");
+        String next = connection.readQuery();
+        connection.write(ScriptedNode.answer("before"));
+        connection.write(next.equals("\0") ? ScriptedNode.BARRIER_ANSWER : ScriptedNode.answer("new"));
+        assertAnsweredOnNewConnection();
+        assertNull(connection.readQuery());
+    }
+
+    /** Some nodes answer with an error, as they accept no statement but those of the two fixed forms. */
+    @ParameterizedTest
+    @ValueSource(strings = {"I", "E08P01"})
+    void connectionIsUsedAgainOnceItsBarrierIsAnswered(String barrierAnswer) throws Exception {
+        backend.send(node, "before");
+        ScriptedConnection connection = scriptedNode.acceptAndStart();
+        assertEquals("before\0", connection.readQuery());
+        connection.write(ScriptedNode.answer("before"));
+        assertEquals("before", backend.finished.take().value());
+        backend.send(node, "next");
+        assertEquals("\0", connection.readQuery());
+        connection.write(
+                barrierAnswer.equals("I")
+                        ? ScriptedNode.BARRIER_ANSWER
+                        : ScriptedNode.message('E', "C08P01\0\0") + ScriptedNode.message('Z', "I"));
+        assertEquals("next\0", connection.readQuery());
+        connection.write(ScriptedNode.answer("next"));
+        assertEquals("next", backend.finished.take().value());
+        assertEquals(1, backend.connectionCount());
+    }
+
+    /** Only an answer to the empty query proves that nothing sent before it is in transit. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Z", "EZ", "TDCZ", "CZ", "IIZ", "IEZ", "q"})
+    void connectionWithAnotherAnswerToItsBarrierIsClosed(String letters) throws Exception {
+        backend.send(node, "before");
+        ScriptedConnection connection = scriptedNode.acceptAndStart();
+        assertEquals("before\0", connection.readQuery());
+        connection.write(ScriptedNode.answer("before"));
+        assertEquals("before", backend.finished.take().value());
+        assertEquals("\0", connection.readQuery());
+        backend.send(node, "new");
+        connection.write(letters.equals("TDCZ") ? ScriptedNode.answer("old") : barrierMessages(letters));
+        assertAnsweredOnNewConnection();
+        assertNull(connection.readQuery());
+    }
+
+    private static String barrierMessages(String letters) {
+        var messages = new StringBuilder();
+        for (int i = 0; i < letters.length(); i++) {
+            char type = letters.charAt(i);
+            String body =
+                    switch (type) {
+                        case 'Z' -> "I";
+                        case 'E' -> "C53300\0\0";
+                        case 'C' -> "SET\0";
+                        default -> "";
+                    };
+            messages.append(ScriptedNode.message(type, body));
+        }
+        return messages.toString();
+    }
+
+    /**
+     * A second copy of an error with which a node answers a barrier could not be told from the answer to the barrier.
+     */
+    @Test
+    void connectionIsClosedAfterAnErrorThatAlsoAnswersBarriers() throws Exception {
+        backend.send(node, "before");
+        ScriptedConnection connection = scriptedNode.acceptAndStart();
+        connection.readQuery();
+        connection.write(ScriptedNode.message('E', "C08P01\0\0") + ScriptedNode.message('Z', "I"));
+        assertEquals(AttemptOutcome.ERROR, backend.finished.take().outcome());
+        assertNull(connection.readQuery());
+    }
+
+    /** A node that does not answer a barrier must not keep the connection, nor a request that waits for it. */
+    @Test
+    void connectionWithAnUnansweredBarrierIsClosedAndTheWaitingRequestGetsAnother() throws Exception {
+        reopen(SHORT_CONNECT_TIMEOUT_MS / 1000.0, BackendClientFixture.LONG_SECONDS);
+        backend.send(node, "before");
+        ScriptedConnection connection = scriptedNode.acceptAndStart();
+        connection.readQuery();
+        connection.write(ScriptedNode.answer("before"));
+        assertEquals("before", backend.finished.take().value());
+        assertEquals("\0", connection.readQuery());
+        backend.send(node, "new");
+        Thread.sleep(2 * SHORT_CONNECT_TIMEOUT_MS);
+        backend.sweep();
+        assertNull(connection.readQuery());
+        assertAnsweredOnNewConnection();
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"stale", "T"})
     void bytesAfterTheStartupAreNotReadAsTheAnswerToAWaitingRequest(String stale) throws Exception {
--- a/daemon/src/test/java/clayhook/backend/ScriptedNode.java
+++ b/daemon/src/test/java/clayhook/backend/ScriptedNode.java
@@ -1,6 +1,7 @@
 package clayhook.backend;
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.DataInputStream;
 import java.io.IOException;
@@ -49,6 +50,9 @@
         serverSocket.close();
     }
 
+    /** The answer to a barrier query: EmptyQueryResponse and ReadyForQuery. */
+    static final String BARRIER_ANSWER = message('I', "") + message('Z', "I");
+
     /** Encodes an answer of one row, including ReadyForQuery. */
     static String answer(String value) {
         return answerWithoutReady(value) + message('Z', "I");
@@ -90,6 +94,12 @@
             return type < 0 ? null : new String(in.readNBytes(in.readInt() - 4), ISO_8859_1);
         }
 
+        /** Reads the barrier query, which follows each answer, and answers it. */
+        void passBarrier() throws IOException {
+            assertEquals("\0", readQuery());
+            write(BARRIER_ANSWER);
+        }
+
         /** Reads the first byte of a query, and no more. */
         void awaitFirstByte() throws IOException {
             in.readByte();
--- a/daemon/src/test/java/clayhook/backend/WaitingAttemptTest.java
+++ b/daemon/src/test/java/clayhook/backend/WaitingAttemptTest.java
@@ -101,6 +101,7 @@
         }
         backend.awaitIdle(3);
         connections.get(0).write(ScriptedNode.answer("a"));
+        connections.get(0).passBarrier();
         backend.awaitIdle(4);
         assertEachFinishedOnce(sent);
     }
--- a/daemon/src/test/java/clayhook/sql/ScriptedSqlNode.java
+++ b/daemon/src/test/java/clayhook/sql/ScriptedSqlNode.java
@@ -126,6 +126,8 @@
                 ctx.writeAndFlush(MessageEncoder.startupResponse(0, Map.of()));
             } else if (message instanceof ClientMessage.SqlQuery sql) {
                 execute(ctx, new String(sql.text(), UTF_8));
+            } else if (message instanceof ClientMessage.EmptyQuery) {
+                ctx.writeAndFlush(MessageEncoder.emptyQueryResponse());
             }
         }
 
--- a/lab/src/main/java/clayhook/lab/model/LoopbackFleet.java
+++ b/lab/src/main/java/clayhook/lab/model/LoopbackFleet.java
@@ -407,6 +407,8 @@
                 scheduler.scheduleAfter(
                         spec.machine().connecting(),
                         () -> ctx.writeAndFlush(MessageEncoder.startupResponse(0, Map.of())));
+            } else if (message instanceof ClientMessage.EmptyQuery) {
+                ctx.writeAndFlush(MessageEncoder.emptyQueryResponse());
             } else if (message instanceof ClientMessage.UnreadableQuery) {
                 ctx.writeAndFlush(StubNode.row(load(node), role(node), millis(node.position()), load(node)));
             } else if (message instanceof ClientMessage.Query query) {
