--- a/daemon/src/test/java/clayhook/backend/ConnectionRaceTest.java
+++ b/daemon/src/test/java/clayhook/backend/ConnectionRaceTest.java
@@ -53,13 +53,19 @@
         node = backend.register(scriptedNode.address());
     }
 
-    /** Opens a connection, runs one attempt on it, and returns it when it is idle. */
-    private ScriptedConnection idleConnection() throws Exception {
+    /** Opens a connection and runs one attempt on it; the node has not read the barrier query yet. */
+    private ScriptedConnection answeredConnection() throws Exception {
         backend.send(node, "before");
         ScriptedConnection connection = scriptedNode.acceptAndStart();
         assertEquals("before\0", connection.readQuery());
         connection.write(ScriptedNode.answer("before"));
         assertEquals("before", backend.finished.take().value());
+        return connection;
+    }
+
+    /** Opens a connection, runs one attempt on it, and returns it when it is idle. */
+    private ScriptedConnection idleConnection() throws Exception {
+        ScriptedConnection connection = answeredConnection();
         connection.passBarrier();
         backend.awaitIdle(1);
         assertEquals(1, backend.connectionCount());
@@ -107,16 +113,12 @@
      */
     @Test
     void secondCopyThatIsHeldBackIsNotReadAsTheAnswerToTheNextRequest() throws Exception {
-        backend.send(node, "before");
-        ScriptedConnection connection = scriptedNode.acceptAndStart();
-        assertEquals("before\0", connection.readQuery());
-        connection.write(ScriptedNode.answer("before"));
-        assertEquals("before", backend.finished.take().value());
+        ScriptedConnection connection = answeredConnection();
         Thread.sleep(HELD_BACK_MS);
         backend.send(node, "new");
         String next = connection.readQuery();
-        connection.write(ScriptedNode.answer("before"));
-        connection.write(next.equals("\0") ? ScriptedNode.BARRIER_ANSWER : ScriptedNode.answer("new"));
+        String answer = next.equals("\0") ? ScriptedNode.BARRIER_ANSWER : ScriptedNode.answer("new");
+        connection.write(ScriptedNode.answer("before") + answer);
         assertAnsweredOnNewConnection();
         assertNull(connection.readQuery());
     }
@@ -125,11 +127,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"I", "E08P01"})
     void connectionIsUsedAgainOnceItsBarrierIsAnswered(String barrierAnswer) throws Exception {
-        backend.send(node, "before");
-        ScriptedConnection connection = scriptedNode.acceptAndStart();
-        assertEquals("before\0", connection.readQuery());
-        connection.write(ScriptedNode.answer("before"));
-        assertEquals("before", backend.finished.take().value());
+        ScriptedConnection connection = answeredConnection();
         backend.send(node, "next");
         assertEquals("\0", connection.readQuery());
         connection.write(
@@ -146,11 +144,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"Z", "EZ", "TDCZ", "CZ", "IIZ", "IEZ", "q"})
     void connectionWithAnotherAnswerToItsBarrierIsClosed(String letters) throws Exception {
-        backend.send(node, "before");
-        ScriptedConnection connection = scriptedNode.acceptAndStart();
-        assertEquals("before\0", connection.readQuery());
-        connection.write(ScriptedNode.answer("before"));
-        assertEquals("before", backend.finished.take().value());
+        ScriptedConnection connection = answeredConnection();
         assertEquals("\0", connection.readQuery());
         backend.send(node, "new");
         connection.write(letters.equals("TDCZ") ? ScriptedNode.answer("old") : barrierMessages(letters));
@@ -191,11 +185,7 @@
     @Test
     void connectionWithAnUnansweredBarrierIsClosedAndTheWaitingRequestGetsAnother() throws Exception {
         reopen(SHORT_CONNECT_TIMEOUT_MS / 1000.0, BackendClientFixture.LONG_SECONDS);
-        backend.send(node, "before");
-        ScriptedConnection connection = scriptedNode.acceptAndStart();
-        connection.readQuery();
-        connection.write(ScriptedNode.answer("before"));
-        assertEquals("before", backend.finished.take().value());
+        ScriptedConnection connection = answeredConnection();
         assertEquals("\0", connection.readQuery());
         backend.send(node, "new");
         Thread.sleep(2 * SHORT_CONNECT_TIMEOUT_MS);
