Keep no record of messages under a memory budget without a limit

On rereading: stand-ins of nodes decode with a budget without a limit and never release it, so each message left an entry until its connection closed. Such a budget needs no entries.

--- a/daemon/src/main/java/clayhook/protocol/MemoryBudget.java
+++ b/daemon/src/main/java/clayhook/protocol/MemoryBudget.java
@@ -10,6 +10,9 @@
 
     private static final int BYTES_PER_KIB = 1024;
 
+    /** The limit of a budget that never refuses a reservation. */
+    private static final long UNLIMITED = Long.MAX_VALUE;
+
     private final long limitBytes;
     private long availableBytes;
     /** The least number of available bytes since the last {@link #takeSummary}. */
@@ -17,13 +20,18 @@
     /** The number of reservations refused since the last {@link #takeSummary}. */
     private int refusals;
 
-    /** Creates a budget of the given number of bytes. */
+    /** Creates a budget of the given number of bytes; without a limit if it is {@code Long.MAX_VALUE}. */
     public MemoryBudget(long bytes) {
         limitBytes = bytes;
         availableBytes = bytes;
         leastAvailableBytes = bytes;
     }
 
+    /** Whether the budget never refuses a reservation, so that none needs to be recorded. */
+    boolean isUnlimited() {
+        return limitBytes == UNLIMITED;
+    }
+
     /**
      * Reserves memory for a message.
      *
--- a/daemon/src/main/java/clayhook/protocol/MessageMemory.java
+++ b/daemon/src/main/java/clayhook/protocol/MessageMemory.java
@@ -46,7 +46,8 @@
 
     /** Reserves memory for the message being received; returns false if too little is available. */
     boolean tryReserve(int length) {
-        if (length <= maxUnreservedLength && maxUnreservedBytes == Integer.MAX_VALUE) {
+        boolean uncounted = length <= maxUnreservedLength && maxUnreservedBytes == Integer.MAX_VALUE;
+        if (uncounted || budget.isUnlimited()) {
             return true;
         }
         boolean unreserved = length <= maxUnreservedLength && length <= maxUnreservedBytes - unreservedBytes;
--- a/daemon/src/test/java/clayhook/backend/ConnectionRaceTest.java
+++ b/daemon/src/test/java/clayhook/backend/ConnectionRaceTest.java
@@ -107,10 +107,7 @@
         assertAnsweredOnNewConnection();
     }
 
-    /**
-     * Guards against serving a client with the value of another request: a second copy of an answer that the node's
-     * system held back until the next request was written was taken as the answer to that request.
-     */
+    /** Guards against serving a client with a second copy of another answer, which the node's system held back. */
     @Test
     void secondCopyThatIsHeldBackIsNotReadAsTheAnswerToTheNextRequest() throws Exception {
         ScriptedConnection connection = answeredConnection();
--- a/daemon/src/test/java/clayhook/frontend/ClientListenerTest.java
+++ b/daemon/src/test/java/clayhook/frontend/ClientListenerTest.java
@@ -109,10 +109,7 @@
         fixture.assertAllReadInputAnswered();
     }
 
-    /**
-     * Guards against commands received in part that fill the memory of the process. Their reservation was released
-     * after their first read, so that any number of them were admitted at once.
-     */
+    /** Guards against requests received in part that fill the memory, which is reserved until they are answered. */
     @Test
     @Timeout(60)
     void partOfALongRequestKeepsItsMemoryUntilItIsAnswered() throws Exception {
@@ -131,10 +128,7 @@
         assertEquals("40003", other.nextAnswer());
     }
 
-    /**
-     * Guards against a client that always sends ahead and so never releases memory: the memory of all its requests was
-     * released only once it had none left, and further ones were refused.
-     */
+    /** Guards against requests that are refused because answered ones of the same client still hold memory. */
     @Test
     @Timeout(60)
     void answeredRequestReleasesItsMemoryWhileThePartOfTheNextOneKeepsIts() throws Exception {
--- a/daemon/src/test/java/clayhook/protocol/MessageDecodersTest.java
+++ b/daemon/src/test/java/clayhook/protocol/MessageDecodersTest.java
@@ -195,10 +195,7 @@
                 List.of(write.isWrite, write.hasIdempotencyKey, write.key, write.timeoutSeconds));
     }
 
-    /**
-     * Guards against a stall of the event loop by long values: parsing took 7 to 10 ms for each, and those that the
-     * memory budget admits may end in one iteration. The operators allow 0.15 s in which a router is held up.
-     */
+    /** Guards against a stall of the event loop by long values; a router may be held up for at most 0.15 s. */
     @Test
     void longestValuesThatTheMemoryAdmitsAreParsedWithinTheHoldUpAllowed() {
         byte[] text = ("INSERT INTO state (uid, val) VALUES ('a', '\\x" + "9f".repeat(1 << 16)
@@ -249,10 +246,7 @@
         assertEquals(List.of("Startup"), decodedTypes(new ClientMessageDecoder(memoryBudget), incomplete, 99));
     }
 
-    /**
-     * Guards against partial messages that hold receive buffers, which can be many times as long: 32 MB of direct
-     * memory were full with 128 clients, each with a message of 128 KiB in a buffer of 256 KiB.
-     */
+    /** Guards against partial messages that hold receive buffers, which can be many times as long. */
     @ParameterizedTest
     @ValueSource(ints = {1, 4, 5, 700, 40_000})
     void partialMessageDoesNotHoldTheReceiveBuffer(int bytes) {
