--- a/clustertests/src/test/java/clayhook/clustertests/FaultSoakTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/FaultSoakTest.java
@@ -13,6 +13,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.stream.LongStream;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -81,6 +82,7 @@
 
     @ParameterizedTest
     @MethodSource("seeds")
+    @Tag("known-red")
     void randomOverlappingFaultsCauseNoViolation(long seed) throws Exception {
         FleetSpec spec = specOf(RouterProgram.of(ClusterTest.JAR), seed);
         List<TimedFault> faults = SoakSchedule.random(spec, SECONDS);
--- a/clustertests/src/test/java/clayhook/clustertests/GracefulShutdownTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/GracefulShutdownTest.java
@@ -8,7 +8,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Random;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -92,7 +91,6 @@
             new ShutdownPlan(10, 0, List.of(new TimedSignal(0.01, "STOP"), new TimedSignal(1.4, "CONT")), List.of());
 
     @Test
-    @Tag("known-red")
     void clientsInBacklogAreServedWhenRouterStopsListening() throws Exception {
         Result result = runShutdown(RouterProgram.of(ClusterTest.JAR), STALLED_UNTIL_IT_STOPS_LISTENING, 1);
         assertTrue(result.violations().isEmpty(), result::toString);
