Show that clients at full speed make others wait for their answers

What callers saw (pre-production run): while six clients sent empty statements, requests for TLS or statements without id and time at full speed, requests of other clients were answered late or never.

The test starts one router process with six stand-ins of nodes, 40 clients that send a read every 0.1 to 0.4 s, and six that send one kind of small message at full speed for 3 s. It is listed as known red.

--- /dev/null
+++ b/clustertests/src/test/java/clayhook/clustertests/ClientFloodTest.java
@@ -0,0 +1,68 @@
+package clayhook.clustertests;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Runs a router process whose clients include some that send small messages as fast as they can. The number of these
+ * clients and the seconds of each flood can be set by {@code -Dclayhook.flood.clients} and
+ * {@code -Dclayhook.flood.seconds}.
+ */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class ClientFloodTest {
+    private static final int FLOODING_CLIENTS = Integer.getInteger("clayhook.flood.clients", 6);
+    private static final double FLOOD_SECONDS = Integer.getInteger("clayhook.flood.seconds", 3);
+    private static final int STEADY_CLIENTS = 40;
+    /** Client timeout of the steady clients; the shortest of the operators' request classes have less. */
+    private static final double TIMEOUT_SECONDS = 0.4;
+
+    private static final int NODES = 6;
+    private static final double ALL_CALLS_SECONDS = 0.5;
+    private static final double MILLIS_PER_SECOND = 1000;
+
+    private RouterFleet fleet;
+
+    @BeforeAll
+    void startRouter() throws Exception {
+        var spec = new FleetSpec(RouterProgram.of(ClusterTest.JAR), 1, NODES, ALL_CALLS_SECONDS, true, 1);
+        fleet = new RouterFleet(spec.withClientTimeout(TIMEOUT_SECONDS));
+    }
+
+    @AfterAll
+    void close() throws Exception {
+        fleet.close();
+    }
+
+    /**
+     * Guards against clients that get their answers late, or never, while others send small messages at full speed: all
+     * answers to the messages of one read were written before the next connection was served, each by a system call.
+     */
+    @ParameterizedTest
+    @EnumSource
+    @Tag("known-red")
+    void floodOfSmallMessagesDelaysNoOtherClient(ClientFlood.Kind kind) throws Exception {
+        RouterProcess router = fleet.routers().get(0);
+        int mark = router.logMark();
+        var steady = new SteadyClients(fleet, router, STEADY_CLIENTS, TIMEOUT_SECONDS, 1);
+        try (steady) {
+            Thread.sleep((long) (0.2 * FLOOD_SECONDS * MILLIS_PER_SECOND));
+            try (var flood = new ClientFlood(router.address(), kind, FLOODING_CLIENTS)) {
+                Thread.sleep((long) (FLOOD_SECONDS * MILLIS_PER_SECOND));
+                assertTrue(flood.sentBytes() > 0);
+            }
+        }
+        List<String> unanswered = steady.unansweredInTime();
+        System.out.println(kind + ": " + steady.records().size() + " requests, " + steady.served() + " served, "
+                + unanswered.size() + " without an answer in time, latency " + steady.latencies());
+        assertEquals(List.of(), unanswered, () -> String.join("\n", router.linesSince(mark)));
+        assertTrue(steady.served() > steady.records().size() / 2, fleet::logs);
+    }
+}
