Log with a stall of the event loop how many client messages were handled

The stall line had the processor time and not what was done with it, so that it could not tell reading, messages and log lines apart.

--- a/daemon/src/main/java/clayhook/frontend/ClientListener.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientListener.java
@@ -50,6 +50,7 @@
     private final ClientSession.RequestHandler requestHandler;
     private final EventCounters counters;
     private final ConnectionEndRecorder endRecorder;
+    private final ClientWork work = new ClientWork();
     private final Channel serverChannel;
     /** All sessions that hold a descriptor, in the order in which the clients connected. */
     private final Set<ClientSession> sessions = new LinkedHashSet<>();
@@ -98,7 +99,14 @@
         var decoder = new ClientMessageDecoder(memoryBudget, settingsFactory != null);
         SessionSettings settings = settingsFactory == null ? null : settingsFactory.get();
         var session = new ClientSession(
-                requestHandler, decoder, settings, cancelKeys, endRecorder, clock, this::onSessionClosed);
+                requestHandler,
+                decoder,
+                settings,
+                cancelKeys,
+                endRecorder,
+                work.newSession(),
+                clock,
+                this::onSessionClosed);
         sessions.add(session);
         if (draining) {
             drain(session);
@@ -200,6 +208,16 @@
         return memoryBudget.takeSummary();
     }
 
+    /** Starts to count the messages of clients that are handled until the next tick. */
+    public void onTick() {
+        work.startPeriod();
+    }
+
+    /** Describes the messages of clients that were handled since the last tick, for the log. */
+    public String describeWork() {
+        return work.describe();
+    }
+
     /** The number of sessions with a registered cancel key. */
     int cancelKeyCount() {
         return cancelKeys.size();
--- a/daemon/src/main/java/clayhook/frontend/ClientSession.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientSession.java
@@ -62,6 +62,7 @@
     private final Consumer<ClientSession> onClosed;
     private final CancelKeyRegistry cancelKeys;
     private final ConnectionEndRecorder endRecorder;
+    private final ClientWork.SessionCount handledMessages;
     private final DoubleSupplier clock;
     /** The settings of the client; null if only key-value statements are accepted. */
     private final SessionSettings settings;
@@ -95,6 +96,7 @@
      *
      * @param settings the settings of the client; null if only key-value statements are accepted
      * @param endRecorder records the end of the connection
+     * @param handledMessages counts the messages that this session handles
      * @param clock returns the current time in seconds
      * @param onClosed called once the connection is closed
      */
@@ -104,12 +106,14 @@
             SessionSettings settings,
             CancelKeyRegistry cancelKeys,
             ConnectionEndRecorder endRecorder,
+            ClientWork.SessionCount handledMessages,
             DoubleSupplier clock,
             Consumer<ClientSession> onClosed) {
         this.requestHandler = requestHandler;
         this.settings = settings;
         this.cancelKeys = cancelKeys;
         this.endRecorder = endRecorder;
+        this.handledMessages = handledMessages;
         this.clock = clock;
         this.onClosed = onClosed;
         connection = new ClientConnection(decoder, this);
@@ -219,6 +223,7 @@
     private void processPendingMessages() {
         while (mayHandleMessage() && !pendingMessages.isEmpty() && connection.isWritable()) {
             Object message = pendingMessages.poll();
+            handledMessages.increment();
             if (state == State.STARTUP) {
                 handleBeforeStartup(message);
             } else {
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -133,7 +133,8 @@
 
     private void tick(double now) {
         sql.onTickStarted();
-        timer.onTickStarted(now);
+        timer.onTickStarted(now, frontend::describeWork);
+        frontend.onTick();
         inFlight.timedOutAttempts(now).forEach(backend::expire);
         inbox.runAll(now);
         endpoints.onTick(now);
--- a/daemon/src/main/java/clayhook/serve/TickTimer.java
+++ b/daemon/src/main/java/clayhook/serve/TickTimer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Schedules the next tick of the event loop and measures the delay of ticks. Times are clock seconds. Event loop only.
@@ -51,8 +52,12 @@
         tick.run();
     }
 
-    /** Records the delay of a tick that starts at {@code now}, and logs a stall if the delay is too long. */
-    void onTickStarted(double now) {
+    /**
+     * Records the delay of a tick that starts at {@code now}, and logs a stall if the delay is too long.
+     *
+     * @param workSinceLastTick describes what the event loop did meanwhile, for the log
+     */
+    void onTickStarted(double now, Supplier<String> workSinceLastTick) {
         maxDelay = Math.max(maxDelay, now - scheduledAt);
         if (now > scheduledAt + STALL_SECONDS) {
             double used = ProcessorTime.usedSeconds() - processorTime;
@@ -61,7 +66,7 @@
             Log.warn(
                     "stall",
                     "event loop stalled for " + toMillis(now - scheduledAt) + " ms"
-                            + (Double.isNaN(used) ? "" : ", " + usage));
+                            + (Double.isNaN(used) ? "" : ", " + usage) + "; " + workSinceLastTick.get());
             sampleProcessorTime(now);
         }
     }
