Handle the messages of clients in bounded time slices, round robin

What callers saw: while a few clients sent small messages at full speed, others got their answers seconds late or never. Clients that sent more than 1,024 requests ahead were disconnected, although they read all answers.

Cause: one turn of the event loop handled all messages of up to 192 KiB of each connection, and wrote each response by a system call of its own. Bytes were bounded, messages were not. A response also started the next pipelined message from within the same run of tasks, for which Netty allows a second before it looks at sockets. What a client sent ahead was decoded at once and bounded by cutting the connection.

Change: a message is decoded only when its session handles it; a session handles 32, then waits for its next time slice; all slices of an iteration take 1 ms at most; the responses of a slice are flushed together. Undecoded input is bounded for each connection and for all; at the bound the connection is not read, and the close of its client is detected by writing a message that clients skip.

Three tests expected the disconnect after 1,024 messages and are replaced: all of 1,301 and 4,000 pipelined requests are answered within the bound of the input; behind a long unread answer 1,060 are; a client that sends without end is not read, and no request of it starts 0.1 s after its close, with and without an unread response. The test that a released reservation serves the client's next request now passes with memory for one request in place of two, as part of a request behind another one is not decoded yet. Two rows with 4,000 requests join the closes in every state.

--- a/daemon/src/main/java/clayhook/backend/NodeConnection.java
+++ b/daemon/src/main/java/clayhook/backend/NodeConnection.java
@@ -5,6 +5,7 @@
 import clayhook.protocol.MessageEncoder;
 import clayhook.protocol.NodeMessage;
 import clayhook.protocol.NodeMessageDecoder;
+import clayhook.protocol.SqlState;
 import clayhook.statements.SessionSettings;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -27,9 +28,6 @@
     /** SQLSTATE insufficient_resources: out_of_memory. */
     private static final String OUT_OF_MEMORY = "53200";
 
-    /** SQLSTATE program_limit_exceeded. */
-    private static final String LIMIT_EXCEEDED = "54000";
-
     private enum State {
         STARTING,
         IDLE,
@@ -281,7 +279,8 @@
             case COMPLETE -> onReadyForQuery();
             case OUT_OF_ORDER -> failProtocol("a message out of order");
             case TOO_LONG ->
-                abandonOversized(LIMIT_EXCEEDED, "its answer is longer than " + profile.maxAnswerBytes() + " bytes");
+                abandonOversized(
+                        SqlState.LIMIT_EXCEEDED, "its answer is longer than " + profile.maxAnswerBytes() + " bytes");
             case OUT_OF_MEMORY -> abandonOversized(OUT_OF_MEMORY, "no memory is left for its answer");
         }
         if (message instanceof NodeMessage.ErrorResponse error && progress != AnswerReader.Progress.OUT_OF_ORDER) {
--- a/daemon/src/main/java/clayhook/frontend/ClientConnection.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientConnection.java
@@ -2,12 +2,12 @@
 
 import clayhook.log.Log;
 import clayhook.protocol.ClientMessageDecoder;
+import clayhook.protocol.MessageEncoder;
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.ChannelConfig;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.util.concurrent.EventExecutor;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
@@ -15,32 +15,35 @@
 /**
  * The I/O of one client connection: passes decoded messages and channel events to the {@link ClientSession}, writes
  * responses and closes the channel. Makes no decisions of its own. All methods must be called on the event loop.
+ *
+ * <p>Responses that are written while the session handles input are flushed together at the end of its time slice.
+ * While the session keeps as much input as its {@link InputBudget} allows, the connection is not read, so that the
+ * client waits; a {@link DisconnectProbe} then detects the client's close.
  */
 @SuppressWarnings("FutureReturnValueIgnored") // closes end in channelInactive, and no code waits for scheduled tasks
 final class ClientConnection extends ChannelInboundHandlerAdapter {
-    /** Socket reads per event loop iteration: two for a long statement, and one that detects a close after it. */
-    private static final int READS_PER_TICK = 3;
-    /**
-     * Reads until the socket is empty. If a client disconnects during a stall of this process, its close is then read
-     * together with its requests, before any of them is handled.
-     */
-    private static final RecvByteBufAllocator READ_UNTIL_EMPTY =
-            new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_PER_TICK);
-
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final ClientMessageDecoder decoder;
     private final ClientSession session;
+    private final InputBudget.Share inputShare;
     private final ChannelFutureListener onWritten;
     private ChannelHandlerContext context;
+    private DisconnectProbe disconnectProbe;
+    /** Whether the session is handling input, at the end of which the responses written meanwhile are flushed. */
+    private boolean inSlice;
+    /** Whether the connection is no longer read for the session, because it closes. */
+    private boolean closing;
     /** The number of writes that are not completely in the socket buffer yet. */
     private int pendingWrites;
     /** Discards the input of the connection; null until {@link #discardInput} is called. */
     private LingeringClose lingeringClose;
 
-    ClientConnection(ClientMessageDecoder decoder, ClientSession session) {
+    ClientConnection(ClientMessageDecoder decoder, ClientSession session, InputBudget.Share inputShare) {
         this.decoder = decoder;
         this.session = session;
+        this.inputShare = inputShare;
+        decoder.setDemand(session::wantsMessage);
         onWritten = done -> {
             pendingWrites--;
             session.onWritten();
@@ -52,12 +55,14 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
-        ctx.channel().config().setRecvByteBufAllocator(READ_UNTIL_EMPTY);
+        disconnectProbe = new DisconnectProbe(ctx.executor(), this::isUnread, this::probe);
+        ctx.channel().config().setRecvByteBufAllocator(new BoundedReadAllocator(this::readableBytes));
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        if (lingeringClose == null) {
+        if (!closing) {
+            inSlice = true;
             session.onMessage(message);
         }
     }
@@ -65,6 +70,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         session.onReadComplete();
+        endSlice();
     }
 
     @Override
@@ -74,6 +80,8 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        closing = true;
+        inputShare.update(0);
         session.onDisconnect();
     }
 
@@ -121,6 +129,61 @@
         return pendingWrites == 0;
     }
 
+    /** The number of bytes that have been received and not decoded yet. */
+    int undecodedBytes() {
+        return decoder.undecodedBytes();
+    }
+
+    /** Passes input that was not decoded yet to the session, as far as it wants messages. */
+    void decodeInSlice() {
+        inSlice = true;
+        decoder.decodeUndecoded();
+    }
+
+    /**
+     * Flushes the responses of the time slice, and reads the connection or stops reading it by what the session has
+     * left.
+     */
+    void endSlice() {
+        inSlice = false;
+        context.flush();
+        updateReading();
+    }
+
+    private void updateReading() {
+        if (closing) {
+            return;
+        }
+        inputShare.update(decoder.undecodedBytes());
+        ChannelConfig config = context.channel().config();
+        if (config.isAutoRead() && readableBytes() <= 0) {
+            config.setAutoRead(false);
+            disconnectProbe.start();
+        } else if (!config.isAutoRead() && inputShare.isBelowHalf()) {
+            config.setAutoRead(true);
+        }
+    }
+
+    private int readableBytes() {
+        // What a closing connection receives is discarded.
+        return closing ? InputBudget.MAX_BYTES : inputShare.readableBytes() - newBytes();
+    }
+
+    /** The number of bytes received since the last update of the share. */
+    private int newBytes() {
+        return decoder.undecodedBytes() - inputShare.keptBytes();
+    }
+
+    private boolean isUnread() {
+        return !closing && isOpen() && !context.channel().config().isAutoRead();
+    }
+
+    private void probe() {
+        if (isFlushed() && session.isAwaitingResponse()) {
+            write(MessageEncoder.livenessProbe());
+        }
+    }
+
     /** Whether part of a message has been received. */
     boolean hasPartialMessage() {
         return decoder.hasPartialMessage();
@@ -142,18 +205,22 @@
 
     // ---- output ----
 
-    /** Writes bytes after all earlier ones, and takes ownership of the buffer. */
+    /**
+     * Writes bytes after all earlier ones, and takes ownership of the buffer. They are flushed at the end of the time
+     * slice in which they are written, or at once outside of one.
+     */
     void write(ByteBuf bytes) {
         pendingWrites++;
-        context.writeAndFlush(bytes).addListener(onWritten);
+        context.write(bytes).addListener(onWritten);
+        if (!inSlice) {
+            context.flush();
+        }
     }
 
-    /** Reads and discards all further input; responses may still be written. */
-    void discardInput() {
-        if (lingeringClose == null) {
-            lingeringClose = LingeringClose.begin(context.channel());
-            decoder.discardInput();
-        }
+    private void discardInput() {
+        closing = true;
+        decoder.discardInputAndReleaseMemory();
+        inputShare.update(0);
     }
 
     /**
@@ -162,14 +229,14 @@
      */
     void closeDiscardingInput(ByteBuf lastBytes) {
         discardInput();
-        decoder.discardInputAndReleaseMemory();
+        lingeringClose = LingeringClose.begin(context.channel());
         pendingWrites++;
         lingeringClose.finish(lastBytes, () -> pendingWrites--);
     }
 
     /** Stops reading, writes the last bytes, shuts down the output, and closes the connection after a short delay. */
     void closeWithoutReading(ByteBuf lastBytes) {
-        decoder.discardInputAndReleaseMemory();
+        discardInput();
         pendingWrites++;
         CloseWithoutReading.begin(context.channel(), lastBytes, () -> pendingWrites--);
     }
--- a/daemon/src/main/java/clayhook/frontend/ClientListener.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientListener.java
@@ -27,6 +27,8 @@
 public final class ClientListener {
     /** Long client statements may occupy an eighth of the process memory; the runtime itself needs half. */
     private static final int MEMORY_DIVISOR = 8;
+    /** Input that is read ahead may occupy a twenty-fourth of the process memory. */
+    private static final int INPUT_DIVISOR = 24;
     /**
      * The maximum number of idle sessions, as a fraction of the descriptors for clients. Sessions beyond it are closed,
      * because the component that distributes connections over the routers may allow this router fewer connections than
@@ -43,6 +45,8 @@
     private final InetSocketAddress requestedAddress;
     private final DescriptorBudget descriptors;
     private final MemoryBudget memoryBudget;
+    private final InputBudget inputBudget;
+    private final RoundRobinScheduler scheduler;
     /** Creates the settings of a new session; null if only key-value statements are accepted. */
     private final Supplier<SessionSettings> settingsFactory;
 
@@ -82,6 +86,8 @@
         requestedAddress = address;
         this.descriptors = descriptors;
         memoryBudget = new MemoryBudget(memory / MEMORY_DIVISOR);
+        inputBudget = new InputBudget(memory / INPUT_DIVISOR);
+        scheduler = new RoundRobinScheduler(transport.eventLoop());
         this.settingsFactory = settingsFactory;
         this.clock = clock;
         this.requestHandler = requestHandler;
@@ -102,6 +108,8 @@
                 requestHandler,
                 decoder,
                 settings,
+                inputBudget.newShare(),
+                scheduler,
                 cancelKeys,
                 endRecorder,
                 work.newSession(),
@@ -218,6 +226,13 @@
         return work.describe();
     }
 
+    /** The bytes that all sessions have received and not decoded. */
+    int undecodedBytes() {
+        return sessions.stream()
+                .mapToInt(session -> session.connection().undecodedBytes())
+                .sum();
+    }
+
     /** The number of sessions with a registered cancel key. */
     int cancelKeyCount() {
         return cancelKeys.size();
--- a/daemon/src/main/java/clayhook/frontend/ClientSession.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientSession.java
@@ -16,14 +16,15 @@
 
 /**
  * The state machine of one client connection. Requests are handled in order, one at a time: the response to a request
- * is written before the next request starts.
+ * is written before the next request starts. A pipelined message is decoded only when it is handled.
  *
  * <p>{@link ClientMessageDecoder} parses the bytes, {@link ClientConnection} reads, writes and closes the connection,
- * {@link PendingMessages} holds pipelined messages, and {@link SessionActivity} computes the time limits.
+ * {@link RoundRobinScheduler} bounds the messages that are handled at a time, and {@link SessionActivity} computes the
+ * time limits.
  *
  * <p>All methods must be called on the event loop of the connection.
  */
-public final class ClientSession {
+public final class ClientSession implements RoundRobinScheduler.Session {
     /** Receives the requests of all sessions, on the event loop. */
     public interface RequestHandler {
         /** Handles a key-value statement, to which exactly one response must be sent. */
@@ -50,7 +51,7 @@
         STARTUP,
         /** The next message is handled as soon as it is received. */
         READY,
-        /** A request is in flight; later messages are queued. */
+        /** A request is in flight; later messages are not decoded yet. */
         AWAITING_RESPONSE,
         /** A message of the extended query protocol was rejected; all messages up to the next Sync are skipped. */
         SKIPPING_TO_SYNC,
@@ -58,7 +59,11 @@
         CLOSING
     }
 
+    /** The number of messages that a session handles before other sessions are served. */
+    private static final int MESSAGES_PER_SLICE = 32;
+
     private final RequestHandler requestHandler;
+    private final RoundRobinScheduler scheduler;
     private final Consumer<ClientSession> onClosed;
     private final CancelKeyRegistry cancelKeys;
     private final ConnectionEndRecorder endRecorder;
@@ -67,7 +72,6 @@
     /** The settings of the client; null if only key-value statements are accepted. */
     private final SessionSettings settings;
 
-    private final PendingMessages pendingMessages = new PendingMessages();
     private final SessionActivity activity;
     private final ClientConnection connection;
     private State state = State.STARTUP;
@@ -83,18 +87,28 @@
     /** Whether a draining session has read all input that was received before the drain, and refuses later requests. */
     private boolean refusesNewRequests;
 
+    /**
+     * Whether all input that has been received so far may be handled; until then a session that refuses requests waits.
+     */
+    private boolean inputComplete;
+    /** The number of messages that the session may still handle in this time slice. */
+    private int messagesLeftInSlice = MESSAGES_PER_SLICE;
+
+    private boolean waitsForSlice;
     private boolean closeScheduled;
     /** The reason for which the router drains this session; null until the drain starts. */
     private EndCause drainCause;
     /** The reason for the end of the connection; {@code CLIENT_LEFT} unless the router closes it first. */
     private EndCause endCause = EndCause.CLIENT_LEFT;
-    /** The number of messages that were decoded but not handled when the router closed the connection. */
-    private int unansweredMessages;
+    /** The number of bytes that were received but not decoded when the router closed the connection. */
+    private int unansweredBytes;
 
     /**
      * Creates the session of a new connection.
      *
      * @param settings the settings of the client; null if only key-value statements are accepted
+     * @param inputShare limits the input that the session reads ahead
+     * @param scheduler gives the session time slices
      * @param endRecorder records the end of the connection
      * @param handledMessages counts the messages that this session handles
      * @param clock returns the current time in seconds
@@ -104,6 +118,8 @@
             RequestHandler requestHandler,
             ClientMessageDecoder decoder,
             SessionSettings settings,
+            InputBudget.Share inputShare,
+            RoundRobinScheduler scheduler,
             CancelKeyRegistry cancelKeys,
             ConnectionEndRecorder endRecorder,
             ClientWork.SessionCount handledMessages,
@@ -116,7 +132,8 @@
         this.handledMessages = handledMessages;
         this.clock = clock;
         this.onClosed = onClosed;
-        connection = new ClientConnection(decoder, this);
+        this.scheduler = scheduler;
+        connection = new ClientConnection(decoder, this, inputShare);
         connectedAt = clock.getAsDouble();
         activity = new SessionActivity(connectedAt);
     }
@@ -157,33 +174,81 @@
 
     // ---- events of the connection ----
 
-    /** Queues a decoded message, and handles it if the session is ready. */
+    /**
+     * Whether the next message is to be decoded. While the connection is not writable, because the client does not read
+     * its responses, no message is handled. A session that refuses requests first waits for all input, since the last
+     * response closes the connection.
+     */
+    boolean wantsMessage() {
+        return mayHandleMessage()
+                && messagesLeftInSlice > 0
+                && connection.isWritable()
+                && (inputComplete || !refusesNewRequests);
+    }
+
+    /** Handles a decoded message; called only if {@link #wantsMessage}. */
     void onMessage(Object message) {
         activity.onMessage();
-        boolean accepted = pendingMessages.add(message);
-        if (!accepted) {
-            connection.discardInput();
+        messagesLeftInSlice--;
+        handledMessages.increment();
+        if (state == State.STARTUP) {
+            handleBeforeStartup(message);
+        } else {
+            handleMessage(message);
+        }
+        if (state != State.CLOSING) {
+            releaseMemory();
         }
-        if (!refusesNewRequests) {
-            processPendingMessages();
-        } // else handled in onReadComplete, once all input is read: the last response closes the connection
     }
 
-    /**
-     * Handles the end of a series of socket reads: all complete messages have been passed to {@link #onMessage}, and
-     * only part of a message may remain in the decoder.
-     */
+    /** Handles the end of a series of socket reads. */
     void onReadComplete() {
-        activity.onReadComplete(connection.hasPartialMessage(), clock);
-        processPendingMessages();
+        activity.onReadComplete(clock.getAsDouble());
+        if (refusesNewRequests && connection.undecodedBytes() > 0) {
+            decodeInSlice();
+        }
+        onSliceEnded();
     }
 
-    /**
-     * Handles a change of the connection's writability. While the connection is not writable, because the client does
-     * not read its responses, no further message is handled.
-     */
+    @Override
+    public void runSlice() {
+        waitsForSlice = false;
+        if (state != State.CLOSING) {
+            decodeInSlice();
+            onSliceEnded();
+            connection.endSlice();
+        }
+    }
+
+    private void decodeInSlice() {
+        inputComplete = true;
+        connection.decodeInSlice();
+        inputComplete = false;
+    }
+
+    private void onSliceEnded() {
+        messagesLeftInSlice = MESSAGES_PER_SLICE;
+        activity.onDecoded(connection.hasPartialMessage());
+        closeIfDrained();
+        awaitSliceIfReady();
+    }
+
+    /** Waits for a time slice if there is input that can be handled. */
+    private void awaitSliceIfReady() {
+        if (!waitsForSlice && connection.undecodedBytes() > 0 && mayHandleMessage() && connection.isWritable()) {
+            waitsForSlice = true;
+            scheduler.add(this);
+        }
+    }
+
+    /** Whether a request of this session is in flight. */
+    boolean isAwaitingResponse() {
+        return state == State.AWAITING_RESPONSE;
+    }
+
+    /** Handles a change of the connection's writability: the client has read responses, or does not read them. */
     void onWritabilityChanged() {
-        processPendingMessages();
+        awaitSliceIfReady();
     }
 
     /** Handles the completion or failure of a write. */
@@ -195,9 +260,8 @@
     void onDisconnect() {
         boolean responseDue = state == State.AWAITING_RESPONSE;
         state = State.CLOSING;
-        pendingMessages.clear();
         cancelKeys.remove(cancelKey);
-        endRecorder.record(endCause, connection.clientAddress(), unansweredMessages, connection.discardedBytes());
+        endRecorder.record(endCause, connection.clientAddress(), unansweredBytes + connection.discardedBytes());
         if (responseDue) {
             requestHandler.onClientGone(this);
         }
@@ -208,7 +272,8 @@
      * Handles an exception that was thrown while an event of the connection was handled: sends an error to the client,
      * which also answers the current request, and closes the connection.
      */
-    void onException() {
+    @Override
+    public void onException() {
         if (state == State.CLOSING) {
             connection.closeNow();
             return;
@@ -220,25 +285,9 @@
         }
     }
 
-    private void processPendingMessages() {
-        while (mayHandleMessage() && !pendingMessages.isEmpty() && connection.isWritable()) {
-            Object message = pendingMessages.poll();
-            handledMessages.increment();
-            if (state == State.STARTUP) {
-                handleBeforeStartup(message);
-            } else {
-                handleMessage(message);
-            }
-        }
-        if (state != State.CLOSING) {
-            connection.releaseMemoryOfAllBut(messagesInUse());
-        }
-        closeIfDrained();
-    }
-
-    /** The number of received messages that are in flight or wait to be handled. */
-    private int messagesInUse() {
-        return pendingMessages.size() + (state == State.AWAITING_RESPONSE ? 1 : 0);
+    /** Releases the memory of all messages but that of the request in flight. */
+    private void releaseMemory() {
+        connection.releaseMemoryOfAllBut(state == State.AWAITING_RESPONSE ? 1 : 0);
     }
 
     private boolean mayHandleMessage() {
@@ -344,7 +393,7 @@
 
     /** Whether the session is draining and no input has been read after the current request. */
     private boolean mayCloseWithResponse() {
-        return draining && pendingMessages.isEmpty() && !connection.hasPartialMessage();
+        return draining && hasNoFurtherInput();
     }
 
     private static boolean endsSkippingToSync(Object message) {
@@ -435,7 +484,9 @@
         state = State.READY;
         activity.onIdle(clock.getAsDouble());
         writeResponse(bytes);
-        processPendingMessages();
+        releaseMemory();
+        closeIfDrained();
+        awaitSliceIfReady();
     }
 
     /**
@@ -450,7 +501,11 @@
     // ---- idleness and time limits ----
 
     private boolean isIdle() {
-        return mayHandleMessage() && pendingMessages.isEmpty();
+        return mayHandleMessage() && connection.undecodedBytes() == 0;
+    }
+
+    private boolean hasNoFurtherInput() {
+        return connection.undecodedBytes() == 0 && !connection.hasPartialMessage();
     }
 
     /**
@@ -566,8 +621,7 @@
     private void closeAfterWriting(EndCause cause, ByteBuf lastBytes) {
         state = State.CLOSING;
         endCause = cause;
-        unansweredMessages = pendingMessages.size();
-        pendingMessages.clear();
+        unansweredBytes = connection.undecodedBytes();
         activity.onIdle(clock.getAsDouble());
         if (cause.leavesInputUnread()) {
             connection.closeWithoutReading(lastBytes);
--- a/daemon/src/main/java/clayhook/frontend/ConnectionEndRecorder.java
+++ b/daemon/src/main/java/clayhook/frontend/ConnectionEndRecorder.java
@@ -18,18 +18,17 @@
      * Records the end of one connection.
      *
      * @param client the address of the client
-     * @param unansweredMessages the number of messages that were decoded but not answered
-     * @param discardedBytes the number of bytes that were read but not decoded
+     * @param unansweredBytes the number of bytes that were read but not answered
      */
-    void record(EndCause cause, String client, int unansweredMessages, long discardedBytes) {
+    void record(EndCause cause, String client, long unansweredBytes) {
         counters.increment("ended " + cause);
-        if (cause.allowsUnansweredInput() || (unansweredMessages == 0 && discardedBytes == 0)) {
+        if (cause.allowsUnansweredInput() || unansweredBytes == 0) {
             return;
         }
         counters.increment("unanswered input " + cause);
         Log.warn(
                 "unanswered input " + cause,
-                "the connection of " + client + " ended by " + cause + " with " + unansweredMessages + " messages and "
-                        + discardedBytes + " bytes read and not answered");
+                "the connection of " + client + " ended by " + cause + " with " + unansweredBytes
+                        + " bytes read and not answered");
     }
 }
--- a/daemon/src/main/java/clayhook/frontend/LingeringClose.java
+++ b/daemon/src/main/java/clayhook/frontend/LingeringClose.java
@@ -29,6 +29,7 @@
     static LingeringClose begin(Channel channel) {
         var close = new LingeringClose(channel);
         channel.pipeline().addFirst(close);
+        channel.config().setAutoRead(true);
         return close;
     }
 
--- a/daemon/src/main/java/clayhook/frontend/SessionActivity.java
+++ b/daemon/src/main/java/clayhook/frontend/SessionActivity.java
@@ -1,7 +1,6 @@
 package clayhook.frontend;
 
 import java.util.Optional;
-import java.util.function.DoubleSupplier;
 
 /**
  * The times of the last activity on one client session, and the time limits that depend on them. Clock times are in
@@ -37,6 +36,8 @@
     private double idleSince;
     /** The time since which a message has been partially received, or {@link #NONE}. */
     private double partialMessageSince = NONE;
+    /** The time of the last input. */
+    private double lastInputAt;
 
     private boolean hasSentRequest;
     /** The time at which the last response was written, whether from a node or from the router itself. */
@@ -44,17 +45,23 @@
 
     SessionActivity(double connectedAt) {
         idleSince = connectedAt;
+        lastInputAt = connectedAt;
     }
 
     void onMessage() {
         partialMessageSince = NONE;
     }
 
-    void onReadComplete(boolean hasPartialMessage, DoubleSupplier clock) {
+    void onReadComplete(double now) {
+        lastInputAt = now;
+    }
+
+    /** Records whether the input that has been decoded ends with part of a message. */
+    void onDecoded(boolean hasPartialMessage) {
         if (!hasPartialMessage) {
             partialMessageSince = NONE;
         } else if (partialMessageSince == NONE) {
-            partialMessageSince = clock.getAsDouble();
+            partialMessageSince = lastInputAt;
         }
     }
 
--- a/daemon/src/main/java/clayhook/protocol/FrameDecoder.java
+++ b/daemon/src/main/java/clayhook/protocol/FrameDecoder.java
@@ -3,23 +3,37 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.ByteToMessageDecoder;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 
 /**
  * Splits a byte stream into messages, each of which consists of an optional type byte, a length that includes itself,
  * and a body. For a message that cannot be decoded it emits a message that describes the error, and then discards all
  * further input. Confined to the event loop.
  *
+ * <p>A message is decoded only while the receiver takes another one. Until then its bytes are kept as they were
+ * received, on the heap, since a decoded message takes many times the memory of a short one. The owner of the
+ * connection has to limit what it reads by {@link #undecodedBytes}.
+ *
  * <p>A message that arrives in parts is copied into a heap buffer of its own length, once memory is reserved for it.
  * Netty would append the parts to the receive buffer instead, which grows by doubling and lies in direct memory, so
  * that a connection would hold several times the bytes of its message.
  */
-abstract class FrameDecoder extends ByteToMessageDecoder {
+abstract class FrameDecoder extends ChannelInboundHandlerAdapter {
     private static final int LENGTH_BYTES = 4;
+    /** The buffer of undecoded bytes grows by multiples of this number of bytes. */
+    private static final int BUFFER_STEP_BYTES = 4096;
 
     private final MessageMemory memory;
+    private final List<Object> decodedMessages = new ArrayList<>(1);
+    private ChannelHandlerContext context;
+    /** Whether the receiver takes another message now. */
+    private BooleanSupplier demand = () -> true;
+    /** The bytes received and not decoded yet, in a heap buffer. Emptied by {@link #decodeUndecoded}. */
+    private ByteBuf undecoded = Unpooled.EMPTY_BUFFER;
 
     /** The bytes received of a message that arrives in parts: its header, or all of it; null between messages. */
     private ByteBuf partialMessage;
@@ -43,11 +57,69 @@
         memory = new MessageMemory(memoryBudget, maxUnreservedLength, maxUnreservedBytes);
     }
 
+    /**
+     * Sets whether the receiver takes another message. It is asked before each message; if it returns false, the input
+     * is kept until {@link #decodeUndecoded} is called.
+     */
+    public final void setDemand(BooleanSupplier newDemand) {
+        demand = newDemand;
+    }
+
+    @Override
+    public final void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
+    }
+
     @Override
-    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
-        if (discarding) {
-            in.skipBytes(in.readableBytes());
-        } else if (bytesToSkip > 0) {
+    public final void channelRead(ChannelHandlerContext ctx, Object message) {
+        var in = (ByteBuf) message;
+        try {
+            if (!undecoded.isReadable()) {
+                decodeOnDemand(in);
+            }
+            if (in.isReadable() && !discarding) {
+                keep(in);
+            }
+        } finally {
+            in.release();
+        }
+    }
+
+    /**
+     * Decodes the input that was kept for lack of demand, and passes it on message by message while there is demand.
+     */
+    public final void decodeUndecoded() {
+        decodeOnDemand(undecoded);
+        if (!undecoded.isReadable()) {
+            undecoded = Unpooled.EMPTY_BUFFER;
+        }
+    }
+
+    /** The number of bytes received that were not decoded for lack of demand. */
+    public final int undecodedBytes() {
+        return undecoded.readableBytes();
+    }
+
+    private void decodeOnDemand(ByteBuf in) {
+        while (!discarding && in.isReadable() && demand.getAsBoolean()) {
+            decode(in, decodedMessages);
+            while (!decodedMessages.isEmpty()) {
+                context.fireChannelRead(decodedMessages.remove(0));
+            }
+        }
+    }
+
+    private void keep(ByteBuf in) {
+        int neededBytes = undecoded.readableBytes() + in.readableBytes();
+        if (undecoded.writableBytes() < in.readableBytes()) {
+            ByteBuf larger = Unpooled.buffer((neededBytes / BUFFER_STEP_BYTES + 1) * BUFFER_STEP_BYTES);
+            undecoded = larger.writeBytes(undecoded);
+        }
+        undecoded.writeBytes(in);
+    }
+
+    private void decode(ByteBuf in, List<Object> out) {
+        if (bytesToSkip > 0) {
             skip(in, out);
         } else if (partialMessage != null) {
             continueMessage(in, out);
@@ -64,7 +136,7 @@
             continueMessage(in, out);
             return;
         }
-        int messageBytes = acceptHeader(in, in, out);
+        int messageBytes = acceptHeader(in, out);
         if (messageBytes == 0) {
             return;
         }
@@ -83,7 +155,7 @@
         if (partialMessage.readableBytes() < partialMessageBytes) {
             return;
         }
-        if (partialMessageBytes == headerBytes() && !acceptPartialHeader(in, out)) {
+        if (partialMessageBytes == headerBytes() && !acceptPartialHeader(out)) {
             return;
         }
         copyPart(in);
@@ -100,9 +172,9 @@
     }
 
     /** Handles a header that arrived in parts; returns whether the rest of its message is to be received. */
-    private boolean acceptPartialHeader(ByteBuf in, List<Object> out) {
+    private boolean acceptPartialHeader(List<Object> out) {
         ByteBuf header = partialMessage;
-        int messageBytes = acceptHeader(header, in, out);
+        int messageBytes = acceptHeader(header, out);
         if (messageBytes == 0) {
             partialMessage = null;
             return false;
@@ -116,14 +188,14 @@
      * Checks the header of a message and reserves memory for the message. If either fails, skips the message or
      * discards all further input.
      *
-     * @param header the buffer that starts with the header: {@code in}, or the bytes received before it
+     * @param header the buffer that starts with the header: the input, or the bytes received before it
      * @return the length of the message in bytes, including its header; 0 if it is not to be received
      */
-    private int acceptHeader(ByteBuf header, ByteBuf in, List<Object> out) {
+    private int acceptHeader(ByteBuf header, List<Object> out) {
         int typeBytes = hasTypeByte() ? 1 : 0;
         int length = header.getInt(header.readerIndex() + typeBytes);
         if (length < LENGTH_BYTES || length > maxMessageLength()) {
-            emitAndDiscardInput(malformed("a message of length " + Integer.toUnsignedString(length)), in, out);
+            emitAndDiscardInput(malformed("a message of length " + Integer.toUnsignedString(length)), out);
             return 0;
         }
         if (memory.tryReserve(length)) {
@@ -133,7 +205,7 @@
             bytesToSkip = typeBytes + length;
             skip(header, out);
         } else {
-            emitAndDiscardInput(outOfMemory(), in, out);
+            emitAndDiscardInput(outOfMemory(), out);
         }
         return 0;
     }
@@ -148,9 +220,8 @@
         }
     }
 
-    private void emitAndDiscardInput(Object lastMessage, ByteBuf in, List<Object> out) {
-        discarding = true;
-        in.skipBytes(in.readableBytes());
+    private void emitAndDiscardInput(Object lastMessage, List<Object> out) {
+        discardInput();
         emit(lastMessage, out);
     }
 
@@ -165,7 +236,7 @@
         try {
             return decodeBody(type, message);
         } catch (IndexOutOfBoundsException | IllegalArgumentException e) {
-            discarding = true;
+            discardInput();
             return malformed("a message of type '" + type + "' that cannot be read");
         }
     }
@@ -192,15 +263,16 @@
     public final void discardInput() {
         discarding = true;
         partialMessage = null;
+        undecoded = Unpooled.EMPTY_BUFFER;
     }
 
-    /** Whether a message has been received only in part. */
+    /** Whether a message has been received only in part; says nothing of the input that is not decoded yet. */
     public final boolean hasPartialMessage() {
-        return actualReadableBytes() > 0 || partialMessage != null || bytesToSkip > 0;
+        return partialMessage != null || bytesToSkip > 0;
     }
 
     @Override
-    protected final void handlerRemoved0(ChannelHandlerContext context) {
+    public final void handlerRemoved(ChannelHandlerContext ctx) {
         discardInputAndReleaseMemory();
     }
 
--- a/daemon/src/main/java/clayhook/protocol/InvalidStatementException.java
+++ b/daemon/src/main/java/clayhook/protocol/InvalidStatementException.java
@@ -7,4 +7,10 @@
     InvalidStatementException(String message) {
         super(message);
     }
+
+    /** Omits the stack trace, which costs more than the rest of the statement's handling and is never read. */
+    @Override
+    public synchronized Throwable fillInStackTrace() {
+        return this;
+    }
 }
--- a/daemon/src/main/java/clayhook/protocol/MessageEncoder.java
+++ b/daemon/src/main/java/clayhook/protocol/MessageEncoder.java
@@ -13,6 +13,8 @@
     private static final byte[] READY_FOR_QUERY = {'Z', 0, 0, 0, 5, 'I'};
     private static final int LENGTH_BYTES = 4;
     private static final int PROTOCOL_VERSION = 3 << 16;
+    private static final String SERVER_VERSION_PARAMETER = "server_version";
+    private static final String SERVER_VERSION = "15.0";
 
     private MessageEncoder() {}
 
@@ -38,7 +40,7 @@
             out.writeByte('v').writeInt(12).writeInt(PROTOCOL_VERSION).writeInt(0);
         }
         out.writeByte('R').writeInt(8).writeInt(0);
-        appendParameterStatus(out, "server_version", "15.0");
+        appendParameterStatus(out, SERVER_VERSION_PARAMETER, SERVER_VERSION);
         appendParameterStatus(out, "client_encoding", "UTF8");
         appendParameterStatus(out, "standard_conforming_strings", "on");
         parameters.forEach((name, value) -> appendParameterStatus(out, name, value));
@@ -70,6 +72,15 @@
         out.writeBytes(nameBytes).writeByte(0).writeBytes(valueBytes).writeByte(0);
     }
 
+    /**
+     * Encodes a message without effect, which a client skips wherever it receives it: a parameter that is as before.
+     */
+    public static ByteBuf livenessProbe() {
+        ByteBuf out = Unpooled.buffer(32);
+        appendParameterStatus(out, SERVER_VERSION_PARAMETER, SERVER_VERSION);
+        return out;
+    }
+
     /** Encodes the response that declines encryption; the session continues unencrypted. */
     public static ByteBuf encryptionRefused() {
         return Unpooled.buffer(1).writeByte('N');
--- a/daemon/src/test/java/clayhook/frontend/ClientListenerFixture.java
+++ b/daemon/src/test/java/clayhook/frontend/ClientListenerFixture.java
@@ -139,6 +139,11 @@
         runOnLoop(() -> listener.closeIdleSessions(now));
     }
 
+    /** The bytes that all sessions have received and not decoded. */
+    int inputBytes() throws Exception {
+        return callOnLoop(listener::undecodedBytes);
+    }
+
     void awaitSessionCount(int count) throws Exception {
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
         while (sessionCount() != count && System.nanoTime() < deadline) {
