Refuse the id of a request that may have run although its client has left

What callers saw: an id ran twice when it came again after its client had left.

Cause: OpenRequests freed the id of a request with the session that waited for its answer, while its attempt could still be executed or had been. The same id from another connection was then sent as a new request.

Evidence: a test with a silent node, in which the first request is at the node and its client gone before the second is sent.

--- a/clustertests/src/main/java/clayhook/clustertests/RouterProcess.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RouterProcess.java
@@ -39,6 +39,8 @@
     /** Seconds to wait for the end of a process. */
     private static final int END_TIMEOUT_S = 20;
 
+    private static final double KB_PER_MB = 1024;
+
     private final String name;
     private final InetSocketAddress address;
     private final RouterProgram program;
@@ -155,6 +157,16 @@
         return process != null && process.isAlive();
     }
 
+    /** The greatest resident memory of the process so far, in MB, as the system counts it. */
+    double peakMemoryMb() throws IOException {
+        Path status = Path.of("/proc", Long.toString(pid()), "status");
+        String line = Files.readAllLines(status).stream()
+                .filter(each -> each.startsWith("VmHWM:"))
+                .findFirst()
+                .orElseThrow(() -> new IOException("no peak memory in " + status));
+        return Integer.parseInt(line.replaceAll("\\D", "")) / KB_PER_MB;
+    }
+
     /** Sends the process a signal by name: STOP, CONT, HUP (reloads its files) or TERM (shuts down). */
     public void signal(String signal) throws IOException {
         if (!isRunning()) {
--- a/daemon/src/main/java/clayhook/serve/RequestAdmission.java
+++ b/daemon/src/main/java/clayhook/serve/RequestAdmission.java
@@ -65,19 +65,27 @@
         RequestClass requestClass = requestClasses.get(statement.requestClassName);
         String reason = rejectionReason(requestClass, statement);
         if (reason != null) {
-            Log.warn("client", reason);
-            loop.execute(() -> session.respondWithError(INVALID_STATEMENT, reason));
+            loop.execute(() -> reject(session, reason));
             return;
         }
         openRequests.reserveId(statement.requestId);
-
         inbox.add(now -> {
+            if (openRequests.isAbandoned(statement.requestId, now)) {
+                openRequests.releaseId(statement.requestId);
+                reject(session, DUPLICATE_ID);
+                return;
+            }
             double requiredPosition = peers.requiredPosition(requestClass, statement.key, now);
             var request = new ClientRequest(requestClass, statement, session, requiredPosition, now);
             openRequests.admit(request, now);
         });
     }
 
+    private static void reject(ClientSession session, String reason) {
+        Log.warn("client", reason);
+        session.respondWithError(INVALID_STATEMENT, reason);
+    }
+
     /** The reason for which a statement is invalid, or null if it is valid. */
     private String rejectionReason(RequestClass requestClass, KeyValueStatement statement) {
         if (requestClass == null) {
@@ -113,6 +121,8 @@
                 peers.onRequestAbandoned(request);
                 inFlight.onClientGone(request);
                 request.attempts.forEach(backend::cancelIfUnsent);
+                // One tick later, when the outcomes of the cancelled attempts are known.
+                inbox.add(next -> openRequests.releaseAbandonedId(request, next));
             }
         });
     }
@@ -141,6 +151,7 @@
         inFlight.cancellableAttempts(request).forEach(backend::cancel);
         inbox.add(now -> {
             peers.onRequestAbandoned(request);
+            openRequests.releaseId(request.requestId);
             request.clientSession.respondCancelled(OpenRequests.mayHaveRun(request));
         });
     }
--- a/daemon/src/main/java/clayhook/serve/SqlRequests.java
+++ b/daemon/src/main/java/clayhook/serve/SqlRequests.java
@@ -83,7 +83,7 @@
                         session.settings().client(),
                         session.settings().timeout(),
                         session.settings().values());
-        openRequests.release(session);
+        openRequests.remove(session);
         inFlight.onAttemptFinished(attempt, withAnsweredOutcome(result), true, now);
         if (admission instanceof AdmissionResult.Admitted admitted) {
             admit(admitted, session, request.deadline - now, now);
--- a/daemon/src/test/java/clayhook/serve/ClientDisconnectTest.java
+++ b/daemon/src/test/java/clayhook/serve/ClientDisconnectTest.java
@@ -34,6 +34,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -290,6 +291,40 @@
         assertEquals(List.of("2"), ids());
     }
 
+    /** Guards against an id that runs twice when it comes again after its client has left. */
+    @ParameterizedTest
+    @ValueSource(strings = {"mutating", "any"})
+    void idOfARequestThatMayHaveRunIsRefusedAfterItsClientHasLeft(String requestClass) throws Exception {
+        start(statement -> statement.requestId.equals("1") ? StubResponse.silence() : StubResponse.answer("s"));
+        ByteBuf statement =
+                StubClient.statement(requestClass.equals("mutating"), "id=1,c=" + requestClass + ",d=30000,cluster=1");
+        SocketClient client = client().sendStartup(statement.retainedDuplicate());
+        assertEquals("ready", client.readResponse());
+        assertEquals("1", sent.take().requestId);
+        client.socket.close();
+        SocketClient other = client().sendStartup(statement);
+        assertEquals("ready", other.readResponse());
+        assertEquals("42601", other.readResponse());
+        assertEquals("the id of an open command", other.lastErrorMessage);
+        other.send(write(2));
+        assertEquals("s", other.readResponse());
+        assertEquals(List.of("2"), ids());
+    }
+
+    /** A request that was never sent may be sent again under its id. */
+    @Test
+    void idOfARequestThatWasNeverSentIsAcceptedAfterItsClientHasLeft() throws Exception {
+        startSlow();
+        SocketClient client = client().sendStartup(write(5));
+        slowNode.connected.acquire();
+        disconnect(client);
+        slowNode.mayConnect.countDown();
+        SocketClient other = client().sendStartup(write(5));
+        assertEquals("ready", other.readResponse());
+        assertEquals("s", other.readResponse());
+        assertEquals(List.of("5"), ids());
+    }
+
     @ParameterizedTest
     @CsvSource({"false, it is not known whether the statement has run", "true, the statement has not run"})
     void cancelledRequestGetsOneAnswerThatStatesWhetherItMayHaveRun(boolean waiting, String text) throws Exception {
