--- a/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RouterFleet.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 
 /**
@@ -187,6 +188,11 @@
         return slowStarts;
     }
 
+    /** Adds a listener of the requests that nodes read; it is called on the nodes' event loop. */
+    void addRequestListener(Consumer<NodeRequest> listener) {
+        replicaSet.addRequestListener(listener);
+    }
+
     /** The audit of the attempts that routers send to nodes for their clients. */
     AttemptAudit attempts() {
         return history.attempts();
--- a/clustertests/src/test/java/clayhook/clustertests/ClientFloodTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/ClientFloodTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /**
@@ -20,6 +21,7 @@
     private static final int FLOODING_CLIENTS = Integer.getInteger("clayhook.flood.clients", 6);
     private static final double FLOOD_SECONDS = Integer.getInteger("clayhook.flood.seconds", 3);
     private static final int STEADY_CLIENTS = 40;
+    private static final int LEAVING_CLIENTS = 60;
     /** Client timeout of the steady clients; the shortest of the operators' request classes have less. */
     private static final double TIMEOUT_SECONDS = 0.4;
 
@@ -60,4 +62,24 @@
         assertEquals(List.of(), unanswered, () -> String.join("\n", router.linesSince(mark)));
         assertTrue(steady.served() > steady.records().size() / 2, fleet::logs);
     }
+
+    /** Guards against requests that are sent on for clients that closed their connection with many unanswered. */
+    @ParameterizedTest
+    @CsvSource({"false, false", "true, false", "false, true", "true, true"})
+    void noAttemptBeginsForClientsThatHaveLeft(boolean readsAnswers, boolean besideFlood) throws Exception {
+        RouterProcess router = fleet.routers().get(0);
+        var leaving = new LeavingClients(fleet, router, LEAVING_CLIENTS, readsAnswers, 1);
+        try (leaving) {
+            var flood = new ClientFlood(
+                    router.address(), ClientFlood.Kind.EMPTY_STATEMENTS, besideFlood ? FLOODING_CLIENTS : 0);
+            try (flood) {
+                Thread.sleep((long) (FLOOD_SECONDS * MILLIS_PER_SECOND));
+            }
+        }
+        Thread.sleep((long) MILLIS_PER_SECOND); // until attempts for the last clients would have begun
+        System.out.println("leaving clients, reading " + readsAnswers + ", beside a flood " + besideFlood + ": "
+                + leaving.attempts() + " attempts, " + leaving.lateAttempts().size() + " too late");
+        assertTrue(leaving.attempts() > 0);
+        assertEquals(List.of(), leaving.lateAttempts());
+    }
 }
