Parse statements in one pass, so that none stalls the event loop

What callers would see: one statement of 150 KB, whose comment is followed by blanks and then by another character, kept the event loop busy for more than 20 minutes (a trial, ended by hand), and nobody else was served.

Cause: the regular expression of the two forms ends with two runs of white space around an optional semicolon, and tries all ways to split the blanks if nothing matches behind them.

Fix: a cursor over the bytes that never goes back, and 4,096 bytes for a comment, as for statements of any kind. The language is otherwise unchanged: the tests of forms and errors are as before.

--- a/daemon/src/main/java/clayhook/protocol/KeyValueStatement.java
+++ b/daemon/src/main/java/clayhook/protocol/KeyValueStatement.java
@@ -1,29 +1,24 @@
 package clayhook.protocol;
 
-import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static java.nio.charset.StandardCharsets.US_ASCII;
 
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
-
 /**
  * A statement in one of the platform's two fixed forms, a read or a write of one key, with its routing comment. Only
  * the timeout in the comment changes when the statement is forwarded to a node. Immutable.
  */
 public final class KeyValueStatement implements OutboundStatement {
-    private static final String KEY_PATTERN = "[^'\\\\\\p{Cntrl}]{1,256}";
-    /**
-     * The two forms that nodes accept, the write without the digits of its value. Matched against ISO 8859-1 text, so
-     * that character offsets are byte offsets.
-     */
-    private static final Pattern STATEMENT_PATTERN = Pattern.compile("(?:SELECT val FROM state WHERE uid = '(?<read>"
-            + KEY_PATTERN + ")'|INSERT INTO state \\(uid, val\\) VALUES \\('(?<written>" + KEY_PATTERN
-            + ")', '\\\\x'\\) RETURNING val)\\s*/\\*(?<comment>[^*]*+)\\*/\\s*;?\\s*");
+    private static final byte[] READ_START = "SELECT val FROM state WHERE uid = '".getBytes(US_ASCII);
+    private static final byte[] READ_END = "'".getBytes(US_ASCII);
+    private static final byte[] WRITE_START = "INSERT INTO state (uid, val) VALUES ('".getBytes(US_ASCII);
+    private static final byte[] VALUE_START = "', '\\x".getBytes(US_ASCII);
+    private static final byte[] WRITE_END = "') RETURNING val".getBytes(US_ASCII);
+    private static final byte[] COMMENT_START = "/*".getBytes(US_ASCII);
+    private static final byte[] COMMENT_END = "*/".getBytes(US_ASCII);
+    private static final byte[] SEMICOLON = ";".getBytes(US_ASCII);
 
-    /** The first character of a write. */
-    private static final byte WRITE_START = 'I';
-    /** The length of the characters before the digits of a value: a backslash and an x. */
-    private static final int HEX_PREFIX_LENGTH = 2;
+    private static final int MAX_KEY_LENGTH = 256;
+    /** The last control character of ASCII. */
+    private static final byte DELETE = 0x7f;
 
     private static final double MILLIS_PER_SECOND = 1000;
 
@@ -55,16 +50,32 @@
     public final String outcomeKey;
 
     /**
-     * Creates a statement.
+     * Parses a statement in one pass, in time proportional to its length.
      *
-     * @param matcher the match of the text without the digits of its value
-     * @param digits the number of these digits, which precede the comment
+     * @throws InvalidStatementException if the text has neither of the two forms or no valid routing comment
      */
-    private KeyValueStatement(byte[] text, Matcher matcher, int digits) {
+    private KeyValueStatement(byte[] text) {
         this.text = text;
-        isWrite = matcher.group("read") == null;
-        key = matcher.group(isWrite ? "written" : "read");
-        var comment = new RoutingComment(matcher.group("comment"), matcher.start("comment") + digits);
+        var cursor = new ByteCursor(text);
+        isWrite = !cursor.skip(READ_START);
+        require(!isWrite || cursor.skip(WRITE_START));
+        key = cursor.take(MAX_KEY_LENGTH, KeyValueStatement::isKeyByte);
+        require(!key.isEmpty());
+        if (isWrite) {
+            require(cursor.skip(VALUE_START));
+            cursor.skipHexBytes();
+        }
+        require(cursor.skip(isWrite ? WRITE_END : READ_END));
+        cursor.skipWhitespace();
+        require(cursor.skip(COMMENT_START));
+        int commentStart = cursor.position();
+        String commentText = cursor.take(RoutingComment.MAX_LENGTH, character -> character != '*');
+        requireEndOfComment(cursor.skip(COMMENT_END), commentText);
+        cursor.skipWhitespace();
+        cursor.skip(SEMICOLON);
+        cursor.skipWhitespace();
+        require(cursor.isAtEnd());
+        var comment = new RoutingComment(commentText, commentStart);
         requestId = comment.requiredField(RoutingComment.REQUEST_ID, RoutingComment.ID_PATTERN);
         requestClassName = comment.field(RoutingComment.REQUEST_CLASS);
         if (requestClassName == null) {
@@ -87,47 +98,26 @@
      * @throws InvalidStatementException if the text has neither of the two forms or no valid routing comment
      */
     public static KeyValueStatement parse(byte[] text) {
-        int valueStart = valueStart(text);
-        int valueEnd = endOfHexBytes(text, valueStart);
-        String textWithoutDigits = new String(text, 0, valueStart, ISO_8859_1)
-                + new String(text, valueEnd, text.length - valueEnd, ISO_8859_1);
-        Matcher matcher = STATEMENT_PATTERN.matcher(textWithoutDigits);
-        if (!matcher.matches()) {
-            throw new InvalidStatementException(
-                    "no read or write of the form that nodes take, with a comment that names it");
-        }
-        return new KeyValueStatement(text, matcher, valueEnd - valueStart);
+        return new KeyValueStatement(text);
     }
 
-    /**
-     * The offset of the digits of a write's value, which follow the first backslash, since a key has none; the length
-     * of the text if it is no write.
-     */
-    private static int valueStart(byte[] text) {
-        int offset = 0;
-        while (offset < text.length && text[0] == WRITE_START && text[offset] != '\\') {
-            offset++;
+    private static void require(boolean condition) {
+        if (!condition) {
+            throw new InvalidStatementException(
+                    "no read or write of the form that nodes take, with a comment that names it");
         }
-        boolean found = offset + 1 < text.length && text[offset] == '\\' && text[offset + 1] == 'x';
-        return found ? offset + HEX_PREFIX_LENGTH : text.length;
     }
 
-    /**
-     * The end of the bytes, two hexadecimal digits each, that start at an offset. The value can have more than a
-     * hundred thousand digits, for which a regular expression takes several milliseconds.
-     */
-    private static int endOfHexBytes(byte[] text, int start) {
-        int end = start;
-        while (end + 1 < text.length && isHexDigit(text[end]) && isHexDigit(text[end + 1])) {
-            end += 2;
+    private static void requireEndOfComment(boolean ended, String commentText) {
+        if (!ended && commentText.length() == RoutingComment.MAX_LENGTH) {
+            throw new InvalidStatementException("the comment is longer than " + RoutingComment.MAX_LENGTH + " bytes");
         }
-        return end;
+        require(ended);
     }
 
-    private static boolean isHexDigit(byte character) {
-        return (character >= '0' && character <= '9')
-                || (character >= 'a' && character <= 'f')
-                || (character >= 'A' && character <= 'F');
+    private static boolean isKeyByte(byte character) {
+        boolean isControl = (character >= 0 && character < ' ') || character == DELETE;
+        return !isControl && character != '\'' && character != '\\';
     }
 
     @Override
--- a/daemon/src/main/java/clayhook/protocol/RoutingComment.java
+++ b/daemon/src/main/java/clayhook/protocol/RoutingComment.java
@@ -31,10 +31,10 @@
      */
     private static final Pattern TRAILING_COMMENT = Pattern.compile("/\\*([^*]*+)\\*/[\\s;]*+$");
     /**
-     * Number of bytes at the end of a statement that are searched for the comment, which only white space and
-     * semicolons may follow.
+     * The greatest length of a comment in bytes. Also the number of bytes at the end of an SQL statement that are
+     * searched for the comment, which only white space and semicolons may follow.
      */
-    private static final int MAX_LENGTH = 4096;
+    static final int MAX_LENGTH = 4096;
 
     static final Pattern ID_PATTERN = Pattern.compile("[0-9A-Za-z_-]{1,64}");
     /** Allows numbers far above any time or log position in milliseconds. */
--- a/daemon/src/test/java/clayhook/protocol/MessageDecodersTest.java
+++ b/daemon/src/test/java/clayhook/protocol/MessageDecodersTest.java
@@ -195,6 +195,27 @@
                 List.of(write.isWrite, write.hasIdempotencyKey, write.key, write.timeoutSeconds));
     }
 
+    /** Guards against a stall of the event loop by one statement: its pattern tried all ways to split white space. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "SELECT val FROM state WHERE uid = 'k' /* id=1,c=a,d=5,cluster=1 */ | ' ' | x",
+                "SELECT val FROM state WHERE uid = 'k' | ' ' | /* id=1,c=a,d=5,cluster=1 */x",
+                "SELECT val FROM state WHERE uid = 'k' /* id=1,c=a,d=5,cluster=1 | ',f=1' | */",
+                "SELECT val FROM state WHERE uid = ' | k | ' /* id=1,c=a,d=5,cluster=1 */",
+                "INSERT INTO state (uid, val) VALUES ('k', '\\\\x | 9f | g') RETURNING val /* id=1,c=a,d=5,cluster=1 */"
+            })
+    void longestInvalidStatementIsRejectedWithinTheHoldUpAllowed(String start, String repeated, String end) {
+        int count = (160 * 1024 - start.length() - end.length()) / repeated.length();
+        byte[] text = (start + repeated.repeat(count) + end).getBytes(UTF_8);
+        var threads = ManagementFactory.getThreadMXBean();
+        long startedAt = threads.getCurrentThreadCpuTime();
+        assertThrows(InvalidStatementException.class, () -> KeyValueStatement.parse(text));
+        long nanos = threads.getCurrentThreadCpuTime() - startedAt;
+        assertTrue(nanos < 150_000_000L, nanos + " ns");
+    }
+
     /** Guards against a stall of the event loop by long values; a router may be held up for at most 0.15 s. */
     @Test
     void longestValuesThatTheMemoryAdmitsAreParsedWithinTheHoldUpAllowed() {
