Count a client as not reading only if it has read nothing for ten seconds

What callers would see: a client that had sent only empty statements or settings for more than 10 s, or after such a pause, was reset at the moment in which one of its responses was not fully written, although it read them. Found by reading the limits that cut a client.

Cause: the time limit for reading a response counted from the last response to a request or from the connect; responses to other messages did not count, nor did the client's progress.

Fix: it counts from the last response, or from when one was last passed to the socket as a whole, whichever is later. A client that reads nothing is still closed after 10 s, since its session then handles no further message.

--- a/daemon/src/main/java/clayhook/frontend/ClientSession.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientSession.java
@@ -253,6 +253,7 @@
 
     /** Handles the completion or failure of a write. */
     void onWritten() {
+        activity.onWritten(clock.getAsDouble());
         closeIfDrained();
     }
 
--- a/daemon/src/main/java/clayhook/frontend/SessionActivity.java
+++ b/daemon/src/main/java/clayhook/frontend/SessionActivity.java
@@ -42,6 +42,8 @@
     private boolean hasSentRequest;
     /** The time at which the last response was written, whether from a node or from the router itself. */
     private double respondedAt = Double.NEGATIVE_INFINITY;
+    /** The time at which a response was last passed to the socket as a whole. */
+    private double writtenAt = Double.NEGATIVE_INFINITY;
 
     SessionActivity(double connectedAt) {
         idleSince = connectedAt;
@@ -82,6 +84,11 @@
         respondedAt = now;
     }
 
+    /** Records that a response has been passed to the socket as a whole, because the client reads. */
+    void onWritten(double now) {
+        writtenAt = now;
+    }
+
     boolean hasSentRequest() {
         return hasSentRequest;
     }
@@ -95,10 +102,12 @@
     }
 
     /**
-     * Whether the time limit for reading a response has passed; relevant only while a response is not fully written.
+     * Whether the client has read no response within the time limit; relevant only while a response is not fully
+     * written.
      */
     boolean isResponseUnreadTooLong(double now) {
-        return now > idleSince + UNREAD_RESPONSE_TIMEOUT_SECONDS;
+        double lastProgressAt = Math.max(idleSince, Math.max(respondedAt, writtenAt));
+        return now > lastProgressAt + UNREAD_RESPONSE_TIMEOUT_SECONDS;
     }
 
     /** The time limit that an idle client has exceeded, as a text for the log; empty if it is within its limits. */
