Read connections to nodes and discovery at most twice in one iteration

What callers would see: late answers while a node or service sends small messages without end.

Evidence: a test whose peer sends without end counts the reads between two ends of a series. It failed on the text before (more than two) and passes now. That a flood of a node delays other requests was not played.

Fix: both kinds of connection have the same bound.

--- a/daemon/src/main/java/clayhook/transport/Transport.java
+++ b/daemon/src/main/java/clayhook/transport/Transport.java
@@ -13,6 +13,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.local.LocalChannel;
@@ -146,9 +147,7 @@
         var bootstrap = new ServerBootstrap()
                 .group(group)
                 .childHandler(initializer(handlers))
-                .childOption(
-                        ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_READS_PER_TICK));
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, boundedReads());
         switch (kind) {
             case TCP ->
                 bootstrap
@@ -217,6 +216,7 @@
                 .group(group)
                 .channelFactory(() -> channel)
                 .handler(initializer(handlers))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, boundedReads())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(timeout * MILLIS_PER_SECOND));
         if (kind == Kind.TCP) {
             bootstrap.option(ChannelOption.TCP_NODELAY, true);
@@ -229,6 +229,10 @@
         return channel;
     }
 
+    private static RecvByteBufAllocator boundedReads() {
+        return new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_READS_PER_TICK);
+    }
+
     private SocketAddress socketAddress(InetSocketAddress address) {
         return switch (kind) {
             case TCP -> address;
--- a/daemon/src/test/java/clayhook/transport/TransportTest.java
+++ b/daemon/src/test/java/clayhook/transport/TransportTest.java
@@ -8,12 +8,18 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -53,6 +59,71 @@
         assertTrue(events.isEmpty());
     }
 
+    /** Guards against a stall of the event loop by a node or service that sends without end. */
+    @Test
+    void connectionThatReceivesWithoutEndIsReadAtMostTwiceInOneIteration() throws Exception {
+        Transport client = Transport.tcp();
+        var readsOfIterations = new LinkedBlockingQueue<Integer>();
+        var flooding = new AtomicBoolean(true);
+        try (var server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            client.connect(
+                    (InetSocketAddress) server.getLocalSocketAddress(),
+                    20,
+                    () -> new ChannelHandler[] {new ReadCounter(readsOfIterations)},
+                    () -> events.add("failed"));
+            try (Socket accepted = server.accept()) {
+                var sender = new Thread(() -> sendWhile(flooding, accepted));
+                sender.start();
+                EventLoopStall.during(client.eventLoop(), () -> awaitFullBuffers(sender), () -> {});
+                for (int i = 0; i < 20; i++) {
+                    assertTrue(readsOfIterations.take() <= 2);
+                }
+                flooding.set(false);
+                sender.join();
+            }
+        } finally {
+            client.close();
+        }
+    }
+
+    private static void sendWhile(AtomicBoolean running, Socket socket) {
+        try {
+            while (running.get()) {
+                socket.getOutputStream().write(new byte[1 << 16]);
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Waits until a sender has filled the buffers of its connection: they take less than this time to fill. */
+    private static Void awaitFullBuffers(Thread sender) throws InterruptedException {
+        sender.join(300);
+        return null;
+    }
+
+    /** Counts the reads of a channel in each event loop iteration, and discards what is read. */
+    private static final class ReadCounter extends ChannelInboundHandlerAdapter {
+        private final Queue<Integer> readsOfIterations;
+        private int reads;
+
+        private ReadCounter(Queue<Integer> readsOfIterations) {
+            this.readsOfIterations = readsOfIterations;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            reads++;
+            ReferenceCountUtil.release(message);
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            readsOfIterations.add(reads);
+            reads = 0;
+        }
+    }
+
     /** Guards against leaked sockets of a warm-up, which count against the descriptor limit of the serving process. */
     @Test
     void closeFromEventLoopLeavesNoChannelOpen() throws Exception {
