--- a/clustertests/src/test/java/clayhook/clustertests/GracefulShutdownTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/GracefulShutdownTest.java
@@ -16,6 +16,7 @@
     private static final int ROUTERS = 4;
     private static final int NODES = 4;
     private static final int CLIENTS_OF_EACH_KIND = 6;
+    private static final int FLOODING_CLIENTS = 6;
     private static final double ALL_CALLS_SECONDS = 0.5;
     private static final String DAEMON = "daemon";
 
@@ -30,6 +31,23 @@
         }
     }
 
+    /** Guards against requests that are lost in a shutdown because other clients send at full speed meanwhile. */
+    @Test
+    void requestsReadDuringShutdownBesideFloodAreAnswered() throws Exception {
+        var spec = new FleetSpec(RouterProgram.of(ClusterTest.JAR), 1, NODES, ALL_CALLS_SECONDS, true, 1)
+                .withClientTimeout(1);
+        try (var fleet = new RouterFleet(spec)) {
+            RouterProcess router = fleet.routers().get(0);
+            var flood = new ClientFlood(router.address(), ClientFlood.Kind.EMPTY_STATEMENTS, FLOODING_CLIENTS);
+            try (flood) {
+                Result result = ShutdownScenario.run(
+                        fleet, fleet.routers(), ShutdownPlan.plain(CLIENTS_OF_EACH_KIND), new Random(1));
+                assertTrue(result.violations().isEmpty(), result::toString);
+                assertTrue(result.records().stream().anyMatch(each -> each.outcome() == Outcome.SERVED));
+            }
+        }
+    }
+
     /** An earlier router read and dropped requests that arrived while it ended the session. */
     @Test
     void auditDetectsBuildThatDropsRequestsItHasRead(@TempDir Path classes) throws Exception {
