--- a/clustertests/src/main/java/clayhook/clustertests/RouterProcess.java
+++ b/clustertests/src/main/java/clayhook/clustertests/RouterProcess.java
@@ -40,6 +40,8 @@
     private static final int END_TIMEOUT_S = 20;
 
     private static final double KB_PER_MB = 1024;
+    /** The memory that a process may use: the default of {@code limits.memory_mb}. */
+    static final double MEMORY_LIMIT_MB = 192;
 
     private final String name;
     private final InetSocketAddress address;
--- a/clustertests/src/test/java/clayhook/clustertests/ClientFloodTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/ClientFloodTest.java
@@ -58,8 +58,11 @@
         }
         List<String> unanswered = steady.unansweredInTime();
         System.out.println(kind + ": " + steady.records().size() + " requests, " + steady.served() + " served, "
-                + unanswered.size() + " without an answer in time, latency " + steady.latencies());
+                + unanswered.size() + " without an answer in time, latency " + steady.latencies()
+                + ", peak memory so far "
+                + Math.round(router.peakMemoryMb()) + " MB");
         assertEquals(List.of(), unanswered, () -> String.join("\n", router.linesSince(mark)));
+        assertTrue(router.peakMemoryMb() < RouterProcess.MEMORY_LIMIT_MB, router.peakMemoryMb() + " MB");
         assertTrue(steady.served() > steady.records().size() / 2, fleet::logs);
     }
 
--- a/clustertests/src/test/java/clayhook/clustertests/SlowSendersTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/SlowSendersTest.java
@@ -18,8 +18,6 @@
     private static final int NODES = 6;
     private static final double ALL_CALLS_SECONDS = 0.5;
     private static final double MILLIS_PER_SECOND = 1000;
-    /** The default of {@code limits.memory_mb}. */
-    private static final double MEMORY_LIMIT_MB = 192;
 
     /** Guards against a process that passes its memory limit, or that answers late, beside hundreds of slow senders. */
     @Test
@@ -44,7 +42,7 @@
                             + steady.latencies() + ", peak " + Math.round(peakMb) + " MB");
             assertEquals(List.of(), unanswered, () -> String.join("\n", router.linesSince(mark)));
             assertTrue(router.isRunning());
-            assertTrue(peakMb < MEMORY_LIMIT_MB, peakMb + " MB");
+            assertTrue(peakMb < RouterProcess.MEMORY_LIMIT_MB, peakMb + " MB");
             assertTrue(steady.served() > steady.records().size() / 2, fleet::logs);
         }
     }
