Admit a request only once a close of its client before it would be known

What callers saw: a client closed its connection with much still unread, and its requests were sent on afterwards.

Cause: an iteration of the event loop reads a connection three times at most. A request that was complete by then was admitted, although the close could be behind input that was not read yet; after a stall the first request was sent long after the close.

Evidence: a client sends n requests and closes while the event loop is stalled.

Fix: a request waits until a read has found nothing, an iteration has passed without input, or two probes were written where the connection is not read. Usual requests wait for nothing. New: 2,500 requests sent ahead beside a flood are all answered.

--- a/clustertests/src/test/java/clayhook/clustertests/ClientFloodTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/ClientFloodTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -22,6 +23,8 @@
     private static final double FLOOD_SECONDS = Integer.getInteger("clayhook.flood.seconds", 3);
     private static final int STEADY_CLIENTS = 40;
     private static final int LEAVING_CLIENTS = 60;
+    /** More than a router reads ahead on one connection. */
+    private static final int REQUESTS_SENT_AHEAD = 2500;
     /** Client timeout of the steady clients; the shortest of the operators' request classes have less. */
     private static final double TIMEOUT_SECONDS = 0.4;
 
@@ -66,6 +69,22 @@
         assertTrue(steady.served() > steady.records().size() / 2, fleet::logs);
     }
 
+    /** Guards against sound clients that are cut or starved, beside a flood, as they send far ahead. */
+    @Test
+    void allRequestsSentAheadBesideFloodAreAnswered() throws Exception {
+        RouterProcess router = fleet.routers().get(0);
+        var flood = new ClientFlood(router.address(), ClientFlood.Kind.EMPTY_STATEMENTS, FLOODING_CLIENTS);
+        try (flood;
+                var client = new RecordingClient(
+                        fleet.attempts(), router.name(), router.address(), "pipelining", TIMEOUT_SECONDS)) {
+            client.startUp();
+            client.send(REQUESTS_SENT_AHEAD);
+            assertTrue(client.awaitAnswers());
+            assertEquals(REQUESTS_SENT_AHEAD, client.records().size());
+            assertEquals(List.of(), RequestAudit.violations(client.records(), 0));
+        }
+    }
+
     /** Guards against requests that are sent on for clients that closed their connection with many unanswered. */
     @ParameterizedTest
     @CsvSource({"false, false", "true, false", "false, true", "true, true"})
--- a/daemon/src/main/java/clayhook/frontend/BoundedReadAllocator.java
+++ b/daemon/src/main/java/clayhook/frontend/BoundedReadAllocator.java
@@ -8,7 +8,7 @@
 
 /**
  * Allocates receive buffers that are no longer than what the connection may read, and ends a series of socket reads
- * when it may read no more. Confined to the event loop.
+ * when it may read no more. Tells whether the last read found neither input nor a close. Confined to the event loop.
  */
 final class BoundedReadAllocator implements RecvByteBufAllocator {
     /** Socket reads per event loop iteration: two for a long statement, and one that detects a close after it. */
@@ -23,6 +23,7 @@
             new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_PER_ITERATION);
 
     private final IntSupplier readableBytes;
+    private boolean lastReadEmpty = true;
 
     /**
      * Creates the allocator of one connection.
@@ -33,6 +34,11 @@
         this.readableBytes = readableBytes;
     }
 
+    /** Whether the last read found nothing, so that the client had not closed the connection by then. */
+    boolean isLastReadEmpty() {
+        return lastReadEmpty;
+    }
+
     @Override
     @SuppressWarnings("deprecation") // Netty has no other way to bound the length of a read
     public Handle newHandle() {
@@ -48,6 +54,12 @@
                 return Math.min(super.guess(), limit > 0 ? limit : MIN_BUFFER_BYTES);
             }
 
+            @Override
+            public void lastBytesRead(int bytes) {
+                super.lastBytesRead(bytes);
+                lastReadEmpty = bytes <= 0;
+            }
+
             @Override
             public boolean continueReading() {
                 return readableBytes.getAsInt() > 0 && super.continueReading();
--- a/daemon/src/main/java/clayhook/frontend/ClientSession.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientSession.java
@@ -150,6 +150,19 @@
         return !connection.isOpen();
     }
 
+    /**
+     * Whether {@link #isClientGone} is up to date; false if input that has not been received yet may hide the client's
+     * close.
+     */
+    public boolean isCloseKnown() {
+        return connection.isCloseKnown();
+    }
+
+    /** Runs a step once {@link #isCloseKnown}, at the latest when the session has ended. Only one step may wait. */
+    public void runOnceCloseIsKnown(Runnable step) {
+        connection.runOnceCloseIsKnown(step);
+    }
+
     /** The id of this session, unique among the sessions of this router. */
     public String id() {
         return connection.id();
--- a/daemon/src/main/java/clayhook/serve/RequestAdmission.java
+++ b/daemon/src/main/java/clayhook/serve/RequestAdmission.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
+import java.util.function.DoubleConsumer;
 
 /** Validates and admits the statements of clients, and cancels requests on request or disconnect. Event loop only. */
 final class RequestAdmission implements ClientSession.RequestHandler {
@@ -69,16 +70,29 @@
             return;
         }
         openRequests.reserveId(statement.requestId);
-        inbox.add(now -> {
+        inbox.add(arrivedAt -> runOnceCloseIsKnown(session, arrivedAt, now -> {
             if (openRequests.isAbandoned(statement.requestId, now)) {
                 openRequests.releaseId(statement.requestId);
                 reject(session, DUPLICATE_ID);
                 return;
             }
             double requiredPosition = peers.requiredPosition(requestClass, statement.key, now);
-            var request = new ClientRequest(requestClass, statement, session, requiredPosition, now);
+            var request = new ClientRequest(requestClass, statement, session, requiredPosition, arrivedAt);
             openRequests.admit(request, now);
-        });
+        }));
+    }
+
+    /**
+     * Runs an event in this tick, or in a later one if input that has not been received yet may hide that the client
+     * has closed its connection: no attempt may begin for a client that has gone.
+     */
+    private void runOnceCloseIsKnown(ClientSession session, double now, DoubleConsumer event) {
+        if (session.isCloseKnown()) {
+            event.accept(now);
+        } else {
+            counters.increment("close not known");
+            session.runOnceCloseIsKnown(() -> inbox.add(event));
+        }
     }
 
     private static void reject(ClientSession session, String reason) {
@@ -106,7 +120,8 @@
         if (result instanceof AdmissionResult.Admitted admitted && backend.hasReplicaSet(admitted.replicaSetId())) {
             counters.increment(admitted.classification().verdict() + " "
                     + admitted.classification().rule());
-            inbox.add(now -> sqlRequests.admit(admitted, session, admitted.timeoutSeconds(), now));
+            inbox.add(arrivedAt -> runOnceCloseIsKnown(
+                    session, arrivedAt, now -> sqlRequests.admit(admitted, session, admitted.timeoutSeconds(), now)));
         } else {
             sqlRequests.refuse(session, result);
         }
--- a/daemon/src/test/java/clayhook/serve/ClientDisconnectTest.java
+++ b/daemon/src/test/java/clayhook/serve/ClientDisconnectTest.java
@@ -223,8 +223,9 @@
         }
     }
 
+    /** Guards against requests that are sent although their client closed, with much unread, during a stall. */
     @ParameterizedTest
-    @ValueSource(ints = {1, 30})
+    @ValueSource(ints = {1, 30, 900, 1600, 6000})
     void requestsReadTogetherWithACloseAreNotSent(int requests) throws Exception {
         start(any -> StubResponse.answer("v"));
         SocketClient other = client().sendStartup(read(1));
