--- a/daemon/src/main/java/clayhook/frontend/ClientConnection.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientConnection.java
@@ -23,22 +23,15 @@
 @SuppressWarnings("FutureReturnValueIgnored") // closes end in channelInactive, and no code waits for scheduled tasks
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final double NANOS_PER_SECOND = 1e9;
-    /** The system of a client that has closed its socket answers the first with a reset; the second fails. */
-    private static final int PROBES_TO_DETECT_CLOSE = 2;
 
     private final ClientMessageDecoder decoder;
     private final ClientSession session;
     private final InputBudget.Share inputShare;
     private final BoundedReadAllocator readAllocator;
+    private final CloseDetector closeDetector;
     private final ChannelFutureListener onWritten;
     private ChannelHandlerContext context;
     private DisconnectProbe disconnectProbe;
-    /** The number of probes since the connection was last no longer read. */
-    private int probes;
-    /** The number of series of socket reads. */
-    private int reads;
-    /** The step that waits until a close of the client would be known, or null. */
-    private Runnable afterCloseCheck;
     /** Whether the session is handling input, at the end of which the responses written meanwhile are flushed. */
     private boolean inSlice;
     /** Whether the connection is no longer read for the session, because it closes. */
@@ -53,6 +46,7 @@
         this.session = session;
         this.inputShare = inputShare;
         readAllocator = new BoundedReadAllocator(this::readableBytes);
+        closeDetector = new CloseDetector(this, readAllocator);
         decoder.setDemand(session::wantsMessage);
         onWritten = done -> {
             pendingWrites--;
@@ -79,10 +73,9 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        reads++;
         session.onReadComplete();
         endSlice();
-        runAfterCloseCheck();
+        closeDetector.onReadComplete();
     }
 
     @Override
@@ -95,7 +88,7 @@
         closing = true;
         inputShare.update(0);
         session.onDisconnect();
-        runAfterCloseCheck();
+        closeDetector.onClosed();
     }
 
     @Override
@@ -171,7 +164,7 @@
         ChannelConfig config = context.channel().config();
         if (config.isAutoRead() && readableBytes() <= 0) {
             config.setAutoRead(false);
-            probes = 0;
+            closeDetector.onReadingStopped();
             disconnectProbe.start();
         } else if (!config.isAutoRead() && inputShare.isBelowHalf()) {
             config.setAutoRead(true);
@@ -196,54 +189,22 @@
         if (isFlushed() && session.isAwaitingResponse()) {
             write(MessageEncoder.livenessProbe());
         }
-        probes++;
-        runAfterCloseCheck();
+        closeDetector.onProbe();
     }
 
-    /**
-     * Whether the client has closed the connection, or a close would be known: the last read has found nothing, or if
-     * the connection is not read, two probes have been written.
-     */
-    boolean isCloseKnown() {
-        boolean isDetected = isRead() ? readAllocator.isLastReadEmpty() : probes >= PROBES_TO_DETECT_CLOSE;
-        return !isOpen() || (!closing && isDetected);
-    }
-
-    /** Runs a step once {@link #isCloseKnown}, at the latest when the connection has ended. */
-    void runOnceCloseIsKnown(Runnable step) {
-        afterCloseCheck = step;
-        checkCloseAfterPendingReads();
-    }
-
-    /** Repeats until an event loop iteration has read nothing: then neither input nor a close is pending. */
-    private void checkCloseAfterPendingReads() {
-        int readsBefore = reads;
-        runAfterPendingReads(() -> {
-            if (afterCloseCheck == null) {
-                return;
-            } else if (reads > readsBefore) {
-                checkCloseAfterPendingReads();
-            } else if (isRead()) {
-                runCloseCheckedStep();
-            }
-        });
+    /** The detection of the client's close. */
+    CloseDetector closeDetector() {
+        return closeDetector;
     }
 
     /** Whether the connection is read for the session. */
-    private boolean isRead() {
+    boolean isRead() {
         return !closing && context.channel().config().isAutoRead();
     }
 
-    private void runAfterCloseCheck() {
-        if (afterCloseCheck != null && isCloseKnown()) {
-            runCloseCheckedStep();
-        }
-    }
-
-    private void runCloseCheckedStep() {
-        Runnable step = afterCloseCheck;
-        afterCloseCheck = null;
-        step.run();
+    /** Whether the connection is no longer read for the session, because it closes. */
+    boolean isClosing() {
+        return closing;
     }
 
     /** Whether part of a message has been received. */
--- a/daemon/src/main/java/clayhook/frontend/ClientSession.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientSession.java
@@ -155,12 +155,12 @@
      * close.
      */
     public boolean isCloseKnown() {
-        return connection.isCloseKnown();
+        return connection.closeDetector().isCloseKnown();
     }
 
     /** Runs a step once {@link #isCloseKnown}, at the latest when the session has ended. Only one step may wait. */
     public void runOnceCloseIsKnown(Runnable step) {
-        connection.runOnceCloseIsKnown(step);
+        connection.closeDetector().runOnceCloseIsKnown(step);
     }
 
     /** The id of this session, unique among the sessions of this router. */
