--- a/review/harness-2/src/rig/OneOffShapes.java
+++ b/review/harness-2/src/rig/OneOffShapes.java
@@ -3,11 +3,12 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A flood of one-off shapes: four clients send long reads, each of another length. Are the short reads of the usual
- * clients still answered?
+ * A flood of one-off shapes: one client sends one read of 2 KB after the other, each of another shape. Are the short
+ * reads of the usual clients still answered?
  */
 public final class OneOffShapes extends Case {
     /** The usual clients give up after this time: 0.43 of the client timeout of their command group, 600 ms. */
@@ -16,17 +17,23 @@
     private static final double GROUP_LIMIT_SECONDS = 0.6;
     /** A command whose answer comes later than this after its time is lost. */
     private static final int SLACK_MILLIS = 500;
+    /** How long a usual client waits for an answer before it closes its connection. */
+    private static final int WAIT_MILLIS = 4000;
+
     private static final int USUAL_CLIENTS = 4;
-    private static final int FLOODING_CLIENTS = 4;
+    private static final int FLOODING_CLIENTS = 1;
     private static final int CALM_SECONDS = 4;
-    private static final int FLOOD_SECONDS = 12;
-    /** Comparisons in a flooding statement; the statement stays under 16 KB. */
-    private static final int COMPARISONS = 995;
+    private static final int FLOOD_SECONDS = 20;
+    /** Calls in a flooding statement, which has some 2 KB, and how deep they are nested. */
+    private static final int CALLS = 300;
+
+    private static final int DEPTH = 36;
 
     private final AtomicInteger flooded = new AtomicInteger();
     private final AtomicInteger answered = new AtomicInteger();
     private final AtomicInteger inTime = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
+    private int callsLeft;
     private long longestMillis;
     private volatile long endAt;
     private volatile long floodAt;
@@ -70,7 +77,7 @@
             }
             floodAt = now() + CALM_SECONDS * 1000L;
             floodEndAt = floodAt + FLOOD_SECONDS * 1000L;
-            endAt = floodEndAt + 1000;
+            endAt = floodEndAt + 6000;
             var threads = new Thread[USUAL_CLIENTS];
             for (int i = 0; i < USUAL_CLIENTS; i++) {
                 int number = i;
@@ -85,6 +92,11 @@
             for (Thread thread : threads) {
                 thread.join(60_000);
             }
+            record.add("router alive: %b; from its log:", router.isAlive());
+            Files.readAllLines(router.log).stream()
+                    .filter(line -> line.contains("stalled") || line.contains("OutOfMemory") || line.contains("ERROR"))
+                    .limit(12)
+                    .forEach(line -> record.add("  %s", line));
             record.add(
                     "usual commands: answered %d, of these in time %d, longest %d ms; lost %d; flooding statements answered: %d",
                     answered.get(), inTime.get(), longestMillis, lost.get(), flooded.get());
@@ -95,25 +107,33 @@
         }
     }
 
-    private void useAsUsual(int port, int number) throws IOException, InterruptedException {
-        Client client = newUsualClient(port);
+    private void useAsUsual(int port, int number) throws InterruptedException {
+        Client client = null;
         for (int i = 0; now() < endAt; i++) {
             String query = "select val from state where uid = '" + number + "-" + i + "'";
             long sentAt = now();
-            Client.Answer answer = client.ask(query, LIMIT_MILLIS + 4000);
-            long took = now() - sentAt;
-            boolean isLost = took > LIMIT_MILLIS + SLACK_MILLIS || answer.none() != null;
-            note(took, answer, isLost);
-            if (isLost || i % 20 == 0) {
-                record.add("usual client %d: '%s': %s after %d ms%s", number, query, answer, took, isLost ? " LOST" : "");
-            }
-            if (answer.none() != null) {
-                client.close();
-                client = newUsualClient(port);
+            try {
+                client = client == null ? newUsualClient(port) : client;
+                sentAt = now();
+                Client.Answer answer = client.ask(query, WAIT_MILLIS);
+                long took = now() - sentAt;
+                boolean isLost = took > LIMIT_MILLIS + SLACK_MILLIS || answer.none() != null;
+                note(took, answer, isLost);
+                if (isLost || i % 20 == 0) {
+                    record.add("usual client %d: '%s': %s after %d ms%s", number, query, answer, took, isLost ? " LOST" : "");
+                }
+                client = answer.none() == null ? client : closed(client);
+            } catch (IOException e) {
+                record.add("usual client %d: not connected after %d ms: %s", number, now() - sentAt, e);
+                client = null;
             }
             Thread.sleep(100);
         }
+    }
+
+    private static Client closed(Client client) throws IOException {
         client.close();
+        return null;
     }
 
     private static Client newUsualClient(int port) throws IOException {
@@ -135,23 +155,34 @@
         }
     }
 
-    /** Sends one long read after the other, each with another number of comparisons or another name. */
+    /** Sends one read after the other, each of another shape. */
     private void flood(int port, int number) throws IOException, InterruptedException {
         Thread.sleep(Math.max(0, floodAt - now()));
-        record.add("DISRUPTION: client %d begins to send one-off shapes", number);
-        try (var client = new Client(port)) {
-            for (int i = 0; now() < floodEndAt; i++) {
-                var query = new StringBuilder("select a from t" + number + "x" + i + " where a = b");
-                for (int j = 1; j < COMPARISONS; j++) {
-                    query.append(" and a = b");
-                }
-                Client.Answer answer = client.ask(query.toString(), 20_000);
+        var random = new Random(number);
+        for (int i = 0; now() < floodEndAt; i++) {
+            callsLeft = CALLS;
+            String query = "select " + expression(random, DEPTH);
+            record.add("DISRUPTION: flooding client %d sends a read of %d bytes: %s...", number, query.length(), query.substring(0, 60));
+            try (var client = new Client(port)) {
+                Client.Answer answer = client.ask(query, 30_000);
+                record.add("flooding client %d: %s", number, answer);
                 flooded.incrementAndGet();
-                if (i < 3) {
-                    record.add("flooding client %d: a read of %d bytes: %s", number, query.length(), answer);
-                }
+            } catch (IOException e) {
+                record.add("flooding client %d: %s", number, e);
             }
+            Thread.sleep(100);
+        }
+    }
+
+    /** An expression of nested calls of functions that change nothing, at most {@code depth} deep. */
+    private String expression(Random random, int depth) {
+        if (--callsLeft < 0 || depth <= 0) {
+            return random.nextInt(3) == 0 ? "1" : String.valueOf((char) ('a' + random.nextInt(8)));
         }
-        record.add("flooding client %d ends", number);
+        return switch (random.nextInt(3)) {
+            case 0 -> "abs(" + expression(random, depth - 1) + ", " + expression(random, depth - 2) + ")";
+            case 1 -> "row(" + expression(random, depth - 1) + ", " + expression(random, depth - 1) + ")";
+            default -> "substring(" + expression(random, depth - 1) + " from " + expression(random, depth - 2) + " for 1)";
+        };
     }
 }
