--- a/review/harness-2/src/rig/FormerPrimary.java
+++ b/review/harness-2/src/rig/FormerPrimary.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A rolling restart of the first two nodes of a replica set: s-a, the primary, drains, hands over to s-b, ends, and
+ * A rolling restart of the first two of five nodes of a replica set: s-a, the primary, drains, hands over to s-b, ends, and
  * returns as a replica that is still behind; then s-b does the same and hands over to s-c. Answers of s-a have told
  * router 1 that it is primary no longer. The list shows the roles as at the start. Fresh reads go on through router 1,
  * writes through router 2.
@@ -116,6 +116,10 @@
         discovery.put(entry(a, nodeA, "up", 0));
         discovery.put(entry(b, nodeB, "up", 0));
         discovery.put(entry(c, nodeC, "up", 0));
+        for (String uid : new String[] {"s-d", "s-e"}) {
+            ReplicaSetModel.Member member = set.add(uid, false);
+            discovery.put(entry(member, new NodeStub(uid, 0, (node, query) -> serve(member, query)), "up", 0));
+        }
         String settings = new Settings()
                 .group("claim-check", "idempotent", "all", 0.8, READ_LIMIT_MILLIS / 1000.0, 0.2, 2, "fresh", 0)
                 .group("tile-info", "idempotent", "all", 0.3, 0.75, 0.2, 2, "any", 0)
