Parse statements of any kind by one token of lookahead

Cause: alternatives of the grammar began alike, so that ANTLR simulated both up to the end of the brackets, at each level anew. 43 decisions were of this kind.

Change: each decision depends on one token. GrammarTokens tells by at most two neighbours whether a word is a keyword or a name, and what begins alike is one rule. BoundedSqlParser ends a parse that enters too many rules. The depth of brackets no longer counts the label END as an end. Conditions are walked once.

Tests: ParseCostTest.

--- a/statements/src/main/java/clayhook/statements/Classifier.java
+++ b/statements/src/main/java/clayhook/statements/Classifier.java
@@ -76,11 +76,6 @@
         return shapeCache.weight();
     }
 
-    /** The number of lookahead states that the parser holds. */
-    int lookaheadStates() {
-        return analyzer.lookaheadStates();
-    }
-
     /**
      * Classifies a statement of a client.
      *
--- a/statements/src/main/java/clayhook/statements/IdentifierRules.java
+++ b/statements/src/main/java/clayhook/statements/IdentifierRules.java
@@ -1,9 +1,16 @@
 package clayhook.statements;
 
+import clayhook.statements.Sql.ColumnNameContext;
+import clayhook.statements.Sql.FunctionCallContext;
 import clayhook.statements.Sql.NameContext;
 import clayhook.statements.Sql.QnameContext;
+import clayhook.statements.Sql.ReferenceContext;
 import java.nio.charset.StandardCharsets;
-import java.util.stream.Collectors;
+import java.util.StringJoiner;
+import org.antlr.v4.runtime.ParserRuleContext;
+import org.antlr.v4.runtime.Token;
+import org.antlr.v4.runtime.tree.ParseTree;
+import org.antlr.v4.runtime.tree.TerminalNode;
 
 /** Normalizes identifiers as the server does: folded to lower case unless quoted, and truncated to 63 bytes. */
 final class IdentifierRules {
@@ -14,16 +21,60 @@
 
     /** The parts of a qualified name joined by dots; a part that contains a dot is quoted to keep it a single part. */
     static String normalize(QnameContext name) {
-        return name.name().stream()
-                .map(IdentifierRules::normalize)
-                .map(part -> part.indexOf('.') < 0 ? part : '"' + part + '"')
-                .collect(Collectors.joining("."));
+        return normalizeParts(name);
+    }
+
+    /** The same for a name in an expression, without the star of {@code t.*}. */
+    static String normalize(ReferenceContext name) {
+        return normalizeParts(name);
+    }
+
+    /** The normalized form of the function of a call, whose name ends before the arguments. */
+    static String normalize(FunctionCallContext call) {
+        return normalizeParts(call);
+    }
+
+    /** Joins the names among the children: a name is a rule of a single token, or a token that is no dot or star. */
+    private static String normalizeParts(ParserRuleContext name) {
+        var joined = new StringJoiner(".");
+        for (ParseTree child : name.children) {
+            Token token = nameToken(child);
+            if (token != null) {
+                String part = normalize(token);
+                joined.add(part.indexOf('.') < 0 ? part : '"' + part + '"');
+            }
+        }
+        return joined.toString();
+    }
+
+    /** The token of a name; null for a child that is none. */
+    private static Token nameToken(ParseTree child) {
+        if (child instanceof NameContext || child instanceof ColumnNameContext) {
+            return ((ParserRuleContext) child).getStart();
+        }
+        Token token = child instanceof TerminalNode leaf ? leaf.getSymbol() : null;
+        return token != null && (token.getType() == Sql.WORD || token.getType() == Sql.QUOTED) ? token : null;
+    }
+
+    /** The last name of a reference, normalized: that of the column, or of the row before a star. */
+    static String lastName(ReferenceContext reference) {
+        for (int i = reference.getChildCount() - 1; i >= 0; i--) {
+            Token token = nameToken(reference.getChild(i));
+            if (token != null) {
+                return normalize(token);
+            }
+        }
+        throw new IllegalArgumentException("a reference without a name");
     }
 
     /** The normalized form of an unqualified name. */
     static String normalize(NameContext name) {
-        String text = name.getText();
-        return name.QUOTED() == null ? truncate(fold(text)) : unquote(text);
+        return normalize(name.getStart());
+    }
+
+    /** The normalized form of the token of a name. */
+    static String normalize(Token name) {
+        return name.getType() == Sql.QUOTED ? unquote(name.getText()) : truncate(fold(name.getText()));
     }
 
     /** Folds ASCII letters to lower case. */
--- a/statements/src/main/java/clayhook/statements/ShapeAnalyzer.java
+++ b/statements/src/main/java/clayhook/statements/ShapeAnalyzer.java
@@ -2,20 +2,7 @@
 
 import clayhook.statements.TokenBuffer.Kind;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import org.antlr.v4.runtime.BailErrorStrategy;
-import org.antlr.v4.runtime.CommonToken;
-import org.antlr.v4.runtime.CommonTokenStream;
-import org.antlr.v4.runtime.ListTokenSource;
-import org.antlr.v4.runtime.Token;
-import org.antlr.v4.runtime.atn.ParserATNSimulator;
-import org.antlr.v4.runtime.atn.PredictionContextCache;
-import org.antlr.v4.runtime.atn.PredictionMode;
-import org.antlr.v4.runtime.dfa.DFA;
 import org.antlr.v4.runtime.misc.ParseCancellationException;
 import org.antlr.v4.runtime.tree.ParseTreeWalker;
 
@@ -34,12 +21,11 @@
      */
     static final int MAX_TOKENS = 4000;
     /**
-     * The most lookahead states that the parser caches, of some hundred bytes each. Their number grows with the number
-     * of shapes, so the cache is discarded above this bound.
+     * The most rules of the grammar that the parser enters for one shape, which bounds its time and the parse tree in
+     * memory. It is far above what a shape of {@link #MAX_TOKENS} needs, as long as each token needs a few rules.
      */
-    static final int MAX_LOOKAHEAD_STATES = 20_000;
+    static final int MAX_RULES = 20 * MAX_TOKENS;
 
-    private static final Map<String, Integer> KEYWORD_TYPES = keywordTypes();
     private static final Set<String> TRANSACTION_COMMANDS =
             Set.of("begin", "start", "commit", "end", "rollback", "abort", "savepoint", "release");
     private static final Set<String> CONNECTION_BOUND_COMMANDS = Set.of(
@@ -64,43 +50,16 @@
     private static final Set<String> SESSION_CHANGING_COMMANDS = Set.of("do", "call");
 
     private final HarmlessNames harmlessNames;
-    private final Sql parser;
-    private int lookaheadStates;
+    private final BoundedSqlParser parser;
 
     ShapeAnalyzer(HarmlessNames harmlessNames) {
-        this.harmlessNames = harmlessNames;
-        parser = new Sql(new CommonTokenStream(new ListTokenSource(List.of())));
-        parser.removeErrorListeners();
-        parser.setErrorHandler(new BailErrorStrategy());
-        resetLookahead();
-    }
-
-    private static Map<String, Integer> keywordTypes() {
-        Map<String, Integer> types = new HashMap<>();
-        for (int type = Sql.ALL; type <= Sql.VOCABULARY.getMaxTokenType(); type++) {
-            String name = Sql.VOCABULARY.getSymbolicName(type);
-            types.put(IdentifierRules.fold(name.endsWith("_") ? name.substring(0, name.length() - 1) : name), type);
-        }
-        return types;
-    }
-
-    /**
-     * Gives the parser new lookahead tables of its own. By default, all parsers share tables that are never cleared.
-     */
-    private void resetLookahead() {
-        var decisions = new DFA[parser.getATN().getNumberOfDecisions()];
-        for (int i = 0; i < decisions.length; i++) {
-            decisions[i] = new DFA(parser.getATN().getDecisionState(i), i);
-        }
-        var simulator = new ParserATNSimulator(parser, parser.getATN(), decisions, new PredictionContextCache());
-        // Shapes that the weaker SLL prediction cannot parse are classified as writes, which at worst costs speed.
-        simulator.setPredictionMode(PredictionMode.SLL);
-        parser.setInterpreter(simulator);
+        this(harmlessNames, MAX_RULES);
     }
 
-    /** The number of lookahead states that the parser holds. */
-    int lookaheadStates() {
-        return lookaheadStates;
+    /** Creates an analyzer whose parser enters at most this many rules for one shape. */
+    ShapeAnalyzer(HarmlessNames harmlessNames, int maxRules) {
+        this.harmlessNames = harmlessNames;
+        parser = new BoundedSqlParser(maxRules);
     }
 
     /** Analyzes a shape; never fails. */
@@ -127,54 +86,18 @@
     }
 
     private ShapeFacts parse(TokenBuffer shape, String kind) {
-        var tokens = new ArrayList<Token>(shape.size);
-        for (int i = 0; i < shape.size; i++) {
-            String text = text(shape, i);
-            var token = new CommonToken(tokenType(shape.kinds[i], text), text);
-            token.setTokenIndex(i);
-            tokens.add(token);
-        }
         try {
-            parser.setTokenStream(new CommonTokenStream(new ListTokenSource(tokens)));
             var analysis = new StatementAnalysis(harmlessNames);
-            ParseTreeWalker.DEFAULT.walk(analysis, parser.entry());
+            ParseTreeWalker.DEFAULT.walk(analysis, parser.parse(GrammarTokens.of(shape)));
             return analysis.facts(kind);
+        } catch (BoundedSqlParser.TooManyRulesException e) {
+            return ShapeFacts.unanalyzed(StatementEffect.WRITE, "takes more work than is spent on one", kind, true);
         } catch (ParseCancellationException e) {
             return ShapeFacts.unanalyzed(StatementEffect.WRITE, "not understood", kind, true);
-        } finally {
-            lookaheadStates = 0;
-            for (DFA decision : parser.getInterpreter().decisionToDFA) {
-                lookaheadStates += decision.states.size();
-            }
-            if (lookaheadStates > MAX_LOOKAHEAD_STATES) {
-                resetLookahead();
-            }
         }
     }
 
-    private static int tokenType(Kind kind, String text) {
-        return switch (kind) {
-            case WORD -> KEYWORD_TYPES.getOrDefault(text, Sql.WORD);
-            case QUOTED -> Sql.QUOTED;
-            case LITERAL -> Sql.LITERAL;
-            case OP -> Sql.OP;
-            case EQ -> Sql.EQ;
-            case STAR -> Sql.STAR;
-            case LP -> Sql.LP;
-            case RP -> Sql.RP;
-            case LB -> Sql.LB;
-            case RB -> Sql.RB;
-            case COMMA -> Sql.COMMA;
-            case SEMI -> Sql.SEMI;
-            case DOT -> Sql.DOT;
-            case COLON -> Sql.COLON;
-            case COLON_EQ -> Sql.COLON_EQ;
-            case ARROW -> Sql.ARROW;
-            case CAST_TO -> Sql.CAST_TO;
-        };
-    }
-
-    private static String text(TokenBuffer shape, int i) {
+    static String text(TokenBuffer shape, int i) {
         return new String(shape.text, shape.starts[i], shape.ends[i] - shape.starts[i], StandardCharsets.UTF_8);
     }
 
@@ -197,7 +120,8 @@
         int depth = 0;
         int deepest = 0;
         for (int i = 0; i < shape.size; i++) {
-            boolean word = shape.kinds[i] == Kind.WORD;
+            // Behind AS, the words CASE and END are labels.
+            boolean word = shape.kinds[i] == Kind.WORD && !(i > 0 && shape.isWord(i - 1, "as"));
             boolean opens = shape.kinds[i] == Kind.LP || shape.kinds[i] == Kind.LB || (word && shape.isWord(i, "case"));
             boolean closes = shape.kinds[i] == Kind.RP || shape.kinds[i] == Kind.RB || (word && shape.isWord(i, "end"));
             depth += opens ? 1 : closes ? -1 : 0;
--- a/statements/src/main/java/clayhook/statements/StatementAnalysis.java
+++ b/statements/src/main/java/clayhook/statements/StatementAnalysis.java
@@ -18,6 +18,8 @@
  * effects makes the shape a write.
  */
 final class StatementAnalysis extends SqlBaseListener {
+    private static final Set<String> GROUPING_SETS = Set.of("rollup", "cube");
+
     private final HarmlessNames harmlessNames;
     /** The first reason found why the shape may change something, or null. */
     private String writeReason;
@@ -96,7 +98,7 @@
     public void enterInsert(InsertContext ctx) {
         markRowChange("INSERT", ctx);
         if (isOutermost(ctx)) {
-            collectInsertedColumns(ctx);
+            collectInsertedColumns(ctx.insertSource());
         }
     }
 
@@ -126,7 +128,11 @@
 
     @Override
     public void enterRelation(RelationContext ctx) {
-        String name = IdentifierRules.normalize(ctx.qname());
+        recordRelation(ctx.qname());
+    }
+
+    private void recordRelation(QnameContext qname) {
+        String name = IdentifierRules.normalize(qname);
         if (!cteNames.contains(name)) {
             relations.add(name);
         }
@@ -135,6 +141,20 @@
         }
     }
 
+    @Override
+    public void enterNamedSource(NamedSourceContext ctx) {
+        if (ctx.arguments() != null) {
+            recordCall(ctx.qname(), ctx);
+        } else if (ctx.FROM() == null) {
+            recordRelation(ctx.qname());
+        }
+    }
+
+    @Override
+    public void enterSourceCall(SourceCallContext ctx) {
+        recordCall(ctx.qname(), ctx);
+    }
+
     @Override
     public void enterJoin(JoinContext ctx) {
         joinCount++;
@@ -151,6 +171,11 @@
         hasLimit |= (ctx.LIMIT() != null && ctx.ALL() == null) || ctx.FETCH() != null;
     }
 
+    @Override
+    public void enterFetchCount(FetchCountContext ctx) {
+        checkOperators(ctx.OP());
+    }
+
     @Override
     public void enterSampling(SamplingContext ctx) {
         String name = IdentifierRules.normalize(ctx.name());
@@ -162,42 +187,61 @@
     // ---- expressions ----
 
     @Override
-    public void enterCall(CallContext ctx) {
-        String name = ctx.function().qname() == null
-                ? IdentifierRules.fold(ctx.function().getText())
-                : IdentifierRules.normalize(ctx.function().qname());
-        recordCall(name);
-        if (HarmlessNames.AGGREGATES.contains(name)) {
-            aggregateCount++;
+    public void enterNamed(NamedContext ctx) {
+        ReferenceContext reference = ctx.reference();
+        if (ctx.LITERAL() != null) {
+            checkType(IdentifierRules.normalize(reference));
+        } else if (ctx.arguments() == null) {
+            // A column may be a function call in another notation: row.f is f(row).
+            checkFunctionNotation(IdentifierRules.lastName(reference));
+        } else if (!isGroupingSets(ctx)) {
+            recordCall(reference == null ? keywordName(ctx) : IdentifierRules.normalize(reference));
         }
     }
 
+    /** Whether the call is ROLLUP or CUBE in a GROUP BY, which are no functions there. */
+    private static boolean isGroupingSets(NamedContext ctx) {
+        ParserRuleContext term = ctx.getParent();
+        ParserRuleContext expr = term.getParent();
+        return expr.getParent() instanceof GroupingContext
+                && term.getChildCount() == 1
+                && expr.getChildCount() == 1
+                && ctx.reference() != null
+                && ctx.reference().getChildCount() == 1
+                && GROUPING_SETS.contains(ctx.reference().getStart().getText());
+    }
+
+    @Override
+    public void enterFunctionCall(FunctionCallContext ctx) {
+        recordCall(IdentifierRules.normalize(ctx));
+    }
+
+    /** Records a call whose name is a qualified name, or the keyword LEFT or RIGHT with which the context begins. */
+    private void recordCall(QnameContext qname, ParserRuleContext ctx) {
+        recordCall(qname == null ? keywordName(ctx) : IdentifierRules.normalize(qname));
+    }
+
+    private static String keywordName(ParserRuleContext ctx) {
+        return IdentifierRules.fold(ctx.getStart().getText());
+    }
+
     private void recordCall(String name) {
         functions.add(name);
         mayChangeSession |= !harmlessNames.leavesSessionUnchanged(name);
         if (!harmlessNames.isHarmlessFunction(name)) {
             markAsWrite("function " + name + " is not known to change nothing");
         }
+        if (HarmlessNames.AGGREGATES.contains(name)) {
+            aggregateCount++;
+        }
     }
 
     @Override
     public void enterPrimary(PrimaryContext ctx) {
-        TerminalNode special = ctx.EXTRACT() != null
-                ? ctx.EXTRACT()
-                : ctx.SUBSTRING() != null
-                        ? ctx.SUBSTRING()
-                        : ctx.POSITION() != null ? ctx.POSITION() : ctx.OVERLAY() != null ? ctx.OVERLAY() : ctx.TRIM();
-        if (special != null) {
-            recordCall(IdentifierRules.fold(special.getText()));
+        switch (ctx.getStart().getType()) {
+            case Sql.EXTRACT, Sql.SUBSTRING, Sql.POSITION, Sql.OVERLAY, Sql.TRIM -> recordCall(keywordName(ctx));
+            default -> {}
         }
-        if (ctx.qname() != null) {
-            checkColumn(ctx.qname());
-        }
-    }
-
-    /** Checks for a function call in the notation of a column: {@code row.f} is {@code f(row)}. */
-    private void checkColumn(QnameContext name) {
-        checkFunctionNotation(IdentifierRules.normalize(name.name(name.name().size() - 1)));
     }
 
     private void checkFunctionNotation(String last) {
@@ -208,8 +252,8 @@
     }
 
     @Override
-    public void enterPostfix(PostfixContext ctx) {
-        if (ctx.DOT() != null && ctx.name() != null) {
+    public void enterAccessor(AccessorContext ctx) {
+        if (ctx.name() != null) {
             checkFunctionNotation(IdentifierRules.normalize(ctx.name()));
         }
     }
@@ -227,7 +271,16 @@
 
     @Override
     public void enterTerm(TermContext ctx) {
-        for (TerminalNode sign : ctx.OP()) {
+        checkOperators(ctx.OP());
+    }
+
+    @Override
+    public void enterPositionTerm(PositionTermContext ctx) {
+        checkOperators(ctx.OP());
+    }
+
+    private void checkOperators(List<TerminalNode> signs) {
+        for (TerminalNode sign : signs) {
             if (!harmlessNames.isHarmlessOperator(sign.getText())) {
                 markAsWrite("operator " + sign.getText() + " is not known to change nothing");
             }
@@ -236,8 +289,13 @@
 
     @Override
     public void enterTypeName(TypeNameContext ctx) {
-        String name = ctx.qname() == null ? "" : IdentifierRules.normalize(ctx.qname());
-        if (!name.isEmpty() && !harmlessNames.isHarmlessType(name)) {
+        if (ctx.qname() != null) {
+            checkType(IdentifierRules.normalize(ctx.qname()));
+        }
+    }
+
+    private void checkType(String name) {
+        if (!harmlessNames.isHarmlessType(name)) {
             markAsWrite("type " + name + " is not known to change nothing");
         }
     }
@@ -248,8 +306,8 @@
     public void enterWhere(WhereContext ctx) {
         ParserRuleContext owner = ctx.getParent();
         boolean isTopLevel = owner instanceof SelectContext select
-                ? select.getParent().getParent() instanceof BodyContext body
-                        && body.operand().size() == 1
+                ? select.getParent().getParent().getParent() instanceof BodyContext body
+                        && body.bodyRest().operand().isEmpty()
                         && isOutermost(body)
                 : isOutermost(owner);
         if (isTopLevel) {
@@ -257,71 +315,109 @@
         }
     }
 
-    /** Collects the columns compared with one literal, unless the condition contains an OR. */
-    private void collectComparisons(ExprContext all) {
-        if (all.binary().stream().anyMatch(b -> b.OR() != null)) {
-            return;
+    /**
+     * Collects the columns compared with one literal, unless the condition contains an OR. The children of the
+     * condition are its operands and, between them, its operators.
+     */
+    private void collectComparisons(ExprContext condition) {
+        for (BinaryContext binary : condition.binary()) {
+            if (binary.OR() != null) {
+                return;
+            }
         }
+        List<ParseTree> children = condition.children;
         int from = 0;
         boolean ranged = false;
-        for (int i = 0; i <= all.binary().size(); i++) {
-            if (i < all.binary().size() && all.binary(i).AND() == null) {
-                continue;
+        for (int i = 1; i <= children.size(); i += 2) {
+            BinaryContext binary = i < children.size() ? (BinaryContext) children.get(i) : null;
+            if (binary == null || binary.AND() != null) {
+                // The operand after the AND of a BETWEEN is the upper bound and no condition of its own.
+                if (i - from == 3 && !ranged && isEquality((BinaryContext) children.get(from + 1))) {
+                    collectComparison(children.get(from), children.get(from + 2));
+                    collectComparison(children.get(from + 2), children.get(from));
+                }
+                ranged = i - from > 1 && containsBetween(children, from, i);
+                from = i + 1;
             }
-            // The operand after the AND of a BETWEEN is the upper bound and no condition of its own.
-            if (i - from == 1
-                    && !ranged
-                    && all.binary(from).operator() != null
-                    && all.binary(from).operator().getText().equals("=")) {
-                collectComparison(all.term(from), all.term(from + 1));
-                collectComparison(all.term(from + 1), all.term(from));
-            }
-            ranged = false;
-            for (int j = from; j < i; j++) {
-                ranged |= all.binary(j).BETWEEN() != null;
+        }
+    }
+
+    private static boolean isEquality(BinaryContext binary) {
+        return binary.operator() != null && binary.operator().getText().equals("=");
+    }
+
+    private static boolean containsBetween(List<ParseTree> children, int from, int to) {
+        for (int i = from + 1; i < to; i += 2) {
+            if (((BinaryContext) children.get(i)).BETWEEN() != null) {
+                return true;
             }
-            from = i + 1;
         }
+        return false;
     }
 
-    private void collectComparison(TermContext column, TermContext literal) {
-        PrimaryContext name = column.getChildCount() == 1 ? column.primary() : null;
-        PrimaryContext value = literal.getChildCount() == 1 ? literal.primary() : null;
-        if (name != null && name.qname() != null && value != null && value.literal() != null) {
-            QnameContext qname = name.qname();
+    private void collectComparison(ParseTree column, ParseTree value) {
+        ReferenceContext reference = plainColumn(column);
+        LiteralContext literal = plainLiteral(value);
+        if (reference != null && literal != null) {
             literalPositions.putIfAbsent(
-                    IdentifierRules.normalize(qname.name(qname.name().size() - 1)),
-                    new LiteralPosition(value.literal().LITERAL().getSymbol().getTokenIndex(), 0, 1));
+                    IdentifierRules.lastName(reference),
+                    new LiteralPosition(literal.LITERAL().getSymbol().getTokenIndex(), 0, 1));
         }
     }
 
+    /** The column if the operand is nothing else; otherwise null. */
+    private static ReferenceContext plainColumn(ParseTree operand) {
+        NamedContext named = operand instanceof TermContext term && term.getChildCount() == 1 && term.named() != null
+                ? term.named()
+                : null;
+        ReferenceContext reference = named == null || named.getChildCount() > 1 ? null : named.reference();
+        return reference == null || !reference.STAR().isEmpty() ? null : reference;
+    }
+
+    /** The literal if the operand is nothing else; otherwise null. */
+    private static LiteralContext plainLiteral(ParseTree operand) {
+        return operand instanceof TermContext term && term.getChildCount() == 1 && term.primary() != null
+                ? term.primary().literal()
+                : null;
+    }
+
     /** Collects the columns of an INSERT with rows of values. */
-    private void collectInsertedColumns(InsertContext ctx) {
-        BodyContext body = ctx.query() == null ? null : ctx.query().body();
-        OperandContext operand = body == null || body.operand().size() > 1 ? null : body.operand(0);
-        if (operand == null || operand.VALUES() == null || operand.row().size() != 1) {
+    private void collectInsertedColumns(InsertSourceContext source) {
+        PlainOperandContext rows = insertedRows(source);
+        if (rows == null || rows.VALUES() == null || rows.row().size() != 1) {
             return;
         }
         insertsRows = true;
-        List<ExprContext> values = operand.row(0).exprs().expr();
-        List<Into_Context> columns = ctx.into_();
+        List<ExprContext> values = rows.row(0).exprs().expr();
+        List<Into_Context> columns = source.into_();
+        boolean listed = values.size() == 1 && columns.size() > 1;
         for (int i = 0; i < columns.size(); i++) {
-            boolean listed = values.size() == 1 && columns.size() > 1;
             ExprContext value = listed ? values.get(0) : i < values.size() ? values.get(i) : null;
-            PrimaryContext plainValue =
-                    value != null && value.getChildCount() == 1 && value.term(0).getChildCount() == 1
-                            ? value.term(0).primary()
-                            : null;
-            if (plainValue != null
-                    && plainValue.literal() != null
-                    && columns.get(i).getChildCount() == 1) {
+            LiteralContext literal =
+                    value != null && value.getChildCount() == 1 ? plainLiteral(value.getChild(0)) : null;
+            if (literal != null && columns.get(i).getChildCount() == 1) {
                 literalPositions.putIfAbsent(
-                        IdentifierRules.normalize(columns.get(i).name(0)),
+                        IdentifierRules.normalize(columns.get(i).columnName().getStart()),
                         new LiteralPosition(
-                                plainValue.literal().LITERAL().getSymbol().getTokenIndex(),
+                                literal.LITERAL().getSymbol().getTokenIndex(),
                                 listed ? i : 0,
                                 listed ? columns.size() : 1));
             }
         }
     }
+
+    /** The single, unbracketed operand of the query that an INSERT takes its rows from; null if it has another form. */
+    private static PlainOperandContext insertedRows(InsertSourceContext source) {
+        if (source.plainOperand() != null) {
+            return source.bodyRest().operand().isEmpty() ? source.plainOperand() : null;
+        }
+        QueryContext query = source.insertRows() == null
+                ? source.query()
+                : source.insertRows().query();
+        boolean bracketed = source.insertRows() == null && source.overriding() == null;
+        BodyContext body = source.body() != null ? source.body() : query == null || bracketed ? null : query.body();
+        return body == null || !body.bodyRest().operand().isEmpty()
+                ? null
+                : body.operand().plainOperand();
+    }
 }
