Read a row of operator characters once

Cause: signs at the end of a row of operator characters are operators of their own. The lexer looked for the end of the row again for each of them, which is quadratic.

Change: the end, and the last sign and other character before it, are found once.

Evidence and tests: lexerReadsLongOperatorsInTime failed before for two of six forms (over the 150 ms allowed) and passes. lexerEndsOperatorsAsServerDoes passes on both texts: operators end where they did.

--- a/statements/src/main/java/clayhook/statements/Lexer.java
+++ b/statements/src/main/java/clayhook/statements/Lexer.java
@@ -33,6 +33,12 @@
     private TokenBuffer tokens;
     private byte[] text;
     private int position;
+    /** The end of the latest characters of operators without another character or comment between them. */
+    private int operatorsEnd;
+    /** The last of these characters that lets an operator end in + or -; -1 if there is none. */
+    private int lastAllowingTrailingSign;
+    /** The last of these characters that is neither + nor -; -1 if there is none. */
+    private int lastOtherThanSign;
 
     /**
      * Creates a lexer.
@@ -50,6 +56,7 @@
         tokens = buffer;
         text = statement;
         position = 0;
+        operatorsEnd = 0;
         while (position < text.length && tokens.error == null) {
             scanToken();
         }
@@ -279,20 +286,11 @@
 
     private void scanOperator() {
         int start = position;
-        boolean allowsTrailingSign = false;
-        int end = position;
-        while (end < text.length && CHARACTER_CLASSES[text[end] & 0xff] == OPERATOR) {
-            int c = text[end];
-            int after = end + 1 < text.length ? text[end + 1] : 0;
-            if (end > start && ((c == '-' && after == '-') || (c == '/' && after == '*'))) {
-                break;
-            }
-            allowsTrailingSign |= ALLOWS_TRAILING_SIGN.indexOf(c) >= 0;
-            end++;
-        }
-        while (!allowsTrailingSign && end - start > 1 && (text[end - 1] == '+' || text[end - 1] == '-')) {
-            end--;
+        if (start >= operatorsEnd) {
+            findOperatorsEnd(start);
         }
+        boolean allowsTrailingSign = lastAllowingTrailingSign >= start;
+        int end = allowsTrailingSign ? operatorsEnd : Math.max(start, lastOtherThanSign) + 1;
         position = end;
         int c = text[start];
         boolean arrow = end - start == 2 && c == '=' && text[start + 1] == '>';
@@ -304,6 +302,28 @@
                 end);
     }
 
+    /**
+     * Finds the end of the characters of operators that begin here, which a comment ends too. They are several
+     * operators if signs at their end are operators of their own, so the result holds until that end and is found once.
+     */
+    private void findOperatorsEnd(int start) {
+        lastAllowingTrailingSign = -1;
+        lastOtherThanSign = -1;
+        int end = start;
+        while (end < text.length && CHARACTER_CLASSES[text[end] & 0xff] == OPERATOR && !startsComment(end)) {
+            int c = text[end];
+            lastAllowingTrailingSign = ALLOWS_TRAILING_SIGN.indexOf(c) >= 0 ? end : lastAllowingTrailingSign;
+            lastOtherThanSign = c == '+' || c == '-' ? lastOtherThanSign : end;
+            end++;
+        }
+        operatorsEnd = end;
+    }
+
+    private boolean startsComment(int i) {
+        int after = i + 1 < text.length ? text[i + 1] : 0;
+        return (text[i] == '-' && after == '-') || (text[i] == '/' && after == '*');
+    }
+
     private void scanPunctuation(int c) {
         int start = position++;
         int second = peek(0);
--- a/statements/src/test/java/clayhook/statements/ParseCostTest.java
+++ b/statements/src/test/java/clayhook/statements/ParseCostTest.java
@@ -3,9 +3,12 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.management.ManagementFactory;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -20,7 +23,9 @@
 import org.antlr.v4.runtime.misc.ParseCancellationException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The work and the memory that one statement costs, counted in steps and bytes. */
 class ParseCostTest {
@@ -29,6 +34,12 @@
     /** The working space that the classification of one statement may allocate, in bytes. */
     private static final long WORKING_SPACE = 2 << 20;
 
+    /** The longest message of a client, in bytes. */
+    private static final int LONGEST_MESSAGE = 160 << 10;
+
+    /** The time for which one message may hold up a router. */
+    private static final Duration HOLD_UP = Duration.ofMillis(150);
+
     private static final int DEEP = 36;
     private static final int WIDE = 200;
 
@@ -216,4 +227,36 @@
             return e.toString();
         }
     }
+
+    /** Guards against signs that are looked at again for each operator: 160 KB of them took minutes. */
+    @ParameterizedTest
+    @ValueSource(strings = {"+", "<+", "-+", "<", "@+", "/-"})
+    void lexerReadsLongOperatorsInTime(String operator) {
+        String text = "select 1 " + operator.repeat(LONGEST_MESSAGE / operator.length()) + " 1";
+        var tokens = new TokenBuffer();
+        assertTimeoutPreemptively(HOLD_UP, () -> new Lexer(true).lex(text.getBytes(UTF_8), tokens));
+        assertNull(tokens.error);
+    }
+
+    /** The operators are those of the server's rule: only some characters let an operator end in a sign. */
+    @ParameterizedTest
+    @CsvSource({
+        "+++, + + +",
+        "<+-+, < + - +",
+        "@+-, @+-",
+        "+@-<+, +@-<+",
+        "*-+/**/+<-, * - + +< -",
+        "<-- x, <",
+        "=+=-, =+= -",
+        "->>-, ->> -",
+        "<@-+ +, <@-+ +"
+    })
+    void lexerEndsOperatorsAsServerDoes(String text, String operators) {
+        var tokens = new TokenBuffer();
+        new Lexer(true).lex(text.getBytes(UTF_8), tokens);
+        String found = IntStream.range(0, tokens.size)
+                .mapToObj(i -> text.substring(tokens.starts[i], tokens.ends[i]))
+                .collect(Collectors.joining(" "));
+        assertEquals(operators, found);
+    }
 }
