Read the keys of inserted rows in one pass

What callers saw: where a rule's nodes_by names a column, an INSERT of 160 KB with 27,000 rows held up the event loop for longer than the 150 ms allowed.

Cause: for each row the classifier counted the elements of all rows, and walked to the row from the first one.

Change: the widths are compared once, and each row is found from the one before.

--- a/statements/src/main/java/clayhook/statements/Classifier.java
+++ b/statements/src/main/java/clayhook/statements/Classifier.java
@@ -213,7 +213,9 @@
     /** The text of the outcome key; null unless the statement has exactly one as a plain literal. */
     private String outcomeKey(ShapeFacts facts, String column) {
         LiteralPosition position = facts.literalPositions().get(column);
-        return position == null || shapeBuilder.rowCount(position.token()) > 1 ? null : literalText(facts, position, 0);
+        return position == null || shapeBuilder.rowCount(position.token()) > 1 || !hasExpectedWidth(facts, position)
+                ? null
+                : literalText(position, shapeBuilder.firstRow(position.token()));
     }
 
     private Classification applyPlacement(ShapeFacts facts, Classification classification, Placement placement) {
@@ -226,12 +228,15 @@
         if (position == null) {
             return classification.refused("no literal for " + placement.column() + ", which tells the group of nodes");
         }
+        boolean hasExpectedWidth = hasExpectedWidth(facts, position);
         int chosen = -1;
-        for (int row = 0; row < Math.max(1, shapeBuilder.rowCount(position.token())); row++) {
-            String key = literalText(facts, position, row);
+        int row = shapeBuilder.firstRow(position.token());
+        for (int rows = Math.max(1, shapeBuilder.rowCount(position.token())); rows > 0; rows--) {
+            String key = hasExpectedWidth ? literalText(position, row) : null;
             if (key == null) {
                 return classification.refused("the literal for " + placement.column() + " is in no plain form");
             }
+            row = rows > 1 ? shapeBuilder.nextRow(tokens, row) : row;
             long hash = HASHER.hashBytesTo128Bits(key.getBytes(StandardCharsets.UTF_8))
                     .getAsLong();
             int replicaSetId = placement.replicaSetIds().get((int)
@@ -244,11 +249,13 @@
         return classification.withReplicaSet(chosen);
     }
 
-    /** The literal at this position of the current statement: digits or the text of a string; null if it is neither. */
-    private String literalText(ShapeFacts facts, LiteralPosition position, int row) {
-        if (facts.insertsRows() && shapeBuilder.rowWidth(tokens, position.token()) != position.width()) {
-            return null;
-        }
+    /** Whether each row of the current statement has as many elements as the shape has columns. */
+    private boolean hasExpectedWidth(ShapeFacts facts, LiteralPosition position) {
+        return !facts.insertsRows() || shapeBuilder.rowWidth(tokens, position.token()) == position.width();
+    }
+
+    /** The literal in the row that begins at this token: digits or the text of a string; null if it is neither. */
+    private String literalText(LiteralPosition position, int row) {
         int i = shapeBuilder.elementToken(tokens, position.token(), row, position.element());
         return i < 0 || tokens.kinds[i] != Kind.LITERAL
                 ? null
--- a/statements/src/main/java/clayhook/statements/ShapeBuilder.java
+++ b/statements/src/main/java/clayhook/statements/ShapeBuilder.java
@@ -136,18 +136,32 @@
         return rowCounts[placeholder];
     }
 
-    /** The index of the literal token of a statement at this row and element of a placeholder; -1 if there is none. */
+    /**
+     * The index of the first token behind a placeholder: that of its literal, or of the first literal of its first
+     * list.
+     */
+    int firstRow(int placeholder) {
+        return sourceTokens[placeholder];
+    }
+
+    /** The index of the first literal of the list after the one in which the token {@code row} is. */
+    int nextRow(TokenBuffer statement, int row) {
+        int i = row;
+        while (i < statement.size && statement.kinds[i] != Kind.RP) {
+            i++;
+        }
+        return i + 3;
+    }
+
+    /**
+     * The index of the literal token of a statement at this element of the list that begins at {@code row}; -1 if there
+     * is none. A single literal that is in no list has only the element 0.
+     */
     int elementToken(TokenBuffer statement, int placeholder, int row, int element) {
-        int i = sourceTokens[placeholder];
         if (rowCounts[placeholder] == 0) {
-            return row == 0 && element == 0 ? i : -1;
-        }
-        for (int r = 0; r < row; r++) {
-            while (i < statement.size && statement.kinds[i] != Kind.RP) {
-                i++;
-            }
-            i += 3;
+            return element == 0 ? row : -1;
         }
+        int i = row;
         for (int e = 0; e < element && i < statement.size; i++) {
             if (statement.kinds[i] == Kind.RP) {
                 return -1;
--- a/statements/src/test/java/clayhook/statements/ClassifierTest.java
+++ b/statements/src/test/java/clayhook/statements/ClassifierTest.java
@@ -4,9 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import clayhook.statements.Rule.Placement;
+import java.time.Duration;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
@@ -359,6 +361,24 @@
                 StatementEffect.REFUSED, classify(rulesWithPlacement(), text).verdict());
     }
 
+    /**
+     * Guards against rows that are read from the first one again for each row, which held up the router for seconds.
+     */
+    @Test
+    void readsKeysOfManyRowsInTime() {
+        var classifier = new Classifier(rulesWithPlacement(), 1);
+        String row = "insert into t (key, a) values (1,1)";
+        String rows = row + ",(1,1)".repeat((160 << 10) / ",(1,1)".length());
+        Classification single = classify(classifier, row);
+        Classification many = assertTimeoutPreemptively(Duration.ofMillis(150), () -> classify(classifier, rows));
+        assertEquals(StatementEffect.WRITE, many.verdict());
+        assertEquals(single.replicaSetId(), many.replicaSetId());
+        assertEquals(
+                StatementEffect.REFUSED, classify(classifier, rows + ",(2,1)").verdict());
+        assertEquals(
+                StatementEffect.REFUSED, classify(classifier, rows + ",(1)").verdict());
+    }
+
     @Test
     void distributesKeysOverAllReplicaSets() {
         var classifier = new Classifier(rulesWithPlacement(), 1);
