Judge a node's error by all attempts before a client gets it

Cause: the policy decided to fail the request, but ClientResponder answered with the error of the last attempt, whatever earlier ones may have done.

Change: FinalAnswerPolicy decides, from all attempts, whether a request may be rejected (moved from RoutingPolicy) and whether a node's error may be passed on; otherwise the client gets 40003. This holds for errors that end a request at once (40001, 23505), errors kept for its end, a node's own 57P03 and rejected session settings.

Why it works: the answer no longer depends on which attempt ended last.

--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -270,15 +270,10 @@
 
     /** Ends a request that is not served: rejects it with a Retry-After if a retry is safe, otherwise fails it. */
     public Decision rejectOrFail(Request request) {
-        // Safe: idempotent requests, requests that were not executed, and requests with a key that all nodes know.
-        boolean safe = request.idempotency() == Idempotency.IDEMPOTENT
-                || request.firstPossiblyExecutedAttempt() == null
-                || (request.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY
-                        && request.requestClass.deduplicationScope() == DeduplicationScope.ALL);
         double fraction = MIN_RETRY_AFTER_FRACTION + RETRY_AFTER_JITTER_FRACTION * random.nextDouble();
         double retryAfter = request.latencyObjectiveSeconds() * fraction;
         retryAfter = Math.min(settings.maxRetryAfterSeconds(), retryAfter);
-        RoutingAction action = safe ? RoutingAction.REJECT : RoutingAction.FAIL;
+        RoutingAction action = FinalAnswerPolicy.mayReject(request) ? RoutingAction.REJECT : RoutingAction.FAIL;
         return Decision.end(action, retryAfter, cancellableAttempts(request));
     }
 
--- a/daemon/src/main/java/clayhook/backend/AttemptCompletion.java
+++ b/daemon/src/main/java/clayhook/backend/AttemptCompletion.java
@@ -48,7 +48,9 @@
         }
     }
 
-    /** The router itself provides the final answer, which consists of {@code messages}. */
+    /**
+     * The router itself provides the final answer, which consists of {@code messages} and says that the request ran.
+     */
     record LocalAnswer(List<byte[]> messages) implements AttemptCompletion {
         @Override
         public AttemptOutcome outcome() {
@@ -56,6 +58,14 @@
         }
     }
 
+    /** The node rejected the session settings that the request needs, so that the request was not sent to it. */
+    record SettingsRejected(String sqlState, byte[] error) implements AttemptCompletion {
+        @Override
+        public AttemptOutcome outcome() {
+            return AttemptOutcome.ANSWERED;
+        }
+    }
+
     /** The node sent data that violates the protocol; the node is up, and the statement may have run. */
     record ProtocolViolation() implements AttemptCompletion {
         @Override
--- a/daemon/src/main/java/clayhook/backend/BackendClient.java
+++ b/daemon/src/main/java/clayhook/backend/BackendClient.java
@@ -316,17 +316,28 @@
         requests.remove(request.attempt);
         boolean forwardsError =
                 completion instanceof AttemptCompletion.NodeError && connection != null && request.hasFreeFormResult();
+        boolean isAnswer = completion instanceof AttemptCompletion.Answered;
         listener.onAttemptFinished(
                 request.attempt,
                 result,
                 messagesForClient(completion, connection, forwardsError),
-                forwardsError ? connection.sqlState() : null);
+                errorOf(completion, forwardsError || isAnswer ? connection : null));
+    }
+
+    /** The SQLSTATE of an error that says that the attempt had no effect, or null. */
+    private static String errorOf(AttemptCompletion completion, NodeConnection connection) {
+        if (completion instanceof AttemptCompletion.SettingsRejected rejected) {
+            return rejected.sqlState();
+        }
+        return connection == null ? null : connection.sqlState();
     }
 
     private static List<byte[]> messagesForClient(
             AttemptCompletion completion, NodeConnection connection, boolean forwardsError) {
         if (completion instanceof AttemptCompletion.LocalAnswer local) {
             return local.messages();
+        } else if (completion instanceof AttemptCompletion.SettingsRejected rejected) {
+            return List.of(rejected.error());
         }
         boolean answered = forwardsError || completion instanceof AttemptCompletion.Answered;
         return answered ? connection.answerMessages() : null;
--- a/daemon/src/main/java/clayhook/backend/ConnectionPool.java
+++ b/daemon/src/main/java/clayhook/backend/ConnectionPool.java
@@ -166,7 +166,9 @@
      * @param requestedSettings the requested settings
      */
     void onSettingsChanged(
-            NodeConnection connection, AttemptCompletion.LocalAnswer refusal, Map<String, String> requestedSettings) {
+            NodeConnection connection,
+            AttemptCompletion.SettingsRejected refusal,
+            Map<String, String> requestedSettings) {
         BackendRequest refused = refusal == null ? null : firstWaitingFor(requestedSettings);
         if (refused != null) {
             waiting.remove(refused);
--- a/daemon/src/main/java/clayhook/backend/NodeConnection.java
+++ b/daemon/src/main/java/clayhook/backend/NodeConnection.java
@@ -67,7 +67,7 @@
     /** The settings of the change in progress. */
     private Map<String, String> requestedSettings = Map.of();
     /** The error message with which the node rejected {@link #requestedSettings}, or null. */
-    private byte[] settingsError;
+    private NodeMessage.ErrorResponse settingsError;
     /** The SQLSTATE of an error during startup, or null. */
     private String startupSqlState;
 
@@ -240,7 +240,7 @@
     /** Handles a message of the answer to a change of session settings. An error reverts all settings of the change. */
     private void onSettingsMessage(Object message) {
         if (message instanceof NodeMessage.ErrorResponse error) {
-            settingsError = error.message();
+            settingsError = error;
         } else if (message instanceof NodeMessage.ReadyForQuery) {
             onSettingsAnswered();
         } else if (!isPartOfSettingsAnswer(message)) {
@@ -257,8 +257,9 @@
     private void onSettingsAnswered() {
         state = State.IDLE;
         Map<String, String> requested = requestedSettings;
-        AttemptCompletion.LocalAnswer refusal =
-                settingsError == null ? null : new AttemptCompletion.LocalAnswer(List.of(settingsError));
+        AttemptCompletion.SettingsRejected refusal = settingsError == null
+                ? null
+                : new AttemptCompletion.SettingsRejected(settingsError.sqlState(), settingsError.message());
         settings = refusal == null ? requested : settings;
         onReadComplete = () -> sendBarrier(() -> pool.onSettingsChanged(this, refusal, requested));
     }
--- a/daemon/src/main/java/clayhook/frontend/ClientRequest.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientRequest.java
@@ -1,5 +1,6 @@
 package clayhook.frontend;
 
+import clayhook.Attempt;
 import clayhook.Request;
 import clayhook.RequestClass;
 import clayhook.protocol.KeyValueStatement;
@@ -21,8 +22,15 @@
     public final Classification classification;
     /** The key under which routers share the write outcome of the request; null if it has none. */
     public final String outcomeKey;
-    /** The last error of a node, which is sent to the client if there is no other response; null if there was none. */
-    public List<byte[]> lastNodeError;
+    /** The error with which the last attempt ended; null if it ended without one. */
+    public NodeError lastNodeError;
+
+    /**
+     * An error that a node sent in answer to an attempt.
+     *
+     * @param messages the unchanged messages of the node
+     */
+    public record NodeError(Attempt attempt, String sqlState, List<byte[]> messages) {}
 
     /**
      * Creates the request of a key-value statement.
--- a/daemon/src/main/java/clayhook/protocol/SqlState.java
+++ b/daemon/src/main/java/clayhook/protocol/SqlState.java
@@ -26,5 +26,15 @@
     /** An internal error of the router. */
     public static final String INTERNAL_ERROR = "XX000";
 
+    /** The class of errors after which a transaction has been rolled back and may be repeated as a whole. */
+    private static final String TRANSACTION_ROLLBACK_CLASS = "40";
+
     private SqlState() {}
+
+    /** Whether clients take this error as leave to send the statement again. */
+    public static boolean isRefusal(String sqlState) {
+        return sqlState.equals(TOO_MANY_CONNECTIONS)
+                || sqlState.equals(CANNOT_CONNECT_NOW)
+                || sqlState.startsWith(TRANSACTION_ROLLBACK_CLASS);
+    }
 }
--- a/daemon/src/main/java/clayhook/serve/AttemptResults.java
+++ b/daemon/src/main/java/clayhook/serve/AttemptResults.java
@@ -61,9 +61,10 @@
             return;
         }
         boolean isAnswer = result.outcome() == AttemptOutcome.ANSWERED && !request.completed;
-        request.lastNodeError = isAnswer ? null : answer;
+        request.lastNodeError =
+                isAnswer || answer == null ? null : new ClientRequest.NodeError(attempt, sqlState, answer);
         if (isAnswer) {
-            responder.holdAnswer(request, answer);
+            responder.holdAnswer(request, attempt, answer, sqlState);
         }
         if (request.classification != null && isAnswer) {
             sqlRequests.onAnswered(request, result, now);
--- a/daemon/src/main/java/clayhook/serve/ClientResponder.java
+++ b/daemon/src/main/java/clayhook/serve/ClientResponder.java
@@ -1,10 +1,13 @@
 package clayhook.serve;
 
+import clayhook.Attempt;
 import clayhook.Decision;
 import clayhook.Decision.RoutingAction;
+import clayhook.FinalAnswerPolicy;
 import clayhook.frontend.ClientRequest;
 import clayhook.frontend.ClientSession;
 import clayhook.metrics.EventCounters;
+import clayhook.protocol.SqlState;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,7 +22,18 @@
      * Answers of nodes by request, held until the routing policy has processed the attempt. Each is removed at the end
      * of the tick in which it was added.
      */
-    private final Map<ClientRequest, List<byte[]>> answers = new HashMap<>();
+    private final Map<ClientRequest, HeldAnswer> answers = new HashMap<>();
+
+    /** An answer that is sent when the routing policy has ended the request. */
+    private sealed interface HeldAnswer {
+        /** The unchanged messages of a node. */
+        record OfNode(List<byte[]> messages) implements HeldAnswer {}
+
+        /**
+         * A node's error would tell the client that the request had no effect, but an earlier attempt may have had one.
+         */
+        record InDoubt() implements HeldAnswer {}
+    }
 
     /**
      * Creates a responder.
@@ -34,34 +48,56 @@
         this.clientsHonorRetryAfter = clientsHonorRetryAfter;
     }
 
-    /** Stores the messages of a node's answer until {@link #conclude} is called for the request. */
-    void holdAnswer(ClientRequest request, List<byte[]> answer) {
-        answers.put(request, answer);
+    /**
+     * Stores the messages of a node's answer to an attempt until {@link #conclude} is called for the request.
+     *
+     * @param sqlState the SQLSTATE if the answer is an error, which says that the attempt had no effect; otherwise null
+     */
+    void holdAnswer(ClientRequest request, Attempt attempt, List<byte[]> answer, String sqlState) {
+        boolean mayReport = sqlState == null || mayReportError(request, attempt, sqlState);
+        answers.put(request, mayReport ? new HeldAnswer.OfNode(answer) : new HeldAnswer.InDoubt());
+    }
+
+    private boolean mayReportError(ClientRequest request, Attempt attempt, String sqlState) {
+        boolean mayReport = FinalAnswerPolicy.mayReportError(request, attempt, SqlState.isRefusal(sqlState));
+        if (!mayReport) {
+            counters.increment("error replaced by in doubt");
+        }
+        return mayReport;
     }
 
     /** Answers a request whose decision is final: any action other than {@link RoutingAction#SEND}. */
     void conclude(ClientRequest request, Decision decision) {
         RoutingAction action = decision.action();
-        if (action != RoutingAction.DONE) {
+        HeldAnswer answer = answers.remove(request);
+        if (action != RoutingAction.DONE || answer instanceof HeldAnswer.InDoubt) {
             peers.onRequestAbandoned(request);
         }
         counters.increment(action + " " + request.requestClass.name());
-        List<byte[]> answer = answers.remove(request);
         if (openRequests.remove(request)) {
             respond(request, decision, answer);
         }
     }
 
-    private void respond(ClientRequest request, Decision decision, List<byte[]> answer) {
+    private void respond(ClientRequest request, Decision decision, HeldAnswer answer) {
         ClientSession session = request.clientSession;
-        if (answer != null) {
-            session.respondWithResult(answer);
+        if (answer instanceof HeldAnswer.OfNode ofNode) {
+            session.respondWithResult(ofNode.messages());
+        } else if (answer instanceof HeldAnswer.InDoubt) {
+            session.respondInDoubt();
         } else if (decision.action() == RoutingAction.REJECT) {
             session.respondRejected(clientsHonorRetryAfter ? decision.retryAfterSeconds() : 0);
-        } else if (decision.action() == RoutingAction.FAIL && request.lastNodeError != null) {
-            session.respondWithResult(request.lastNodeError);
         } else if (decision.action() == RoutingAction.FAIL) {
-            session.respondInDoubt();
+            respondFailed(request, request.lastNodeError);
+        }
+    }
+
+    /** Responds with the error of the last attempt, unless it says less than what may have happened. */
+    private void respondFailed(ClientRequest request, ClientRequest.NodeError error) {
+        if (error != null && mayReportError(request, error.attempt(), error.sqlState())) {
+            request.clientSession.respondWithResult(error.messages());
+        } else {
+            request.clientSession.respondInDoubt();
         }
     }
 }
--- a/daemon/src/main/java/clayhook/serve/OpenRequests.java
+++ b/daemon/src/main/java/clayhook/serve/OpenRequests.java
@@ -1,6 +1,5 @@
 package clayhook.serve;
 
-import clayhook.Request;
 import clayhook.frontend.ClientRequest;
 import clayhook.frontend.ClientSession;
 import clayhook.inflight.AbandonedRequestIds;
@@ -100,9 +99,4 @@
         failing = true;
         inFlight.rejectOrFailAll();
     }
-
-    /** Whether a node may have executed an attempt of the request. */
-    static boolean mayHaveRun(Request request) {
-        return request.attempts.stream().anyMatch(attempt -> attempt.outcome == null || !attempt.outcome.notExecuted);
-    }
 }
--- a/daemon/src/main/java/clayhook/serve/PeerReporter.java
+++ b/daemon/src/main/java/clayhook/serve/PeerReporter.java
@@ -3,6 +3,7 @@
 import clayhook.Attempt;
 import clayhook.AttemptOutcome;
 import clayhook.AttemptResult;
+import clayhook.FinalAnswerPolicy;
 import clayhook.Node;
 import clayhook.Request;
 import clayhook.RequestClass;
@@ -108,7 +109,7 @@
         if (sharing != null
                 && request.requestClass.consistency() == ConsistencyLevel.WRITE
                 && request.requestClass.idempotency() != Idempotency.IDEMPOTENT
-                && OpenRequests.mayHaveRun(request)) {
+                && FinalAnswerPolicy.mayHaveBeenExecuted(request)) {
             sharing.recordWriteOutcome((ClientRequest) request, null, clock.now());
         }
     }
--- a/daemon/src/main/java/clayhook/serve/RequestAdmission.java
+++ b/daemon/src/main/java/clayhook/serve/RequestAdmission.java
@@ -1,5 +1,6 @@
 package clayhook.serve;
 
+import clayhook.FinalAnswerPolicy;
 import clayhook.RequestClass;
 import clayhook.RequestClass.ConsistencyLevel;
 import clayhook.RequestClass.Idempotency;
@@ -167,7 +168,7 @@
         inbox.add(now -> {
             peers.onRequestAbandoned(request);
             openRequests.releaseId(request.requestId);
-            request.clientSession.respondCancelled(OpenRequests.mayHaveRun(request));
+            request.clientSession.respondCancelled(FinalAnswerPolicy.mayHaveBeenExecuted(request));
         });
     }
 }
--- a/daemon/src/test/java/clayhook/sql/ScriptedSqlNode.java
+++ b/daemon/src/test/java/clayhook/sql/ScriptedSqlNode.java
@@ -89,6 +89,9 @@
         connections.forEach(Channel::close);
     }
 
+    /** The node rejects settings that contain this text. */
+    volatile String rejectedSettings = "'Mars'";
+
     private final String role;
     private final Function<String, Reaction> script;
     private final Channel serverChannel;
@@ -137,7 +140,7 @@
             } else if (text.startsWith("SET ") || text.startsWith("RESET ")) {
                 settingStatements.add(text);
                 ctx.writeAndFlush(
-                        text.contains("'Mars'")
+                        text.contains(rejectedSettings)
                                 ? MessageEncoder.error(false, "22023", "no such zone", null)
                                 : MessageEncoder.commandComplete("SET", null, null));
             } else {
--- a/daemon/src/test/java/clayhook/sql/SqlRoutingTest.java
+++ b/daemon/src/test/java/clayhook/sql/SqlRoutingTest.java
@@ -241,6 +241,54 @@
         }
     }
 
+    /**
+     * Guards against a later attempt's error that tells the client of no effect although an earlier attempt, whose
+     * connection was reset, had one: the client would send the statement again.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"53300", "57P03", "40001", "40P01", "23505", "25006", "72000", "57014", "XX000"})
+    void reportsErrorBehindPossibleExecutionAsInDoubt(String code) throws Exception {
+        String text = "insert into posts (id, a) values (1, 2)";
+        var sent = new AtomicInteger();
+        start(
+                any -> sent.incrementAndGet() == 1
+                        ? new Reaction(Reaction.Kind.RESET_AFTER, null, null)
+                        : Reaction.error(code),
+                always(Reaction.error("25006")));
+        try (SqlClient client = client()) {
+            assertEquals("E(40003)", client.query(text));
+            assertEquals(1, executionCount(text));
+            assertTrue(sent.get() > 1);
+        }
+    }
+
+    /** Guards against a refusal, in the words of a node, of a statement that this node may have executed. */
+    @Test
+    void reportsNodesRefusalAfterPossibleExecutionAsInDoubt() throws Exception {
+        start(always(Reaction.error("57P03")), always(Reaction.tag("R")));
+        try (SqlClient client = client()) {
+            assertEquals("E(40003)", client.query("delete from t"));
+            assertEquals("E(40003)", client.query("insert into posts (id, a) values (1, 2)"));
+        }
+    }
+
+    /** A rejection of the settings that a statement needs proves nothing about an earlier attempt of it. */
+    @Test
+    void reportsRejectedSettingsBehindPossibleExecutionAsInDoubt() throws Exception {
+        String text = "insert into posts (id, a) values (1, 2)";
+        start(
+                any -> {
+                    nodes.get(0).rejectedSettings = "extra_float_digits";
+                    return new Reaction(Reaction.Kind.RESET_AFTER, null, null);
+                },
+                always(Reaction.tag("R")));
+        try (SqlClient client = client()) {
+            assertEquals("C(SET)", client.query("SET extra_float_digits = 3"));
+            assertEquals("E(40003)", client.query(text));
+            assertEquals(1, executionCount(text));
+        }
+    }
+
     /** The view calls a function that writes, which only the error of the replica reveals, not the statement text. */
     @Test
     void reclassifiesStatementAsWriteAfterReplicaRefusesIt() throws Exception {
