Do not send a read again as a write after it may have been executed

What callers saw: with statements of any kind on, a statement taken for a read that writes (a view that calls a function) could run twice: once before its connection was reset, and once as the write that the router made of it when the next node refused it with 25006.

Cause: the restart ends the request and admits a new one, which knows nothing of the attempts before.

Change: if another attempt may have been executed, and the new class is not idempotent, the client gets 40003 and nothing is sent.

Why it works: all attempts of the old request are asked before it ends.

--- a/core/src/main/java/clayhook/FinalAnswerPolicy.java
+++ b/core/src/main/java/clayhook/FinalAnswerPolicy.java
@@ -45,6 +45,18 @@
         return (!executedByOther && !executedByThis) || isDeduplicatedByAllNodes(request);
     }
 
+    /**
+     * Whether a request that a node refused may end, and the same statement be admitted as a new request, which knows
+     * nothing of earlier attempts.
+     *
+     * @param refused the attempt that the node refused to execute
+     * @param newClass the request class of the new request; null if it is rejected instead
+     */
+    public static boolean mayStartAnew(Request request, Attempt refused, RequestClass newClass) {
+        return (newClass != null && newClass.idempotency() == Idempotency.IDEMPOTENT)
+                || request.attempts.stream().noneMatch(other -> other != refused && mayHaveBeenExecuted(other));
+    }
+
     private static boolean mayHaveBeenExecuted(Attempt attempt) {
         return attempt.outcome == null || !attempt.outcome.notExecuted;
     }
--- a/core/src/test/java/clayhook/FinalAnswerPolicyTest.java
+++ b/core/src/test/java/clayhook/FinalAnswerPolicyTest.java
@@ -64,4 +64,15 @@
         only.outcome = null;
         assertEquals(true, FinalAnswerPolicy.mayReportError(request, only, true));
     }
+
+    @ParameterizedTest
+    @EnumSource(AttemptOutcome.class)
+    void requestStartsAnewOnlyIfNoOtherAttemptMayHaveBeenExecuted(AttemptOutcome earlier) {
+        Request read = request(Idempotency.IDEMPOTENT, DeduplicationScope.REPLICA_SET);
+        addAttempt(read, earlier);
+        Attempt refused = addAttempt(read, null);
+        RequestClass write = request(Idempotency.NON_IDEMPOTENT, DeduplicationScope.ALL).requestClass;
+        assertEquals(earlier.notExecuted, FinalAnswerPolicy.mayStartAnew(read, refused, write));
+        assertEquals(true, FinalAnswerPolicy.mayStartAnew(read, refused, read.requestClass));
+    }
 }
--- a/daemon/src/main/java/clayhook/serve/SqlRequests.java
+++ b/daemon/src/main/java/clayhook/serve/SqlRequests.java
@@ -3,6 +3,7 @@
 import clayhook.Attempt;
 import clayhook.AttemptOutcome;
 import clayhook.AttemptResult;
+import clayhook.FinalAnswerPolicy;
 import clayhook.RequestClass.ConsistencyLevel;
 import clayhook.frontend.ClientRequest;
 import clayhook.frontend.ClientSession;
@@ -73,7 +74,10 @@
         loop.execute(() -> session.respondWithError(rejected.sqlState(), rejected.reason()));
     }
 
-    /** Ends a request that a node refused to run as a read, without answering it, and admits it again as a write. */
+    /**
+     * Ends a request that a node refused to run as a read, without answering it, and admits it again as a write. If
+     * another attempt may have been executed, the write may have had its effect, and the client is told so instead.
+     */
     void restartAsWrite(ClientRequest request, Attempt attempt, AttemptResult result, double now) {
         ClientSession session = request.clientSession;
         AdmissionResult admission = sql.admission()
@@ -85,7 +89,14 @@
                         session.settings().values());
         openRequests.remove(session);
         inFlight.onAttemptFinished(attempt, withAnsweredOutcome(result), true, now);
-        if (admission instanceof AdmissionResult.Admitted admitted) {
+        boolean mayStartAnew = FinalAnswerPolicy.mayStartAnew(
+                request,
+                attempt,
+                admission instanceof AdmissionResult.Admitted admitted ? admitted.requestClass() : null);
+        if (!mayStartAnew) {
+            counters.increment("restart replaced by in doubt");
+            loop.execute(session::respondInDoubt);
+        } else if (admission instanceof AdmissionResult.Admitted admitted) {
             admit(admitted, session, request.deadline - now, now);
         } else {
             refuse(session, admission);
--- a/daemon/src/test/java/clayhook/sql/SqlRoutingTest.java
+++ b/daemon/src/test/java/clayhook/sql/SqlRoutingTest.java
@@ -310,6 +310,29 @@
         }
     }
 
+    /**
+     * Guards against a read that turns out to write and is sent once more as a write, as if it were new, although an
+     * earlier attempt of it may have been executed.
+     */
+    @Test
+    void doesNotRestartReadAsWriteAfterPossibleExecution() throws Exception {
+        String text = "select * from v_next where a = 1";
+        var refusals = new AtomicInteger();
+        start(always(Reaction.tag("W")), any -> {
+            if (executionCount(text) == 0) {
+                return new Reaction(Reaction.Kind.RESET_AFTER, null, null);
+            }
+            refusals.incrementAndGet();
+            return Reaction.error("25006");
+        });
+        try (SqlClient client = client()) {
+            assertEquals("E(40003)", client.query(text));
+            assertEquals(1, executionCount(text));
+            assertEquals(1, refusals.get());
+            assertEquals("C(W)", client.query("select * from v_next where a = 2"));
+        }
+    }
+
     /**
      * If the router and a node parse escapes in string literals differently, text that the router takes for a string
      * literal may be executed as SQL by the node.
