Classify long statements one at a time, with rests between them

Cause: what one message costs was bounded, but an iteration handled one of each client that had one.

Change: a statement of over 8 KiB waits in LongStatementQueue, which classifies one in an iteration and leaves the loop free behind it for as long as it took. The wait counts against the statement's timeout. A fault ends the session, as before.

Tests: leavesLoopFreeForAsLongAsEachStatementTakes in virtual time (new class), answersLongStatementsOfSeveralClients.

--- a/daemon/src/main/java/clayhook/serve/RequestAdmission.java
+++ b/daemon/src/main/java/clayhook/serve/RequestAdmission.java
@@ -32,6 +32,7 @@
     private final Executor loop;
     private final EventInbox inbox;
     private final BackendClient backend;
+    private final LongStatementQueue longStatements;
     private final InFlightRequests inFlight;
     private final OpenRequests openRequests;
     private final SqlRequests sqlRequests;
@@ -43,6 +44,7 @@
     RequestAdmission(
             Executor loop,
             EventInbox inbox,
+            LongStatementQueue longStatements,
             BackendClient backend,
             InFlightRequests inFlight,
             OpenRequests openRequests,
@@ -52,6 +54,7 @@
             List<RequestClass> requestClasses) {
         this.loop = loop;
         this.inbox = inbox;
+        this.longStatements = longStatements;
         this.backend = backend;
         this.inFlight = inFlight;
         this.openRequests = openRequests;
@@ -117,17 +120,52 @@
 
     @Override
     public void onSqlStatement(ClientSession session, byte[] text) {
+        if (LongStatementQueue.isLong(text.length)) {
+            inbox.add(arrivedAt -> longStatements.add(() -> classifyLong(session, text, arrivedAt)));
+        } else {
+            classifyAndAdmit(session, text, 0);
+        }
+    }
+
+    /**
+     * Classifies a statement that has waited for it. A fault ends the session, as one in handling its message would.
+     */
+    private void classifyLong(ClientSession session, byte[] text, double arrivedAt) {
+        if (session.isClientGone()) {
+            counters.increment("disconnected");
+            return;
+        }
+        try {
+            classifyAndAdmit(session, text, arrivedAt);
+        } catch (RuntimeException | Error e) {
+            session.onException();
+            throw e;
+        }
+    }
+
+    /**
+     * Classifies a statement, and admits or refuses it.
+     *
+     * @param arrivedAt when it arrived, if it has waited to be classified; otherwise 0
+     */
+    private void classifyAndAdmit(ClientSession session, byte[] text, double arrivedAt) {
         AdmissionResult result = sqlRequests.classify(session, text);
         if (result instanceof AdmissionResult.Admitted admitted && backend.hasReplicaSet(admitted.replicaSetId())) {
             counters.increment(admitted.classification().verdict() + " "
                     + admitted.classification().rule());
-            inbox.add(arrivedAt -> runOnceCloseIsKnown(
-                    session, arrivedAt, now -> sqlRequests.admit(admitted, session, admitted.timeoutSeconds(), now)));
+            inbox.add(classifiedAt -> runOnceCloseIsKnown(session, classifiedAt, now -> {
+                double waited = arrivedAt == 0 ? 0 : classifiedAt - arrivedAt;
+                sqlRequests.admit(admitted, session, timeoutSeconds(admitted) - waited, now);
+            }));
         } else {
             sqlRequests.refuse(session, result);
         }
     }
 
+    private static double timeoutSeconds(AdmissionResult.Admitted admitted) {
+        return Math.min(admitted.timeoutSeconds(), admitted.requestClass().clientTimeoutSeconds());
+    }
+
     @Override
     public void onClientGone(ClientSession session) {
         inbox.add(now -> {
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -21,6 +21,7 @@
 import clayhook.transport.Transport;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The event loop of a router. Each tick applies the events received since the last one, requests the decisions of the
@@ -109,6 +110,7 @@
                 new RequestAdmission(
                         loop,
                         inbox,
+                        new LongStatementQueue(this::schedule, System::nanoTime),
                         backend,
                         inFlight,
                         openRequests,
@@ -122,6 +124,11 @@
         peers.start();
     }
 
+    @SuppressWarnings("FutureReturnValueIgnored") // nothing waits for the task
+    private void schedule(Runnable task, long delayNanos) {
+        loop.schedule(task, delayNanos, TimeUnit.NANOSECONDS);
+    }
+
     private void tick() {
         double now = clock.now();
         inbox.onTickStarted();
--- /dev/null
+++ b/daemon/src/test/java/clayhook/serve/LongStatementQueueTest.java
@@ -0,0 +1,74 @@
+package clayhook.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import org.junit.jupiter.api.Test;
+
+/** The queue in virtual time, on a loop that runs one due task after the other. */
+class LongStatementQueueTest {
+    private static final long MILLI = 1_000_000;
+
+    private record Task(long dueAt, Runnable action) implements Comparable<Task> {
+        @Override
+        public int compareTo(Task other) {
+            return Long.compare(dueAt, other.dueAt);
+        }
+    }
+
+    private final PriorityQueue<Task> tasks = new PriorityQueue<>();
+    private long now = -5 * MILLI;
+    private final LongStatementQueue queue =
+            new LongStatementQueue((task, delay) -> tasks.add(new Task(now + delay, task)), () -> now);
+
+    private void runAll() {
+        while (!tasks.isEmpty()) {
+            Task next = tasks.remove();
+            now = Math.max(now, next.dueAt());
+            next.action().run();
+        }
+    }
+
+    /**
+     * Guards against an iteration that classifies the long statements of all clients, who then all wait for each other.
+     */
+    @Test
+    void leavesLoopFreeForAsLongAsEachStatementTakes() {
+        List<Long> starts = new ArrayList<>();
+        List<Long> ends = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            queue.add(() -> {
+                starts.add(now);
+                now += 13 * MILLI;
+                ends.add(now);
+            });
+        }
+        assertEquals(1, tasks.size());
+        runAll();
+        assertEquals(30, starts.size());
+        for (int i = 1; i < starts.size(); i++) {
+            assertTrue(starts.get(i) - ends.get(i - 1) >= 13 * MILLI);
+        }
+        long addedAt = now;
+        queue.add(() -> starts.add(now));
+        runAll();
+        assertEquals(addedAt + 13 * MILLI, starts.get(30), "the rest behind the last one counts too");
+    }
+
+    /** Guards against a statement whose fault leaves those behind it without an answer. */
+    @Test
+    void runsNextStatementAfterFault() {
+        List<String> done = new ArrayList<>();
+        queue.add(() -> {
+            throw new IllegalStateException("expected by the test");
+        });
+        queue.add(() -> done.add("next"));
+        runAll();
+        queue.add(() -> done.add("later"));
+        runAll();
+        assertEquals(List.of("next", "later"), done);
+    }
+}
--- a/daemon/src/test/java/clayhook/sql/SqlRoutingTest.java
+++ b/daemon/src/test/java/clayhook/sql/SqlRoutingTest.java
@@ -333,6 +333,24 @@
         }
     }
 
+    /** Guards against long statements that get no answer, or run twice, as they wait for their classification. */
+    @Test
+    void answersLongStatementsOfSeveralClients() throws Exception {
+        start(always(Reaction.tag("W")), always(Reaction.tag("R")));
+        String literals = "1, ".repeat(30_000);
+        try (SqlClient one = client();
+                SqlClient other = client()) {
+            for (int i = 0; i < 5; i++) {
+                String read = "select " + "abcdef, ".repeat(1500) + "b" + i + " from t";
+                String write = "delete from t where a in (" + literals + i + ")";
+                assertTrue(one.query(read).matches("C\\([RW]\\)"));
+                assertEquals("C(W)", other.query(write));
+                assertEquals(1, executionCount(read));
+                assertEquals(1, executionCount(write));
+            }
+        }
+    }
+
     /**
      * If the router and a node parse escapes in string literals differently, text that the router takes for a string
      * literal may be executed as SQL by the node.
