Renew the parse budget after a statement that is refused

What callers saw: with statements of any kind on, a read whose shape was new was taken for a write, for want of parse budget, behind a refused statement.

Cause: the budget is renewed with each tick, and a refused statement caused none: what it had used was missing until the next event.

Change: the refusal is made in a tick.

Test: refusedStatementLeavesParseBudgetToNextOne failed before (the primary answered the read) and passes now.

--- a/daemon/src/main/java/clayhook/serve/RequestAdmission.java
+++ b/daemon/src/main/java/clayhook/serve/RequestAdmission.java
@@ -158,7 +158,8 @@
                 sqlRequests.admit(admitted, session, timeoutSeconds(admitted) - waited, now);
             }));
         } else {
-            sqlRequests.refuse(session, result);
+            // In a tick, which renews the parse budget that the statement has used.
+            inbox.add(now -> sqlRequests.refuse(session, result));
         }
     }
 
--- a/daemon/src/test/java/clayhook/sql/SqlRoutingTest.java
+++ b/daemon/src/test/java/clayhook/sql/SqlRoutingTest.java
@@ -333,6 +333,23 @@
         }
     }
 
+    /** Guards against a refused statement that leaves no parse budget to the statements of other clients behind it. */
+    @Test
+    void refusedStatementLeavesParseBudgetToNextOne() throws Exception {
+        start(always(Reaction.tag("W")), always(Reaction.tag("R")));
+        try (SqlClient client = client()) {
+            for (int i = 0; i < 100 && !client.query("select " + i).equals("C(R)"); i++) {
+                Thread.sleep(20); // until the router knows its replicas
+            }
+            for (int i = 0; i < 5; i++) {
+                assertEquals(
+                        "E(0A000)",
+                        client.query("select " + "a, ".repeat(1500) + "b" + i + ", pg_catalog.set_config(1)"));
+                assertEquals("C(R)", client.query("select c" + i));
+            }
+        }
+    }
+
     /** Guards against long statements that get no answer, or run twice, as they wait for their classification. */
     @Test
     void answersLongStatementsOfSeveralClients() throws Exception {
