Forget the long statement of a client that has left

Clients that send 150 KB and leave at once could leave their statements in the queue faster than it is emptied, one in an iteration with rests.

Cause: an entry was kept until its turn, whether its client was there or not.

Change: the queue holds one statement for each open session and forgets it with the session.

Test: holdsNoStatementOfSessionThatEnded, which needs the new method (the text before has none).

--- a/daemon/src/main/java/clayhook/serve/LongStatementQueue.java
+++ b/daemon/src/main/java/clayhook/serve/LongStatementQueue.java
@@ -1,14 +1,18 @@
 package clayhook.serve;
 
-import java.util.ArrayDeque;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.function.LongSupplier;
 
 /**
  * Classifies long statements, which takes milliseconds each, one in an event loop iteration. Behind each the loop is
  * free for as long as that one took, so that other clients wait for one of them at most, however many clients send
- * them. Holds one statement for each session, since a session waits for its answer; empties itself. Event loop only.
+ * them. Holds at most one statement for each open session: it empties itself, and that of a session that ends is
+ * removed. Event loop only.
+ *
+ * @param <S> the sessions
  */
-final class LongStatementQueue {
+final class LongStatementQueue<S> {
     /**
      * The longest statement, in bytes, that is classified at once; this takes less than a millisecond but for a parse.
      */
@@ -22,7 +26,9 @@
 
     private final Scheduler scheduler;
     private final LongSupplier nanoTime;
-    private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+    /** The classification to run by session, in the order of arrival. */
+    private final Map<S, Runnable> waiting = new LinkedHashMap<>();
+
     private boolean scheduled;
     /** The monotonic time until which the loop is left free. */
     private long freeUntil;
@@ -38,11 +44,22 @@
         return bytes > MAX_SHORT_BYTES;
     }
 
-    void add(Runnable classification) {
-        waiting.add(classification);
+    /** Adds the statement for whose answer a session waits. */
+    void add(S session, Runnable classification) {
+        waiting.put(session, classification);
         schedule();
     }
 
+    /** The number of statements that wait. */
+    int size() {
+        return waiting.size();
+    }
+
+    /** Removes the statement of a session that has ended, if it still waits. */
+    void remove(S session) {
+        waiting.remove(session);
+    }
+
     private void schedule() {
         if (!scheduled) {
             scheduled = true;
@@ -52,8 +69,12 @@
 
     private void runNext() {
         scheduled = false;
+        if (waiting.isEmpty()) {
+            return;
+        }
         long startedAt = nanoTime.getAsLong();
-        FaultBarrier.run(waiting.remove());
+        S first = waiting.keySet().iterator().next();
+        FaultBarrier.run(waiting.remove(first));
         long endedAt = nanoTime.getAsLong();
         freeUntil = endedAt + (endedAt - startedAt);
         if (!waiting.isEmpty()) {
--- a/daemon/src/main/java/clayhook/serve/RequestAdmission.java
+++ b/daemon/src/main/java/clayhook/serve/RequestAdmission.java
@@ -32,7 +32,7 @@
     private final Executor loop;
     private final EventInbox inbox;
     private final BackendClient backend;
-    private final LongStatementQueue longStatements;
+    private final LongStatementQueue<ClientSession> longStatements;
     private final InFlightRequests inFlight;
     private final OpenRequests openRequests;
     private final SqlRequests sqlRequests;
@@ -44,7 +44,7 @@
     RequestAdmission(
             Executor loop,
             EventInbox inbox,
-            LongStatementQueue longStatements,
+            LongStatementQueue<ClientSession> longStatements,
             BackendClient backend,
             InFlightRequests inFlight,
             OpenRequests openRequests,
@@ -121,7 +121,7 @@
     @Override
     public void onSqlStatement(ClientSession session, byte[] text) {
         if (LongStatementQueue.isLong(text.length)) {
-            inbox.add(arrivedAt -> longStatements.add(() -> classifyLong(session, text, arrivedAt)));
+            inbox.add(arrivedAt -> longStatements.add(session, () -> classifyLong(session, text, arrivedAt)));
         } else {
             classifyAndAdmit(session, text, 0);
         }
@@ -170,6 +170,7 @@
     @Override
     public void onClientGone(ClientSession session) {
         inbox.add(now -> {
+            longStatements.remove(session);
             ClientRequest request = openRequests.remove(session);
             if (request != null) {
                 counters.increment("disconnected");
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -110,7 +110,7 @@
                 new RequestAdmission(
                         loop,
                         inbox,
-                        new LongStatementQueue(this::schedule, System::nanoTime),
+                        new LongStatementQueue<>(this::schedule, System::nanoTime),
                         backend,
                         inFlight,
                         openRequests,
--- a/daemon/src/test/java/clayhook/serve/LongStatementQueueTest.java
+++ b/daemon/src/test/java/clayhook/serve/LongStatementQueueTest.java
@@ -21,8 +21,8 @@
 
     private final PriorityQueue<Task> tasks = new PriorityQueue<>();
     private long now = -5 * MILLI;
-    private final LongStatementQueue queue =
-            new LongStatementQueue((task, delay) -> tasks.add(new Task(now + delay, task)), () -> now);
+    private final LongStatementQueue<Object> queue =
+            new LongStatementQueue<>((task, delay) -> tasks.add(new Task(now + delay, task)), () -> now);
 
     private void runAll() {
         while (!tasks.isEmpty()) {
@@ -40,7 +40,7 @@
         List<Long> starts = new ArrayList<>();
         List<Long> ends = new ArrayList<>();
         for (int i = 0; i < 30; i++) {
-            queue.add(() -> {
+            queue.add(new Object(), () -> {
                 starts.add(now);
                 now += 13 * MILLI;
                 ends.add(now);
@@ -53,7 +53,7 @@
             assertTrue(starts.get(i) - ends.get(i - 1) >= 13 * MILLI);
         }
         long addedAt = now;
-        queue.add(() -> starts.add(now));
+        queue.add(new Object(), () -> starts.add(now));
         runAll();
         assertEquals(addedAt + 13 * MILLI, starts.get(30), "the rest behind the last one counts too");
     }
@@ -62,13 +62,33 @@
     @Test
     void runsNextStatementAfterFault() {
         List<String> done = new ArrayList<>();
-        queue.add(() -> {
+        queue.add(new Object(), () -> {
             throw new IllegalStateException("expected by the test");
         });
-        queue.add(() -> done.add("next"));
+        queue.add(new Object(), () -> done.add("next"));
         runAll();
-        queue.add(() -> done.add("later"));
+        queue.add(new Object(), () -> done.add("later"));
         runAll();
         assertEquals(List.of("next", "later"), done);
     }
+
+    /** Guards against clients that send long statements and leave, whose statements would fill the memory. */
+    @Test
+    void holdsNoStatementOfSessionThatEnded() {
+        List<String> done = new ArrayList<>();
+        queue.add(new Object(), () -> done.add("first"));
+        Object ended = new Object();
+        queue.add(ended, () -> done.add("ended"));
+        queue.add(new Object(), () -> done.add("last"));
+        queue.remove(ended);
+        assertEquals(2, queue.size());
+        runAll();
+        assertEquals(List.of("first", "last"), done);
+        Object only = new Object();
+        queue.add(only, () -> done.add("only"));
+        queue.remove(only);
+        runAll();
+        assertEquals(2, done.size());
+        assertEquals(0, queue.size());
+    }
 }
