--- a/daemon/src/main/java/clayhook/serve/LongStatementQueue.java
+++ b/daemon/src/main/java/clayhook/serve/LongStatementQueue.java
@@ -13,9 +13,7 @@
  * @param <S> the sessions
  */
 final class LongStatementQueue<S> {
-    /**
-     * The longest statement, in bytes, that is classified at once; this takes less than a millisecond but for a parse.
-     */
+    /** The longest statement, in bytes, that is classified at once. */
     static final int MAX_SHORT_BYTES = 8 << 10;
 
     /** Runs tasks on the event loop. */
