Keep what a node told about its role while it is gone from the list

Cause: onEndpointList dropped the state of a node with its removal, and with it the role that the node had told. When it returned, the list's role counted again, which is that of the start or late. Once its successor told that it was a replica too, the returned node was the only one that counted as primary.

Change: RoleEvidence holds what a node told; DepartedNodes keeps it for up to 2,048 nodes that are gone. Beyond that the replica set of a forgotten node believes the list about the role of no node that has not told its role itself.

Why it works: only what a node tells later ends what it told. While no member claims to be primary, strong reads wait and all members are health-checked.

--- a/core/src/main/java/clayhook/NodeState.java
+++ b/core/src/main/java/clayhook/NodeState.java
@@ -41,11 +41,8 @@
     /** When the node last responded to an attempt; health checks do not count. */
     double lastAttemptResponseAt = NEVER;
 
-    /** The time of the newest evidence that the node is primary. */
-    double primaryClaimedAt = NEVER;
-
-    /** The time of the newest evidence that the node is a replica. */
-    double replicaClaimedAt = NEVER;
+    /** What the node told about its role. */
+    final RoleEvidence roles;
 
     /** Attempts without a result, oldest first. */
     final ArrayDeque<Attempt> outstandingAttempts = new ArrayDeque<>();
@@ -89,9 +86,21 @@
     /** Limits the work that this router sends to the node while the node is in slow start. */
     final SlowStartBudget slowStartBudget;
 
+    /** Creates the state of a node that was not known before. */
     NodeState(Node node, ReplicaSet replicaSet, double concurrencyLimit, double overloadWindowSeconds) {
+        this(node, replicaSet, concurrencyLimit, overloadWindowSeconds, new RoleEvidence());
+    }
+
+    /** Creates the state of a node that told its role before it was gone from the endpoint list. */
+    NodeState(
+            Node node,
+            ReplicaSet replicaSet,
+            double concurrencyLimit,
+            double overloadWindowSeconds,
+            RoleEvidence roles) {
         this.node = node;
         this.replicaSet = replicaSet;
+        this.roles = roles;
         this.concurrencyLimit = concurrencyLimit;
         slowStartBudget = new SlowStartBudget(overloadWindowSeconds);
     }
@@ -148,25 +157,10 @@
         return endpoint == null ? 0 : endpoint.startedAt();
     }
 
-    /**
-     * Whether the node is primary according to the newest evidence. The endpoint list is used only until the node or a
-     * peer has reported the role, because the list is late.
-     */
+    /** Whether the node is primary according to the strongest evidence; see {@link RoleEvidence}. */
     boolean claimsPrimary() {
-        if (primaryClaimedAt == NEVER && replicaClaimedAt == NEVER) {
-            return endpoint != null && endpoint.primary();
-        }
-        return primaryClaimedAt > replicaClaimedAt;
-    }
-
-    /** Records evidence that the node was primary at the given time. */
-    void claimPrimary(double at) {
-        primaryClaimedAt = Math.max(primaryClaimedAt, at);
-    }
-
-    /** Records evidence that the node was a replica at the given time. */
-    void claimReplica(double at) {
-        replicaClaimedAt = Math.max(replicaClaimedAt, at);
+        boolean listedAsPrimary = endpoint != null && endpoint.primary() && replicaSet.trustsListedRoles();
+        return roles.showsPrimary(listedAsPrimary);
     }
 
     /** Records a log position that the node has applied; older positions are ignored. */
@@ -198,8 +192,8 @@
     /** Merges the newer parts of a peer's observation, except failures, which the policy handles. */
     void merge(PeerObservation observation) {
         raiseAppliedPosition(observation.appliedPosition());
-        claimPrimary(observation.primaryClaimedAt());
-        claimReplica(observation.replicaClaimedAt());
+        roles.claimPrimary(observation.primaryClaimedAt());
+        roles.claimReplica(observation.replicaClaimedAt());
         if (observation.lagMeasuredAt() > lagMeasuredAt) {
             lagSeconds = observation.lagSeconds();
             lagMeasuredAt = observation.lagMeasuredAt();
--- a/core/src/main/java/clayhook/ReplicaSet.java
+++ b/core/src/main/java/clayhook/ReplicaSet.java
@@ -31,6 +31,9 @@
     /** The newest position of a session write that was evicted; every session read has to see it. */
     double evictedWritePosition;
 
+    /** Whether the endpoint list is believed about the role of members that have not told their role. */
+    private boolean trustsListedRoles = true;
+
     /**
      * Creates an empty set.
      *
@@ -44,6 +47,16 @@
         primaryLoad = new LoadEstimate(smoothing, overall == null ? null : overall.primaryLoad);
     }
 
+    /** Whether the endpoint list is believed about the role of members that have not told their role. */
+    boolean trustsListedRoles() {
+        return trustsListedRoles;
+    }
+
+    /** Stops believing the endpoint list about roles, as what a member told about its role was forgotten. */
+    void distrustListedRoles() {
+        trustsListedRoles = false;
+    }
+
     /** Returns the load estimate of the replicas for the consistency level of a class of reads. */
     LoadEstimate readLoad(RequestClass requestClass) {
         return requestClass.consistency() == ConsistencyLevel.EVENTUAL ? eventualReadLoad : consistentReadLoad;
@@ -53,7 +66,7 @@
     NodeState primary() {
         return members.stream()
                 .filter(NodeState::claimsPrimary)
-                .max(Comparator.comparingDouble(member -> member.primaryClaimedAt))
+                .max(Comparator.comparingDouble(member -> member.roles.primaryClaimedAt()))
                 .orElse(null);
     }
 
--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -117,6 +117,7 @@
     private final RoutingSettings settings;
     private final Random random;
     private final Map<Node, NodeState> nodeStates = new LinkedHashMap<>();
+    private final DepartedNodes departedNodes = new DepartedNodes();
     private final Map<Integer, ReplicaSet> replicaSets = new LinkedHashMap<>();
     private final ReplicaSet overall = new ReplicaSet(0, LOAD_SMOOTHING, null); // only the load of all sets
     private final Map<RequestClass, Double> expectedServiceTimes = new LinkedHashMap<>();
@@ -798,14 +799,14 @@
         // A load report is dated by its position; as a replica's position may be older than its report, that age
         // is bounded. Otherwise a former primary that returns with an unchanged position would still count as primary.
         if (result.role() == Role.PRIMARY) {
-            node.claimPrimary(now - result.elapsedSeconds() / 2);
+            node.roles.claimPrimary(now - result.elapsedSeconds() / 2);
         } else if (result.role() == Role.REPLICA) {
-            node.replicaClaimedAt = now;
+            node.roles.claimReplica(now);
         }
         if (result.reportedRole() == Role.PRIMARY) {
-            node.claimPrimary(result.reportedPosition());
+            node.roles.claimPrimary(result.reportedPosition());
         } else if (result.reportedRole() == Role.REPLICA) {
-            node.claimReplica(Math.max(result.reportedPosition(), now - MAX_REPORT_AGE));
+            node.roles.claimReplica(Math.max(result.reportedPosition(), now - MAX_REPORT_AGE));
         }
     }
 
@@ -936,16 +937,31 @@
             NodeState node = nodeStates.computeIfAbsent(endpoint.node(), this::addNode);
             node.endpoint = endpoint.state() == Endpoint.State.GONE ? endpointAfterRemoval(node) : endpoint;
         }
-        nodeStates.values().removeIf(node -> node.isUnused() && node.replicaSet.members.remove(node));
+        removeUnusedNodes();
         // The first list is cached and precedes any poll; each later list shows that the watch works.
         nextPollAt = nextPollAt > 0 ? Double.POSITIVE_INFINITY : nextPollAt;
         endpointListLate = false;
     }
 
+    private void removeUnusedNodes() {
+        List<NodeState> unused =
+                nodeStates.values().stream().filter(NodeState::isUnused).toList();
+        for (NodeState node : unused) {
+            nodeStates.remove(node.node);
+            node.replicaSet.members.remove(node);
+            node.abandonedAttempts.clear();
+            departedNodes.add(node);
+        }
+    }
+
     private NodeState addNode(Node node) {
+        NodeState departed = departedNodes.takeReturning(node.id());
+        boolean sameMember = departed != null && departed.node.replicaSetId() == node.replicaSetId();
+        RoleEvidence roles = sameMember ? departed.roles : new RoleEvidence();
         double limit = Math.max(minConcurrencyLimit, INITIAL_FLEET_CONCURRENCY / settings.routerCount());
-        var state = new NodeState(node, replicaSet(node.replicaSetId()), limit, settings.overloadWindowSeconds());
-        state.replicaSet.members.add(state);
+        ReplicaSet replicaSet = replicaSet(node.replicaSetId());
+        var state = new NodeState(node, replicaSet, limit, settings.overloadWindowSeconds(), roles);
+        replicaSet.members.add(state);
         return state;
     }
 
--- a/core/src/test/java/clayhook/RoutingFixture.java
+++ b/core/src/test/java/clayhook/RoutingFixture.java
@@ -156,6 +156,11 @@
         policy.onEndpointList(List.of(new Endpoint(node, state, false, startedAt)), false, now);
     }
 
+    /** Updates the entry of the node that the endpoint list names as the primary. */
+    void updateListedPrimary(Node node, Endpoint.State state, double startedAt) {
+        policy.onEndpointList(List.of(new Endpoint(node, state, true, startedAt)), false, now);
+    }
+
     /** Passes a load report with the role and log position of a node to the policy, as the result of a health check. */
     void reportPosition(Node node, Role role, double position) {
         var result = new AttemptResult(AttemptOutcome.ANSWERED, 0.001, Role.UNKNOWN, 0, role, position, -1);
--- /dev/null
+++ b/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
@@ -0,0 +1,83 @@
+package clayhook;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import clayhook.Decision.RoutingAction;
+import clayhook.Endpoint.State;
+import clayhook.RequestClass.Idempotency;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Tests who is believed about the role of a node, and what ends it. The list names the primary of the start for good.
+ */
+class RoutingPolicyRoleTest {
+    private static final double LONG_AGO = 0;
+    /** After it a restarted node is not in slow start any more, so that only its role can keep a read from it. */
+    private static final double SLOW_START_SECONDS = 15;
+
+    /** Replaces the fixture's nodes, all of which have told their roles, by a set of which only the list tells. */
+    private static RoutingFixture fixture(boolean healthChecksAllowed) {
+        RoutingFixture fixture = RoutingFixture.builder()
+                .healthChecksAllowed(healthChecksAllowed)
+                .build();
+        fixture.updateListedPrimary(fixture.primary, State.READY, LONG_AGO);
+        return fixture;
+    }
+
+    /** A rolling restart: the former primary tells that it is a replica, drains, is removed, and returns. */
+    private static void restart(RoutingFixture fixture, Node formerPrimary) {
+        fixture.now += 1;
+        fixture.reportPosition(formerPrimary, Role.REPLICA, fixture.now);
+        fixture.updateListedPrimary(formerPrimary, State.DRAINING, LONG_AGO);
+        fixture.updateListedPrimary(formerPrimary, State.GONE, LONG_AGO);
+        fixture.now += 3;
+        fixture.updateListedPrimary(formerPrimary, State.READY, fixture.now - 0.5);
+        fixture.now += SLOW_START_SECONDS;
+    }
+
+    /** Routes a new strong read, and again after longer than the policy waits for the result of a health check. */
+    private static void assertStrongReadWaits(RoutingFixture fixture) {
+        Request read = fixture.request(fixture.primaryClass(Idempotency.IDEMPOTENT), 0);
+        assertEquals(RoutingAction.WAIT, fixture.policy.route(read, fixture.now).action());
+        fixture.now += 0.05;
+        assertEquals(RoutingAction.WAIT, fixture.policy.route(read, fixture.now).action());
+    }
+
+    /** Guards against a stale strong read at a former primary that the list names again after a rolling restart. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void strongReadIsNotSentToReturnedNodeThatToldThatItIsAReplica(boolean healthChecksAllowed) {
+        RoutingFixture fixture = fixture(healthChecksAllowed);
+        restart(fixture, fixture.primary);
+        assertStrongReadWaits(fixture);
+    }
+
+    /** Guards against a returned former primary that never gets strong reads again although it was elected anew. */
+    @Test
+    void strongReadIsSentToReturnedNodeOnceItTellsThatItIsPrimary() {
+        RoutingFixture fixture = fixture(true);
+        restart(fixture, fixture.primary);
+        fixture.now += 1;
+        fixture.reportPosition(fixture.primary, Role.PRIMARY, fixture.now);
+        Attempt attempt = fixture.send(fixture.primaryClass(Idempotency.IDEMPOTENT));
+        assertEquals(fixture.primary, attempt.node);
+    }
+
+    /** Guards against a stale strong read after more nodes have left than are remembered. */
+    @Test
+    void listedRoleOfReturnedNodeIsNotBelievedOnceItsAnswersAreForgotten() {
+        RoutingFixture fixture = fixture(true);
+        fixture.now += 1;
+        fixture.reportPosition(fixture.primary, Role.REPLICA, fixture.now);
+        fixture.updateListedPrimary(fixture.primary, State.GONE, LONG_AGO);
+        for (int i = 0; i < DepartedNodes.MAX_NODES; i++) {
+            var replaced = new Node("replaced-" + i, "north", 2);
+            fixture.updateEndpoint(replaced, State.READY, LONG_AGO);
+            fixture.updateEndpoint(replaced, State.GONE, LONG_AGO);
+        }
+        fixture.updateListedPrimary(fixture.primary, State.READY, LONG_AGO);
+        assertStrongReadWaits(fixture);
+    }
+}
