Ask for the role again before a strong read is written

A strong read that waited for its connection was sent to its node although that had meanwhile told this router that it was a replica, and could be answered from old data.

Cause: refusalOf took every request that needs the primary as satisfied.

Change: a strong read is sent only to a node that still counts as primary, else it is routed again. Writes are sent as before: a replica rejects them unexecuted.

Why it works: refusalOf is asked right before the first byte is written.

--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -339,8 +339,10 @@
         } else if (lacksSlowStartToken(attempt, node, now)) {
             return AttemptRefusal.NO_SLOW_START_TOKEN;
         }
-        boolean primary = request.requiresPrimary() || node.claimsPrimary();
-        boolean satisfied = settings.replicasRejectStaleReads() || primary || satisfiesRead(node, request, now);
+        // A replica rejects a write without executing it; a strong read may be answered from old data.
+        boolean write = request.consistency() == ConsistencyLevel.WRITE;
+        boolean rejectsIfStale = write || settings.replicasRejectStaleReads();
+        boolean satisfied = rejectsIfStale || node.claimsPrimary() || satisfiesRead(node, request, now);
         return satisfied ? AttemptRefusal.NONE : AttemptRefusal.READ_TOO_STALE;
     }
 
--- a/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
+++ b/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
@@ -80,4 +80,15 @@
         fixture.updateListedPrimary(fixture.primary, State.READY, LONG_AGO);
         assertStrongReadWaits(fixture);
     }
+
+    /** Guards against a stale strong read that waited for its connection while the node told that it is a replica. */
+    @Test
+    void strongReadThatWaitsForItsConnectionIsNotSentOnceTheNodeToldThatItIsAReplica() {
+        RoutingFixture fixture = fixture(true);
+        Attempt attempt = fixture.send(fixture.primaryClass(Idempotency.IDEMPOTENT));
+        assertEquals(AttemptRefusal.NONE, fixture.policy.refusalOf(attempt, fixture.now));
+        fixture.now += 0.1;
+        fixture.reportPosition(fixture.primary, Role.REPLICA, fixture.now);
+        assertEquals(AttemptRefusal.READ_TOO_STALE, fixture.policy.refusalOf(attempt, fixture.now));
+    }
 }
