Believe the role that a node tells with a failed health check

A strong read could be sent to a draining node although its answers to health checks, all 57P03, had told this router that it was a replica.

Cause: onHealthCheck used the report of a node only if the check had passed.

Change: the report counts with each complete answer, as it does for attempts.

--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -1000,8 +1000,8 @@
         }
         state.healthCheckPending = false;
         state.onHealthCheckResult(now - result.elapsedSeconds(), result.outcome(), now);
+        updateNodeState(state, result, now); // a draining node tells its role and position with an error
         if (result.outcome() == AttemptOutcome.ANSWERED) {
-            updateNodeState(state, result, now);
             state.consecutiveFailures = Math.min(state.consecutiveFailures, 1);
         } else if (result.outcome() != AttemptOutcome.NOT_SENT) {
             backOff(state, 1, now);
--- a/core/src/test/java/clayhook/RoutingFixture.java
+++ b/core/src/test/java/clayhook/RoutingFixture.java
@@ -175,6 +175,13 @@
         policy.onHealthCheck(node, result, now);
     }
 
+    /** Passes a failed health check, whose answer tells the role of the node, to the policy. */
+    void failHealthCheck(Node node, Role role) {
+        var result = new AttemptResult(AttemptOutcome.ERROR, 0.001, role, 0, Role.UNKNOWN, 0, -1);
+        healthCheckResults.put(node, result);
+        policy.onHealthCheck(node, result, now);
+    }
+
     void reportAllPositions(double position) {
         reportPosition(primary, Role.PRIMARY, position);
         reportPosition(replica, Role.REPLICA, position);
--- a/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
+++ b/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
@@ -91,4 +91,14 @@
         fixture.reportPosition(fixture.primary, Role.REPLICA, fixture.now);
         assertEquals(AttemptRefusal.READ_TOO_STALE, fixture.policy.refusalOf(attempt, fixture.now));
     }
+
+    /** Guards against a stale strong read at a draining node that tells with its errors that it is a replica. */
+    @Test
+    void roleToldWithAFailedHealthCheckIsBelieved() {
+        RoutingFixture fixture = fixture(true);
+        fixture.now += 0.1;
+        fixture.failHealthCheck(fixture.primary, Role.REPLICA);
+        fixture.now += 0.1; // longer than the backoff after one failure
+        assertStrongReadWaits(fixture);
+    }
 }
