Do not believe the listed primary once another member was primary later

Where a router had not heard from the primary that the list names, strong reads went to that node after its successor had told that it was primary and then that it was not any more.

Cause: whom the list names counted until that node was heard, whatever other members had told since.

Change: the list's word has a time, when it began to name the node. A later answer by which another member is primary ends it; a list that begins to name another node after that counts again.

--- a/core/src/main/java/clayhook/NodeState.java
+++ b/core/src/main/java/clayhook/NodeState.java
@@ -159,8 +159,14 @@
 
     /** Whether the node is primary according to the strongest evidence; see {@link RoleEvidence}. */
     boolean claimsPrimary() {
-        boolean listedAsPrimary = endpoint != null && endpoint.primary() && replicaSet.trustsListedRoles();
-        return roles.showsPrimary(listedAsPrimary);
+        boolean listedOrTold = endpoint != null || roles.hasToldRole();
+        return listedOrTold && roles.showsPrimary(replicaSet.newestPrimaryClaimAt());
+    }
+
+    /** Records that the node told that it was primary at the given time. */
+    void claimPrimary(double at) {
+        roles.claimPrimary(at);
+        replicaSet.onPrimaryClaim(at);
     }
 
     /** Records a log position that the node has applied; older positions are ignored. */
@@ -192,7 +198,7 @@
     /** Merges the newer parts of a peer's observation, except failures, which the policy handles. */
     void merge(PeerObservation observation) {
         raiseAppliedPosition(observation.appliedPosition());
-        roles.claimPrimary(observation.primaryClaimedAt());
+        claimPrimary(observation.primaryClaimedAt());
         roles.claimReplica(observation.replicaClaimedAt());
         if (observation.lagMeasuredAt() > lagMeasuredAt) {
             lagSeconds = observation.lagSeconds();
--- a/core/src/main/java/clayhook/ReplicaSet.java
+++ b/core/src/main/java/clayhook/ReplicaSet.java
@@ -31,8 +31,8 @@
     /** The newest position of a session write that was evicted; every session read has to see it. */
     double evictedWritePosition;
 
-    /** Whether the endpoint list is believed about the role of members that have not told their role. */
-    private boolean trustsListedRoles = true;
+    /** When a member last told that it is primary. The list is not believed against it if it said so before. */
+    private double newestPrimaryClaimAt = NodeState.NEVER;
 
     /**
      * Creates an empty set.
@@ -47,14 +47,19 @@
         primaryLoad = new LoadEstimate(smoothing, overall == null ? null : overall.primaryLoad);
     }
 
-    /** Whether the endpoint list is believed about the role of members that have not told their role. */
-    boolean trustsListedRoles() {
-        return trustsListedRoles;
+    /** Returns when a member last told that it is primary; infinite if the list is not to be believed about roles. */
+    double newestPrimaryClaimAt() {
+        return newestPrimaryClaimAt;
+    }
+
+    /** Records that a member told that it was primary at the given time. */
+    void onPrimaryClaim(double at) {
+        newestPrimaryClaimAt = Math.max(newestPrimaryClaimAt, at);
     }
 
     /** Stops believing the endpoint list about roles, as what a member told about its role was forgotten. */
     void distrustListedRoles() {
-        trustsListedRoles = false;
+        newestPrimaryClaimAt = Double.POSITIVE_INFINITY;
     }
 
     /** Returns the load estimate of the replicas for the consistency level of a class of reads. */
@@ -62,11 +67,12 @@
         return requestClass.consistency() == ConsistencyLevel.EVENTUAL ? eventualReadLoad : consistentReadLoad;
     }
 
-    /** Returns the member with the newest evidence that it is primary, or null. */
+    /** Returns the member with the newest evidence that it is primary, or null. What members told precedes the list. */
     NodeState primary() {
         return members.stream()
                 .filter(NodeState::claimsPrimary)
-                .max(Comparator.comparingDouble(member -> member.roles.primaryClaimedAt()))
+                .max(Comparator.comparingDouble((NodeState member) -> member.roles.primaryClaimedAt())
+                        .thenComparingDouble(member -> member.roles.listedAsPrimarySince()))
                 .orElse(null);
     }
 
--- a/core/src/main/java/clayhook/RoleEvidence.java
+++ b/core/src/main/java/clayhook/RoleEvidence.java
@@ -7,23 +7,43 @@
  * a primary too, but late, or as it was when the deployment started. So an answer counts more than the list, however
  * old the answer is.
  *
- * <p>What a node told is ended only by what it tells later. Its removal from the list, its return and a restart of its
- * process under the same id end nothing: a former primary that returns lags behind, and the list may go on naming it.
+ * <ul>
+ *   <li>That a node was a replica is ended only by a later answer of the node. Its removal from the list, its return
+ *       and a restart of its process under the same id end nothing: a former primary that returns lags behind, and the
+ *       list may go on naming it.
+ *   <li>That a node was primary is ended by a later answer of the node.
+ *   <li>That the list names a node as primary is ended by any answer of the node, and by an answer of another member
+ *       that is primary, given after the list began to name the node.
+ * </ul>
  *
  * <p>Times are clock times in seconds. Not thread-safe: confined to the event loop.
  */
 final class RoleEvidence {
     private double primaryClaimedAt = NEVER;
     private double replicaClaimedAt = NEVER;
+    /** Whether the node has told its role. */
+    private boolean hasToldRole;
+
+    private boolean listedAsPrimary;
+    /** When the list began to name the node as primary. */
+    private double listedAsPrimarySince = NEVER;
 
     /** Records an answer or a peer's observation that shows that the node was primary at the given time. */
     void claimPrimary(double at) {
         primaryClaimedAt = Math.max(primaryClaimedAt, at);
+        hasToldRole |= at > NEVER;
     }
 
     /** Records an answer or a peer's observation that shows that the node was a replica at the given time. */
     void claimReplica(double at) {
         replicaClaimedAt = Math.max(replicaClaimedAt, at);
+        hasToldRole |= at > NEVER;
+    }
+
+    /** Records whether the endpoint list names the node as primary. */
+    void onListed(boolean primary, double now) {
+        listedAsPrimarySince = primary && !listedAsPrimary ? now : listedAsPrimarySince;
+        listedAsPrimary = primary;
     }
 
     /** Returns the time of the newest answer that shows that the node was primary; {@code NEVER} without one. */
@@ -31,13 +51,24 @@
         return primaryClaimedAt;
     }
 
+    /** Returns when the endpoint list last began to name the node as primary; {@code NEVER} if it has not. */
+    double listedAsPrimarySince() {
+        return listedAsPrimarySince;
+    }
+
+    /** Whether the node has told its role itself, so that the endpoint list does not count. */
+    boolean hasToldRole() {
+        return hasToldRole;
+    }
+
     /**
      * Whether the node is primary according to the strongest evidence.
      *
-     * @param listedAsPrimary whether the endpoint list names the node as primary
+     * @param newestPrimaryClaimAt when a member of the replica set last told that it is primary
      */
-    boolean showsPrimary(boolean listedAsPrimary) {
-        boolean told = primaryClaimedAt > NEVER || replicaClaimedAt > NEVER;
-        return told ? primaryClaimedAt > replicaClaimedAt : listedAsPrimary;
+    boolean showsPrimary(double newestPrimaryClaimAt) {
+        return hasToldRole
+                ? primaryClaimedAt > replicaClaimedAt
+                : listedAsPrimary && listedAsPrimarySince > newestPrimaryClaimAt;
     }
 }
--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -633,8 +633,8 @@
     private boolean mustAwaitHealthCheck(NodeState node, Request request, double now) {
         boolean unconfirmed = isStale(node, now) || gate.refusalFor(node, now) == AttemptRefusal.NODE_UNCONFIRMED;
         boolean checkable = unconfirmed && mayHealthCheck(node, request, now);
-        awaitingHealthCheck =
-                unconfirmed && (isHealthCheckPending(node, now) || (checkable && requestHealthCheck(node, now)));
+        boolean pending = isHealthCheckPending(node, now);
+        awaitingHealthCheck = unconfirmed && (pending || (checkable && requestHealthCheck(node, now)));
         return awaitingHealthCheck;
     }
 
@@ -801,12 +801,12 @@
         // A load report is dated by its position; as a replica's position may be older than its report, that age
         // is bounded. Otherwise a former primary that returns with an unchanged position would still count as primary.
         if (result.role() == Role.PRIMARY) {
-            node.roles.claimPrimary(now - result.elapsedSeconds() / 2);
+            node.claimPrimary(now - result.elapsedSeconds() / 2);
         } else if (result.role() == Role.REPLICA) {
             node.roles.claimReplica(now);
         }
         if (result.reportedRole() == Role.PRIMARY) {
-            node.roles.claimPrimary(result.reportedPosition());
+            node.claimPrimary(result.reportedPosition());
         } else if (result.reportedRole() == Role.REPLICA) {
             node.roles.claimReplica(Math.max(result.reportedPosition(), now - MAX_REPORT_AGE));
         }
@@ -937,7 +937,12 @@
         }
         for (Endpoint endpoint : endpoints) {
             NodeState node = nodeStates.computeIfAbsent(endpoint.node(), this::addNode);
-            node.endpoint = endpoint.state() == Endpoint.State.GONE ? endpointAfterRemoval(node) : endpoint;
+            if (endpoint.state() == Endpoint.State.GONE) {
+                node.endpoint = endpointAfterRemoval(node);
+            } else {
+                node.endpoint = endpoint;
+                node.roles.onListed(endpoint.primary(), now);
+            }
         }
         removeUnusedNodes();
         // The first list is cached and precedes any poll; each later list shows that the watch works.
--- a/core/src/test/java/clayhook/AttemptGateTest.java
+++ b/core/src/test/java/clayhook/AttemptGateTest.java
@@ -112,7 +112,7 @@
     @Test
     void loadReportAndRoleAreNoConfirmation() {
         nodeState.reportedLoad = 5;
-        nodeState.roles.claimPrimary(EXPIRED_AT);
+        nodeState.claimPrimary(EXPIRED_AT);
         nodeState.lastSeenAt = EXPIRED_AT;
         assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalFor(nodeState, EXPIRED_AT + 0.1));
     }
--- a/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
+++ b/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
@@ -101,4 +101,41 @@
         fixture.now += 0.1; // longer than the backoff after one failure
         assertStrongReadWaits(fixture);
     }
+
+    /** A set in which this router has heard of no role, and in which the list names {@code former} as primary. */
+    private static RoutingFixture fixtureWithListedPrimary(Node listed) {
+        RoutingFixture fixture = fixture(true);
+        fixture.updateListedPrimary(listed, State.READY, LONG_AGO);
+        return fixture;
+    }
+
+    /**
+     * Guards against strong reads at the primary of the start, which the list names, after its successor stepped down.
+     */
+    @Test
+    void listedPrimaryIsNotBelievedOnceAnotherMemberHasToldThatItIsPrimary() {
+        var listed = new Node("listed", "north", 1);
+        RoutingFixture fixture = fixtureWithListedPrimary(listed);
+        fixture.now += 1;
+        fixture.reportPosition(fixture.primary, Role.PRIMARY, fixture.now);
+        fixture.now += 1;
+        fixture.reportPosition(fixture.primary, Role.REPLICA, fixture.now);
+        assertStrongReadWaits(fixture);
+    }
+
+    /** Guards against a list whose news of a failover is ignored, so that strong reads wait for good. */
+    @Test
+    void primaryThatTheListNamesAfterTheLastClaimIsBelieved() {
+        RoutingFixture fixture = fixture(true);
+        fixture.now += 1;
+        fixture.reportPosition(fixture.primary, Role.REPLICA, fixture.now);
+        var elected = new Node("elected", "north", 1);
+        fixture.updateEndpoint(elected, State.READY, LONG_AGO);
+        fixture.now += 4;
+        fixture.updateListedPrimary(elected, State.READY, LONG_AGO);
+        Request write = fixture.request(fixture.write, 0);
+        fixture.policy.route(write, fixture.now);
+        fixture.now += 0.05; // a write waits for a health check no longer than this
+        assertEquals(elected, fixture.policy.route(write, fixture.now).attempt().node);
+    }
 }
