Let a strong read wait for the health check of a listed primary

Cause: a request waits for 20 ms for a health check, a few round trips.

Change: a strong read waits for up to 0.3 s for the check of a node that has never told its role, which covers the default limit on opening a connection. Writes wait as before, as a replica rejects them unexecuted.

--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -80,6 +80,7 @@
     private static final double EXPIRED_LEASE_CHECKS_PER_REQUEST = 1; // while each node needs its own confirmation
     private static final double HEALTH_CHECK_BUDGET_CAP = 15; // two or three per member of a replica set
     private static final double HEALTH_CHECK_TIMEOUT = 0.02; // a few network round trips
+    private static final double ROLE_CHECK_TIMEOUT = 0.3; // of a cold node, whose connection has to be opened
     private static final double HEALTH_CHECK_INTERVAL = 0.15; // about the interval between load reports
     private static final double REFRESH_PROBABILITY = 0.1; // enough to detect the recovery of a node
 
@@ -629,11 +630,19 @@
         return node.healthCheckPending && now < node.healthCheckSentAt + HEALTH_CHECK_TIMEOUT;
     }
 
+    /** Whether a strong read should wait for the health check of a primary that only the endpoint list has named. */
+    private static boolean isRoleCheckPending(NodeState node, Request request, double now) {
+        return request.consistency() == ConsistencyLevel.STRONG
+                && !node.roles.hasToldRole()
+                && node.healthCheckPending
+                && now < node.healthCheckSentAt + ROLE_CHECK_TIMEOUT;
+    }
+
     /** Whether a request must wait for a health check of a stale or unconfirmed node; requests the check if needed. */
     private boolean mustAwaitHealthCheck(NodeState node, Request request, double now) {
         boolean unconfirmed = isStale(node, now) || gate.refusalFor(node, now) == AttemptRefusal.NODE_UNCONFIRMED;
         boolean checkable = unconfirmed && mayHealthCheck(node, request, now);
-        boolean pending = isHealthCheckPending(node, now);
+        boolean pending = isHealthCheckPending(node, now) || isRoleCheckPending(node, request, now);
         awaitingHealthCheck = unconfirmed && (pending || (checkable && requestHealthCheck(node, now)));
         return awaitingHealthCheck;
     }
--- a/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
+++ b/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
@@ -138,4 +138,18 @@
         fixture.now += 0.05; // a write waits for a health check no longer than this
         assertEquals(elected, fixture.policy.route(write, fixture.now).attempt().node);
     }
+
+    /** Guards against a strong read that is sent to a cold former primary before its health check tells its role. */
+    @Test
+    void strongReadWaitsForTheHealthCheckOfAPrimaryThatOnlyTheListNames() {
+        var listed = new Node("listed", "north", 2);
+        RoutingFixture fixture = fixtureWithListedPrimary(listed);
+        Request read =
+                new Request(fixture.primaryClass(Idempotency.IDEMPOTENT), 2, "s", 0, fixture.now, fixture.now + 4);
+        assertEquals(RoutingAction.WAIT, fixture.policy.route(read, fixture.now).action());
+        fixture.now += 0.05;
+        assertEquals(RoutingAction.WAIT, fixture.policy.route(read, fixture.now).action());
+        fixture.reportPosition(listed, Role.PRIMARY, fixture.now);
+        assertEquals(listed, fixture.policy.route(read, fixture.now).attempt().node);
+    }
 }
