End a claim to be primary with the process that made it

A primary whose process restarted still counted as primary at a router that had not heard from it since, and got strong reads although another member was elected meanwhile.

Cause: nothing but an answer of the same node ended its claim.

Change: NodeLifecycle, a pure module, ends a claim that is older than the start of the process where health checks are allowed. Without health checks the claim stays, as only an attempt could find out.

--- a/core/src/main/java/clayhook/NodeState.java
+++ b/core/src/main/java/clayhook/NodeState.java
@@ -17,6 +17,9 @@
     /** The node's entry in the endpoint list, or null if the node was removed from the list. */
     Endpoint endpoint;
 
+    /** When the node's newest known process started, also while the node is gone from the list; 0 for long ago. */
+    double processStartedAt;
+
     /** The newest log position that the node has reported as applied; 0 if it reported none. Never decreases. */
     double appliedPosition;
 
--- a/core/src/main/java/clayhook/RoleEvidence.java
+++ b/core/src/main/java/clayhook/RoleEvidence.java
@@ -11,7 +11,7 @@
  *   <li>That a node was a replica is ended only by a later answer of the node. Its removal from the list, its return
  *       and a restart of its process under the same id end nothing: a former primary that returns lags behind, and the
  *       list may go on naming it.
- *   <li>That a node was primary is ended by a later answer of the node.
+ *   <li>That a node was primary is ended by a later answer of the node, and by a restart of its process.
  *   <li>That the list names a node as primary is ended by any answer of the node, and by an answer of another member
  *       that is primary, given after the list began to name the node.
  * </ul>
@@ -21,7 +21,7 @@
 final class RoleEvidence {
     private double primaryClaimedAt = NEVER;
     private double replicaClaimedAt = NEVER;
-    /** Whether the node has told its role. */
+    /** Whether the node has told its role, even if that has been ended since. */
     private boolean hasToldRole;
 
     private boolean listedAsPrimary;
@@ -40,6 +40,11 @@
         hasToldRole |= at > NEVER;
     }
 
+    /** Ends a claim to be primary that an earlier process of the node made, before the given time. */
+    void endPrimaryClaimBefore(double startedAt) {
+        primaryClaimedAt = primaryClaimedAt < startedAt ? NEVER : primaryClaimedAt;
+    }
+
     /** Records whether the endpoint list names the node as primary. */
     void onListed(boolean primary, double now) {
         listedAsPrimarySince = primary && !listedAsPrimary ? now : listedAsPrimarySince;
--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -949,8 +949,7 @@
             if (endpoint.state() == Endpoint.State.GONE) {
                 node.endpoint = endpointAfterRemoval(node);
             } else {
-                node.endpoint = endpoint;
-                node.roles.onListed(endpoint.primary(), now);
+                NodeLifecycle.onListed(node, endpoint, settings.healthChecksAllowed(), now);
             }
         }
         removeUnusedNodes();
--- a/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
+++ b/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
@@ -152,4 +152,14 @@
         fixture.reportPosition(listed, Role.PRIMARY, fixture.now);
         assertEquals(listed, fixture.policy.route(read, fixture.now).attempt().node);
     }
+
+    /** Guards against a strong read at a primary whose process has restarted, after which another one is elected. */
+    @Test
+    void claimToBePrimaryEndsWithTheProcessThatMadeIt() {
+        RoutingFixture fixture = fixture(true);
+        fixture.now += 2;
+        fixture.updateListedPrimary(fixture.primary, State.READY, fixture.now - 1);
+        fixture.now += SLOW_START_SECONDS;
+        assertStrongReadWaits(fixture);
+    }
 }
