Keep the backoff of a node that flaps in the endpoint list

A node that refuses connections and that the list drops and shows again got requests at once each time, without its backoff or ejection and with the concurrency limit of an unknown node.

Cause: all that was known of a node was dropped with its removal from the list.

Change: failures, backoff, limit and the budget of the slow start remain if the node returns with the process that it had. With a newer start they begin anew.

--- a/core/src/main/java/clayhook/NodeLifecycle.java
+++ b/core/src/main/java/clayhook/NodeLifecycle.java
@@ -1,9 +1,15 @@
 package clayhook;
 
 /**
- * Ends what is known of a node where an entry of the endpoint list has made it void: at the start of a new process
- * under the same id. What a node told about its role is never ended here, except that a process that has started since
- * a node told that it is primary has to tell so anew.
+ * Decides what remains true of a node when the endpoint list shows it: after it was gone from the list, and after its
+ * process has started anew under the same id. Everything else that is known of a node ends with its removal from the
+ * list.
+ *
+ * <ul>
+ *   <li>What it told about its role remains in any case; only that it is primary has to be told anew by a new process.
+ *   <li>Failures, backoff, the concurrency limit and the budget of its slow start remain if it returns with the process
+ *       that it had: a node that flaps in the list is not tried afresh each time.
+ * </ul>
  *
  * <p>Pure: reads no clock and performs no I/O. Times are clock times in seconds.
  */
@@ -18,17 +24,32 @@
     static void onListed(NodeState node, Endpoint endpoint, boolean healthChecksAllowed, double now) {
         // A start in the future is an error of a clock; what the node tells from now on has to count all the same.
         double startedAt = Math.min(endpoint.startedAt(), now);
-        if (startedAt > node.processStartedAt) {
-            node.processStartedAt = startedAt;
-            onProcessStarted(node, startedAt, healthChecksAllowed);
+        boolean newProcess = startedAt > node.processStartedAt;
+        if (newProcess && healthChecksAllowed) {
+            node.roles.endPrimaryClaimBefore(startedAt);
         }
+        node.processStartedAt = Math.max(node.processStartedAt, startedAt);
         node.endpoint = endpoint;
         node.roles.onListed(endpoint.primary(), now);
     }
 
-    private static void onProcessStarted(NodeState node, double startedAt, boolean healthChecksAllowed) {
-        if (healthChecksAllowed) {
-            node.roles.endPrimaryClaimBefore(startedAt);
+    /**
+     * Copies what remains true of a node that was gone from the list to its new state.
+     *
+     * @param departed the state of the node when it was removed from the list
+     * @param endpoint the entry with which the node returns
+     */
+    static void onReturned(NodeState departed, NodeState returned, Endpoint endpoint) {
+        returned.processStartedAt = departed.processStartedAt;
+        if (endpoint.startedAt() > departed.processStartedAt) {
+            return;
         }
+        returned.slowStartBudget = departed.slowStartBudget;
+        returned.consecutiveFailures = departed.consecutiveFailures;
+        returned.backoffUntil = departed.backoffUntil;
+        returned.backoffCount = departed.backoffCount;
+        returned.readRejectedAt = departed.readRejectedAt;
+        returned.concurrencyLimit = departed.concurrencyLimit;
+        returned.latencyRatio = departed.latencyRatio;
     }
 }
--- a/core/src/main/java/clayhook/NodeState.java
+++ b/core/src/main/java/clayhook/NodeState.java
@@ -87,7 +87,7 @@
     int backoffCount;
 
     /** Limits the work that this router sends to the node while the node is in slow start. */
-    final SlowStartBudget slowStartBudget;
+    SlowStartBudget slowStartBudget;
 
     /** Creates the state of a node that was not known before. */
     NodeState(Node node, ReplicaSet replicaSet, double concurrencyLimit, double overloadWindowSeconds) {
--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -945,7 +945,7 @@
             nodeStates.values().forEach(node -> node.endpoint = endpointAfterRemoval(node));
         }
         for (Endpoint endpoint : endpoints) {
-            NodeState node = nodeStates.computeIfAbsent(endpoint.node(), this::addNode);
+            NodeState node = nodeStates.computeIfAbsent(endpoint.node(), added -> addNode(endpoint));
             if (endpoint.state() == Endpoint.State.GONE) {
                 node.endpoint = endpointAfterRemoval(node);
             } else {
@@ -969,13 +969,17 @@
         }
     }
 
-    private NodeState addNode(Node node) {
+    private NodeState addNode(Endpoint endpoint) {
+        Node node = endpoint.node();
         NodeState departed = departedNodes.takeReturning(node.id());
-        boolean sameMember = departed != null && departed.node.replicaSetId() == node.replicaSetId();
-        RoleEvidence roles = sameMember ? departed.roles : new RoleEvidence();
+        boolean returns = departed != null && departed.node.replicaSetId() == node.replicaSetId();
+        RoleEvidence roles = returns ? departed.roles : new RoleEvidence();
         double limit = Math.max(minConcurrencyLimit, INITIAL_FLEET_CONCURRENCY / settings.routerCount());
         ReplicaSet replicaSet = replicaSet(node.replicaSetId());
         var state = new NodeState(node, replicaSet, limit, settings.overloadWindowSeconds(), roles);
+        if (returns) {
+            NodeLifecycle.onReturned(departed, state, endpoint);
+        }
         replicaSet.members.add(state);
         return state;
     }
