End a node's confirmations when it was gone or has a new process

While the list is out of date, a health check that a node passed before the list said that it drains or is gone still confirmed it after its return, also with a new process.

Cause: nothing but a rejection ended a confirmation.

Change: a list entry for a node that was draining or gone, or that has a new process, ends its confirmations.

--- a/core/src/main/java/clayhook/NodeLifecycle.java
+++ b/core/src/main/java/clayhook/NodeLifecycle.java
@@ -9,6 +9,7 @@
  *   <li>What it told about its role remains in any case; only that it is primary has to be told anew by a new process.
  *   <li>Failures, backoff, the concurrency limit and the budget of its slow start remain if it returns with the process
  *       that it had: a node that flaps in the list is not tried afresh each time.
+ *   <li>That it accepts new requests has to be confirmed anew.
  * </ul>
  *
  * <p>Pure: reads no clock and performs no I/O. Times are clock times in seconds.
@@ -28,6 +29,9 @@
         if (newProcess && healthChecksAllowed) {
             node.roles.endPrimaryClaimBefore(startedAt);
         }
+        if (newProcess || node.isDrainingOrGone()) {
+            node.endConfirmations(now);
+        }
         node.processStartedAt = Math.max(node.processStartedAt, startedAt);
         node.endpoint = endpoint;
         node.roles.onListed(endpoint.primary(), now);
--- a/core/src/main/java/clayhook/NodeState.java
+++ b/core/src/main/java/clayhook/NodeState.java
@@ -38,8 +38,11 @@
     /** When the newest health check that the node has passed was sent. */
     private double passedCheckSentAt = NEVER;
 
-    /** When the node last rejected an attempt unexecuted, failed a health check, or refused a connection. */
-    private double rejectedAt = NEVER;
+    /**
+     * When the node last rejected an attempt unexecuted, failed a health check, refused a connection, or was draining
+     * or gone according to the list. What confirmed before that it accepts requests counts no more.
+     */
+    private double confirmationsEndedAt = NEVER;
 
     /** When the node last responded to an attempt; health checks do not count. */
     double lastAttemptResponseAt = NEVER;
@@ -117,7 +120,7 @@
     void onAttemptResult(Attempt attempt, AttemptOutcome outcome, double now) {
         switch (outcome) {
             case ANSWERED -> answeredAttemptSentAt = Math.max(answeredAttemptSentAt, attempt.sentAt);
-            case OVERLOADED, CONNECT_FAILED -> rejectedAt = now;
+            case OVERLOADED, CONNECT_FAILED -> confirmationsEndedAt = now;
             default -> {} // no evidence
         }
     }
@@ -126,19 +129,24 @@
     void onHealthCheckResult(double sentAt, AttemptOutcome outcome, double now) {
         switch (outcome) {
             case ANSWERED -> passedCheckSentAt = Math.max(passedCheckSentAt, sentAt);
-            case ERROR, OVERLOADED, CONNECT_FAILED -> rejectedAt = now;
+            case ERROR, OVERLOADED, CONNECT_FAILED -> confirmationsEndedAt = now;
             default -> {} // no evidence
         }
     }
 
+    /** Ends what has confirmed before the given time that the node accepts requests. */
+    void endConfirmations(double at) {
+        confirmationsEndedAt = Math.max(confirmationsEndedAt, at);
+    }
+
     /** Whether the node answered an attempt that was sent after the given time and after its last rejection. */
     boolean hasAnsweredSince(double time) {
-        return answeredAttemptSentAt > Math.max(time, rejectedAt);
+        return answeredAttemptSentAt > Math.max(time, confirmationsEndedAt);
     }
 
     /** Whether the node passed a health check that was sent after the given time and after its last rejection. */
     boolean hasPassedCheckSince(double time) {
-        return passedCheckSentAt > Math.max(time, rejectedAt);
+        return passedCheckSentAt > Math.max(time, confirmationsEndedAt);
     }
 
     boolean isInZone(String zone) {
--- a/core/src/test/java/clayhook/RoutingPolicyReturnTest.java
+++ b/core/src/test/java/clayhook/RoutingPolicyReturnTest.java
@@ -59,4 +59,18 @@
         assertEquals(expectedFailures, returned.consecutiveFailures);
         assertEquals(expectedBackoffUntil, returned.backoffUntil);
     }
+
+    /** Guards against a node that counts as accepting requests by what it answered before it was gone from the list. */
+    @Test
+    void passedHealthCheckDoesNotConfirmNodeThatHasReturnedSince() {
+        var lease = new EndpointListLease(1000);
+        RoutingFixture expired = RoutingFixture.builder().lease(lease).build();
+        expired.now = 1007; // after the end of the lease
+        expired.reportPosition(expired.replica, Role.REPLICA, expired.now);
+        // The state of a node with an outstanding attempt is not removed.
+        assertEquals(expired.replica, expired.send(expired.eventual).node);
+        expired.updateEndpoint(expired.replica, State.GONE, LONG_AGO);
+        expired.updateEndpoint(expired.replica, State.READY, LONG_AGO);
+        assertEquals(0, expired.countSentTo(expired.replica, expired.eventual, 1));
+    }
 }
