Find the new primary by writes where health checks are not allowed

Where health checks are not allowed and a router gets writes only, all writes after a failover were rejected for good.

Cause: while no member counts as primary, only health checks looked for one.

Change: a write goes to the member whose word that it is a replica is oldest, at most every 0.5 s to each. A replica rejects it unexecuted and tells its role. Strong reads still wait, as a replica could answer them from old data.

--- a/core/src/main/java/clayhook/RoleEvidence.java
+++ b/core/src/main/java/clayhook/RoleEvidence.java
@@ -56,6 +56,11 @@
         return primaryClaimedAt;
     }
 
+    /** Returns the time of the newest answer that shows that the node was a replica; {@code NEVER} without one. */
+    double replicaClaimedAt() {
+        return replicaClaimedAt;
+    }
+
     /** Returns when the endpoint list last began to name the node as primary; {@code NEVER} if it has not. */
     double listedAsPrimarySince() {
         return listedAsPrimarySince;
--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -81,6 +81,7 @@
     private static final double HEALTH_CHECK_BUDGET_CAP = 15; // two or three per member of a replica set
     private static final double HEALTH_CHECK_TIMEOUT = 0.02; // a few network round trips
     private static final double ROLE_CHECK_TIMEOUT = 0.3; // of a cold node, whose connection has to be opened
+    private static final double ROLE_RETRY_INTERVAL = 0.5; // an election takes about as long
     private static final double HEALTH_CHECK_INTERVAL = 0.15; // about the interval between load reports
     private static final double REFRESH_PROBABILITY = 0.1; // enough to detect the recovery of a node
 
@@ -354,7 +355,7 @@
         NodeState primary = replicaSet(request).primary();
         if (!isPrimaryHealthy(request, now)) {
             replicaSet(request).members.forEach(member -> requestHealthCheck(member, now));
-            return null;
+            return memberToFindPrimary(request, now);
         }
         // Without a health check each router would send its first write after a failover to the former primary.
         boolean usable = !mustAwaitHealthCheck(primary, request, now)
@@ -364,6 +365,24 @@
         return usable ? primary : null;
     }
 
+    /**
+     * Returns the member to which a write is sent to find out whether it is primary, or null. Without health checks
+     * nothing else may show which member has become primary. A replica rejects a write without executing it; a strong
+     * read it could answer from old data.
+     */
+    private NodeState memberToFindPrimary(Request request, double now) {
+        NodeState primary = replicaSet(request).primary();
+        boolean unknown = primary == null || primary.isDrainingOrGone();
+        if (settings.healthChecksAllowed() || !unknown || request.consistency() != ConsistencyLevel.WRITE) {
+            return null;
+        }
+        return replicaSet(request).members.stream()
+                .filter(member -> now >= member.roles.replicaClaimedAt() + ROLE_RETRY_INTERVAL)
+                .filter(member -> isUsableFor(request, member, now))
+                .min(Comparator.comparingDouble(member -> member.roles.replicaClaimedAt()))
+                .orElse(null);
+    }
+
     /** Whether there is a responsive primary; without one, writes wait for an election instead of failing. */
     private boolean isPrimaryHealthy(Request request, double now) {
         NodeState node = replicaSet(request).primary();
--- a/core/src/test/java/clayhook/RoutingPolicyPrimaryTest.java
+++ b/core/src/test/java/clayhook/RoutingPolicyPrimaryTest.java
@@ -4,6 +4,7 @@
 
 import clayhook.Decision.RoutingAction;
 import clayhook.Endpoint.State;
+import clayhook.RequestClass.Idempotency;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -68,4 +69,34 @@
         fixture.reportPosition(fixture.otherReplica, Role.PRIMARY, fixture.now);
         assertEquals(fixture.otherReplica, fixture.send(fixture.write).node);
     }
+
+    /** Guards against writes that are rejected for good after a failover where no health check may find the primary. */
+    @Test
+    void writesFindThePrimaryWithoutHealthChecks() {
+        RoutingFixture unchecked =
+                RoutingFixture.builder().healthChecksAllowed(false).build();
+        unchecked.finish(unchecked.send(unchecked.write), AttemptOutcome.REJECTED, Role.REPLICA, unchecked.now);
+        unchecked.now += 0.6;
+        Request write = unchecked.request(unchecked.write, 0);
+        Attempt first = unchecked.policy.route(write, unchecked.now).attempt();
+        write.attempts.add(first);
+        unchecked.now += 0.01;
+        Attempt second = unchecked
+                .finish(first, AttemptOutcome.REJECTED, Role.REPLICA, unchecked.now)
+                .attempt();
+        unchecked.answer(second, 0.01, Role.PRIMARY, unchecked.now);
+        assertEquals(second.node, unchecked.send(unchecked.write).node);
+    }
+
+    /** Guards against a stale strong read that is sent to find the primary. */
+    @Test
+    void strongReadsDoNotFindThePrimary() {
+        RoutingFixture unchecked =
+                RoutingFixture.builder().healthChecksAllowed(false).build();
+        unchecked.finish(unchecked.send(unchecked.write), AttemptOutcome.REJECTED, Role.REPLICA, unchecked.now);
+        unchecked.now += 0.6;
+        Request read = unchecked.request(unchecked.primaryClass(Idempotency.IDEMPOTENT), 0);
+        assertEquals(
+                RoutingAction.WAIT, unchecked.policy.route(read, unchecked.now).action());
+    }
 }
