Send nothing to a node that has answered a health check that it drains

Cause: a failed check backed the node off for 50 ms, whatever the node answered, and while the list counts as up to date nothing else is asked.

Change: 57P03 in answer to a health check, or to the connection that it opens, is an outcome of its own. The node gets no attempts until it passes a check sent later or a new process has started; time does not end it. A primary that says so is no responsive primary, so that all members are checked. Errors of statements do not count, as a statement may raise any error itself. Without health checks nothing could end the report, and it is not relied on.

--- a/core/src/main/java/clayhook/AttemptGate.java
+++ b/core/src/main/java/clayhook/AttemptGate.java
@@ -9,6 +9,9 @@
  * sent. A draining node fails health checks at once but may execute attempts for a while, so an answered attempt is
  * weaker evidence and counts only where health checks are not allowed.
  *
+ * <p>A node that has answered a health check that it drains gets no attempts, however valid the lease is, until it
+ * passes a later one or a new process has started.
+ *
  * <p>Reads no clock; all times are clock times in seconds. Not thread-safe: confined to the event loop.
  */
 final class AttemptGate {
@@ -27,12 +30,21 @@
         this.healthChecksAllowed = healthChecksAllowed;
     }
 
+    /**
+     * Whether the node itself has reported that it drains, which the list may show later. Only a health check can show
+     * the end of that; where none are allowed, a report is not relied on.
+     */
+    boolean reportsDraining(NodeState node) {
+        return healthChecksAllowed && node.reportsDraining();
+    }
+
     /** Returns the reason why the node may not get an attempt now, or {@link AttemptRefusal#NONE}. */
     AttemptRefusal refusalFor(NodeState node, double now) {
         if (node.isDrainingOrGone()) {
             return AttemptRefusal.NODE_DRAINING;
         }
-        return isListValid(now) || isConfirmed(node, now) ? AttemptRefusal.NONE : AttemptRefusal.NODE_UNCONFIRMED;
+        boolean listSuffices = isListValid(now) && !reportsDraining(node);
+        return listSuffices || isConfirmed(node, now) ? AttemptRefusal.NONE : AttemptRefusal.NODE_UNCONFIRMED;
     }
 
     private boolean isConfirmed(NodeState node, double now) {
--- a/core/src/main/java/clayhook/AttemptOutcome.java
+++ b/core/src/main/java/clayhook/AttemptOutcome.java
@@ -6,6 +6,8 @@
     ANSWERED(false),
     /** The node answered with an internal error or with a malformed response. */
     ERROR(false),
+    /** The node answered a health check that it accepts no new requests, as it is draining or starting. */
+    DRAINING(false),
     /** The node is overloaded and did not accept the request. */
     OVERLOADED(true),
     /** No response arrived before the timeout. */
--- a/core/src/main/java/clayhook/NodeLifecycle.java
+++ b/core/src/main/java/clayhook/NodeLifecycle.java
@@ -7,8 +7,8 @@
  *
  * <ul>
  *   <li>What it told about its role remains in any case; only that it is primary has to be told anew by a new process.
- *   <li>Failures, backoff, the concurrency limit and the budget of its slow start remain if it returns with the process
- *       that it had: a node that flaps in the list is not tried afresh each time.
+ *   <li>Failures, backoff, its own report that it drains, the concurrency limit and the budget of its slow start remain
+ *       if it returns with the process that it had: a node that flaps in the list is not tried afresh each time.
  *   <li>That it accepts new requests has to be confirmed anew.
  * </ul>
  *
@@ -29,6 +29,9 @@
         if (newProcess && healthChecksAllowed) {
             node.roles.endPrimaryClaimBefore(startedAt);
         }
+        if (newProcess) {
+            node.endDrainingReportBefore(startedAt);
+        }
         if (newProcess || node.isDrainingOrGone()) {
             node.endConfirmations(now);
         }
@@ -48,6 +51,7 @@
         if (endpoint.startedAt() > departed.processStartedAt) {
             return;
         }
+        returned.keepDrainingReport(departed);
         returned.slowStartBudget = departed.slowStartBudget;
         returned.consecutiveFailures = departed.consecutiveFailures;
         returned.backoffUntil = departed.backoffUntil;
--- a/core/src/main/java/clayhook/NodeState.java
+++ b/core/src/main/java/clayhook/NodeState.java
@@ -44,6 +44,9 @@
      */
     private double confirmationsEndedAt = NEVER;
 
+    /** When the node last answered a health check that it accepts no new requests. */
+    private double drainingReportedAt = NEVER;
+
     /** When the node last responded to an attempt; health checks do not count. */
     double lastAttemptResponseAt = NEVER;
 
@@ -129,11 +132,33 @@
     void onHealthCheckResult(double sentAt, AttemptOutcome outcome, double now) {
         switch (outcome) {
             case ANSWERED -> passedCheckSentAt = Math.max(passedCheckSentAt, sentAt);
+            case DRAINING -> {
+                confirmationsEndedAt = now;
+                drainingReportedAt = now;
+            }
             case ERROR, OVERLOADED, CONNECT_FAILED -> confirmationsEndedAt = now;
             default -> {} // no evidence
         }
     }
 
+    /**
+     * Whether the node has reported that it accepts no new requests, and has not passed a health check that was sent
+     * after that.
+     */
+    boolean reportsDraining() {
+        return drainingReportedAt > passedCheckSentAt;
+    }
+
+    /** Ends a report that the node drains that it made before the given time, as a new process has started then. */
+    void endDrainingReportBefore(double startedAt) {
+        drainingReportedAt = drainingReportedAt < startedAt ? NEVER : drainingReportedAt;
+    }
+
+    /** Takes over the report of an earlier state of the same process that the node drains. */
+    void keepDrainingReport(NodeState earlier) {
+        drainingReportedAt = earlier.reportsDraining() ? earlier.drainingReportedAt : NEVER;
+    }
+
     /** Ends what has confirmed before the given time that the node accepts requests. */
     void endConfirmations(double at) {
         confirmationsEndedAt = Math.max(confirmationsEndedAt, at);
--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -386,7 +386,11 @@
     /** Whether there is a responsive primary; without one, writes wait for an election instead of failing. */
     private boolean isPrimaryHealthy(Request request, double now) {
         NodeState node = replicaSet(request).primary();
-        return node != null && !node.isDrainingOrGone() && !isEjected(node) && !isOverdue(node, now);
+        return node != null
+                && !node.isDrainingOrGone()
+                && !gate.reportsDraining(node)
+                && !isEjected(node)
+                && !isOverdue(node, now);
     }
 
     // ---- choice of a node for a read ----
@@ -873,7 +877,7 @@
                 decreaseLimit(node, OVERLOAD_LIMIT_DECREASE);
                 backOff(node, 0, now);
             }
-            case ERROR -> backOff(node, 0, now);
+            case ERROR, DRAINING -> backOff(node, 0, now);
             case CONNECT_FAILED -> backOff(node, 1, now);
             case RESET -> {
                 // A reset alone does not show a dead node; a dead node also refuses new connections.
--- a/core/src/test/java/clayhook/AttemptGateTest.java
+++ b/core/src/test/java/clayhook/AttemptGateTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Tests which nodes the gate admits while the lease on the endpoint list is valid and after it has expired. */
@@ -49,6 +51,39 @@
         assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalFor(nodeState, EXPIRED_AT + 3));
     }
 
+    /** Guards against attempts on a node that has answered a health check that it drains, before the list says so. */
+    @Test
+    void refusesNodeThatReportsDrainingUntilItPassesALaterHealthCheckThoughTheListIsValid() {
+        finishHealthCheck(AttemptOutcome.DRAINING, 101);
+        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalFor(nodeState, 105));
+        finishHealthCheck(AttemptOutcome.ANSWERED, 100.9); // sent before the report
+        finishAttempt(AttemptOutcome.ANSWERED, 102); // a draining node may execute attempts
+        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalFor(nodeState, 105));
+        finishHealthCheck(AttemptOutcome.ANSWERED, 103);
+        assertEquals(AttemptRefusal.NONE, gate.refusalFor(nodeState, 105));
+    }
+
+    /** Guards against a draining node that gets attempts because it flaps in the list. */
+    @ParameterizedTest
+    @CsvSource({"0, NODE_UNCONFIRMED", "101.5, NONE"})
+    void reportOfDrainingEndsWithTheProcessThatMadeIt(double returnsWithStartAt, AttemptRefusal expected) {
+        finishHealthCheck(AttemptOutcome.DRAINING, 101);
+        var endpoint = new Endpoint(node, Endpoint.State.READY, false, returnsWithStartAt);
+        var returned = new NodeState(node, nodeState.replicaSet, 10, 3);
+        NodeLifecycle.onReturned(nodeState, returned, endpoint);
+        for (NodeState state : List.of(returned, nodeState)) {
+            NodeLifecycle.onListed(state, endpoint, true, 102);
+            assertEquals(expected, gate.refusalFor(state, 103));
+        }
+    }
+
+    /** Guards against a node that gets nothing for good where no health check could show that it drains no more. */
+    @Test
+    void ignoresReportOfDrainingIfHealthChecksAreNotAllowed() {
+        finishHealthCheck(AttemptOutcome.DRAINING, 101);
+        assertEquals(AttemptRefusal.NONE, gateWithoutChecks.refusalFor(nodeState, 105));
+    }
+
     @Test
     void admitsAllListedNodesAgainOnceTheListIsRenewed() {
         lease.onConfirmed(EXPIRED_AT);
@@ -94,6 +129,7 @@
         finishHealthCheck(AttemptOutcome.ANSWERED, EXPIRED_AT);
         finishHealthCheck(outcome, EXPIRED_AT + 0.5);
         boolean failed = outcome == AttemptOutcome.ERROR
+                || outcome == AttemptOutcome.DRAINING
                 || outcome == AttemptOutcome.OVERLOADED
                 || outcome == AttemptOutcome.CONNECT_FAILED;
         assertEquals(
--- a/core/src/test/java/clayhook/RoutingFixture.java
+++ b/core/src/test/java/clayhook/RoutingFixture.java
@@ -175,6 +175,13 @@
         policy.onHealthCheck(node, result, now);
     }
 
+    /** Passes a health check that the node answered by saying that it drains, with its role, to the policy. */
+    void reportDraining(Node node, Role role) {
+        var result = new AttemptResult(AttemptOutcome.DRAINING, 0.001, role, 0, Role.UNKNOWN, 0, -1);
+        healthCheckResults.put(node, result);
+        policy.onHealthCheck(node, result, now);
+    }
+
     /** Passes a failed health check, whose answer tells the role of the node, to the policy. */
     void failHealthCheck(Node node, Role role) {
         var result = new AttemptResult(AttemptOutcome.ERROR, 0.001, role, 0, Role.UNKNOWN, 0, -1);
--- a/core/src/test/java/clayhook/RoutingPolicyPrimaryTest.java
+++ b/core/src/test/java/clayhook/RoutingPolicyPrimaryTest.java
@@ -99,4 +99,18 @@
         assertEquals(
                 RoutingAction.WAIT, unchecked.policy.route(read, unchecked.now).action());
     }
+
+    /** Guards against writes at a node that drains by its own word, and that the list shows as ready. */
+    @Test
+    void writeIsNotSentToPrimaryThatReportsDrainingHoweverLongAgo() {
+        fixture.reportDraining(fixture.primary, Role.PRIMARY);
+        fixture.now += 0.5; // longer than the backoff after a failed health check
+        Request write = fixture.request(fixture.write, 0);
+        assertEquals(
+                RoutingAction.WAIT, fixture.policy.route(write, fixture.now).action());
+        assertEquals(3, fixture.policy.tick(fixture.now).healthChecks().size());
+        fixture.reportPosition(fixture.otherReplica, Role.PRIMARY, fixture.now);
+        assertEquals(
+                fixture.otherReplica, fixture.policy.route(write, fixture.now).attempt().node);
+    }
 }
--- a/daemon/src/main/java/clayhook/backend/AttemptCompletion.java
+++ b/daemon/src/main/java/clayhook/backend/AttemptCompletion.java
@@ -9,6 +9,9 @@
     /** SQLSTATE too_many_connections: the node is overloaded. */
     String TOO_MANY_CONNECTIONS = "53300";
 
+    /** SQLSTATE cannot_connect_now: the node accepts no new requests, as it is draining or starting. */
+    String CANNOT_CONNECT_NOW = "57P03";
+
     /** SQLSTATE query_canceled, for example after a statement timeout of the node; the statement had no effect. */
     String QUERY_CANCELED = "57014";
 
@@ -48,6 +51,14 @@
         }
     }
 
+    /** The node answered a health check that it accepts no new requests. */
+    record NodeDraining() implements AttemptCompletion {
+        @Override
+        public AttemptOutcome outcome() {
+            return AttemptOutcome.DRAINING;
+        }
+    }
+
     /**
      * The router itself provides the final answer, which consists of {@code messages} and says that the request ran.
      */
@@ -115,6 +126,15 @@
         return isAnswer ? new Answered() : new NodeError(sqlState);
     }
 
+    /**
+     * Returns the completion of a health check that ended as {@code completion}. Only there does an error that the node
+     * accepts no new requests count as its own word: a statement may raise any error itself.
+     */
+    static AttemptCompletion ofHealthCheck(AttemptCompletion completion) {
+        boolean draining = completion instanceof NodeError error && CANNOT_CONNECT_NOW.equals(error.sqlState());
+        return draining ? new NodeDraining() : completion;
+    }
+
     private static boolean isNodeError(String sqlState) {
         if (NODE_STATE_ERRORS.contains(sqlState)) {
             return true;
--- a/daemon/src/main/java/clayhook/backend/BackendClient.java
+++ b/daemon/src/main/java/clayhook/backend/BackendClient.java
@@ -304,15 +304,11 @@
      * @param connection the connection that received the answer, or null if the request was never written
      */
     void complete(BackendRequest request, AttemptCompletion completion, NodeConnection connection) {
-        double sentAt = request.isHealthCheck() ? request.startedAt : request.attempt.sentAt;
-        double elapsedSeconds = clock.now() - sentAt;
-        AttemptResult result = connection == null
-                ? AttemptResult.withoutReport(completion.outcome(), elapsedSeconds)
-                : connection.result(completion, elapsedSeconds);
         if (request.isHealthCheck()) {
-            listener.onHealthCheck(request.node, result);
+            completeHealthCheck(request, AttemptCompletion.ofHealthCheck(completion), connection);
             return;
         }
+        AttemptResult result = result(completion, connection, clock.now() - request.attempt.sentAt);
         requests.remove(request.attempt);
         boolean forwardsError =
                 completion instanceof AttemptCompletion.NodeError && connection != null && request.hasFreeFormResult();
@@ -324,6 +320,17 @@
                 errorOf(completion, forwardsError || isAnswer ? connection : null));
     }
 
+    private void completeHealthCheck(BackendRequest request, AttemptCompletion completion, NodeConnection connection) {
+        listener.onHealthCheck(request.node, result(completion, connection, clock.now() - request.startedAt));
+    }
+
+    private static AttemptResult result(
+            AttemptCompletion completion, NodeConnection connection, double elapsedSeconds) {
+        return connection == null
+                ? AttemptResult.withoutReport(completion.outcome(), elapsedSeconds)
+                : connection.result(completion, elapsedSeconds);
+    }
+
     /** The SQLSTATE of an error that says that the attempt had no effect, or null. */
     private static String errorOf(AttemptCompletion completion, NodeConnection connection) {
         if (completion instanceof AttemptCompletion.SettingsRejected rejected) {
--- a/daemon/src/main/java/clayhook/backend/ConnectionPool.java
+++ b/daemon/src/main/java/clayhook/backend/ConnectionPool.java
@@ -234,10 +234,12 @@
             assignConnections();
         }
         if (preparing.remove(connection) && waiting.size() > preparing.size()) {
-            boolean overloaded = !started && AttemptCompletion.TOO_MANY_CONNECTIONS.equals(startupSqlState);
+            BackendRequest oldest = waiting.poll();
+            boolean overloaded = AttemptCompletion.TOO_MANY_CONNECTIONS.equals(startupSqlState);
+            boolean draining = oldest.isHealthCheck() && AttemptCompletion.CANNOT_CONNECT_NOW.equals(startupSqlState);
             complete(
-                    waiting.poll(),
-                    overloaded
+                    oldest,
+                    !started && (overloaded || draining)
                             ? new AttemptCompletion.NodeError(startupSqlState)
                             : new AttemptCompletion.ConnectionLost(AttemptPhase.NOT_CONNECTED),
                     null);
--- a/daemon/src/main/java/clayhook/backend/NodeConnection.java
+++ b/daemon/src/main/java/clayhook/backend/NodeConnection.java
@@ -170,8 +170,9 @@
 
     /** The result of a request with this completion. Values reported by the node count only with a complete answer. */
     AttemptResult result(AttemptCompletion completion, double elapsedSeconds) {
-        boolean answered =
-                completion instanceof AttemptCompletion.Answered || completion instanceof AttemptCompletion.NodeError;
+        boolean answered = completion instanceof AttemptCompletion.Answered
+                || completion instanceof AttemptCompletion.NodeError
+                || completion instanceof AttemptCompletion.NodeDraining;
         return answered
                 ? report.toResult(completion.outcome(), elapsedSeconds)
                 : AttemptResult.withoutReport(completion.outcome(), elapsedSeconds);
--- a/daemon/src/test/java/clayhook/backend/BackendClientTest.java
+++ b/daemon/src/test/java/clayhook/backend/BackendClientTest.java
@@ -16,6 +16,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -76,6 +77,24 @@
         }
     }
 
+    /** Guards against requests at a draining node that accepts no new connections and has idle ones. */
+    @ParameterizedTest
+    @CsvSource({"57P03, DRAINING", "28000, CONNECT_FAILED"})
+    void healthCheckWhoseConnectionIsRejectedAsDrainingSaysSo(String sqlState, AttemptOutcome outcome)
+            throws Exception {
+        try (var rejecting = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Node node = backend.register((InetSocketAddress) rejecting.getLocalSocketAddress());
+            backend.runOnLoop(() -> backend.client.startHealthCheck(node));
+            try (Socket connection = rejecting.accept()) {
+                connection.getInputStream().read();
+                byte[] fields = ("C" + sqlState + "\0\0").getBytes(StandardCharsets.ISO_8859_1);
+                connection.getOutputStream().write(new byte[] {'E', 0, 0, 0, (byte) (4 + fields.length)});
+                connection.getOutputStream().write(fields);
+            }
+            assertEquals(outcome, backend.finished.poll(20, TimeUnit.SECONDS).outcome());
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({"true, ANSWERED, 1", "false, NOT_SENT, 0"})
     void attemptThatMayNoLongerBeSentIsNeverWritten(boolean allowed, AttemptOutcome outcome, int written)
