Rely on a pushed list only once discovery has confirmed it

Cause: the configuration set discovery to subscribe whatever the settings say, as a router on sockets always polls; the lease then relied on the known list for six seconds, as if it had been asked for.

Change: EndpointListDelivery keeps the setting. Where lists are pushed, the lease begins with the first answer or refused connection, and the first poll does not wait. While no watch is answered in time, the list and a passed health check count for two thirds of the draining grace period. Without health checks the list is all there is, and counts as where it is polled from the first answer on.

Why it works: a change counts as notified once discovery has it, so that nothing received before counts for longer than the grace period unless a watch would bring the change. A node that passes a check of its own needs no list.

--- a/clustertests/src/test/java/clayhook/clustertests/FaultSoakTest.java
+++ b/clustertests/src/test/java/clayhook/clustertests/FaultSoakTest.java
@@ -45,11 +45,16 @@
             public final class EndpointListLease {
                 public EndpointListLease(double startedAt) {}
                 public static EndpointListLease unlimited() { return new EndpointListLease(0); }
-                public void onConfirmed(double at) {}
+                public static EndpointListLease of(EndpointListDelivery delivery, boolean checks, double startedAt) {
+                    return new EndpointListLease(startedAt);
+                }
+                public void onConfirmed(double at, double receivedAt) {}
                 public void onWatchRejected(double polledAt) {}
+                public void onWatchLost(double at) {}
                 public void onUnreachable(double at) {}
                 public void onReload(double at) {}
                 public boolean isValid(double now) { return true; }
+                double confirmationSeconds() { return 4; }
             }
             """;
 
--- a/core/src/main/java/clayhook/AttemptGate.java
+++ b/core/src/main/java/clayhook/AttemptGate.java
@@ -15,13 +15,6 @@
  * <p>Reads no clock; all times are clock times in seconds. Not thread-safe: confined to the event loop.
  */
 final class AttemptGate {
-    /**
-     * How long a node gets attempts without a valid list, counted from when its last passed health check was sent: two
-     * thirds of the time after which a change counts as notified. The other third allows for nodes that start to fail
-     * health checks late after they have begun to drain.
-     */
-    private static final double CONFIRMATION_VALIDITY_SECONDS = 4;
-
     private final EndpointListLease lease;
     private final boolean healthChecksAllowed;
 
@@ -48,7 +41,7 @@
     }
 
     private boolean isConfirmed(NodeState node, double now) {
-        double since = now - CONFIRMATION_VALIDITY_SECONDS;
+        double since = now - lease.confirmationSeconds();
         return healthChecksAllowed ? node.hasPassedCheckSince(since) : node.hasAnsweredSince(since);
     }
 
--- a/core/src/test/java/clayhook/AttemptGateTest.java
+++ b/core/src/test/java/clayhook/AttemptGateTest.java
@@ -86,7 +86,7 @@
 
     @Test
     void admitsAllListedNodesAgainOnceTheListIsRenewed() {
-        lease.onConfirmed(EXPIRED_AT);
+        lease.onConfirmed(EXPIRED_AT, EXPIRED_AT);
         assertEquals(AttemptRefusal.NONE, gate.refusalFor(nodeState, EXPIRED_AT + 1));
     }
 
@@ -145,6 +145,17 @@
         assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalFor(nodeState, EXPIRED_AT + 0.6));
     }
 
+    /** Guards against a node that has begun to drain since its health check, of which the router counts as notified. */
+    @Test
+    void passedHealthCheckConfirmsForAPartOfTheGracePeriodWhereListsArePushed() {
+        var pushed = EndpointListLease.of(new EndpointListDelivery(true, 0.6), true, 100);
+        var pushedGate = new AttemptGate(pushed, true);
+        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, pushedGate.refusalFor(nodeState, 100.5));
+        finishHealthCheck(AttemptOutcome.ANSWERED, 101);
+        assertEquals(AttemptRefusal.NONE, pushedGate.refusalFor(nodeState, 101.39));
+        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, pushedGate.refusalFor(nodeState, 101.41));
+    }
+
     @Test
     void loadReportAndRoleAreNoConfirmation() {
         nodeState.reportedLoad = 5;
--- a/core/src/test/java/clayhook/EndpointListLeaseTest.java
+++ b/core/src/test/java/clayhook/EndpointListLeaseTest.java
@@ -5,6 +5,8 @@
 
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests until when the lease on the endpoint list is valid. Times are seconds; the lease starts at 100 s. */
 class EndpointListLeaseTest {
@@ -19,8 +21,8 @@
 
     @Test
     void confirmationRenewsLeaseAndOlderConfirmationDoesNotShortenIt() {
-        lease.onConfirmed(110);
-        lease.onConfirmed(104);
+        lease.onConfirmed(110, 110);
+        lease.onConfirmed(104, 104);
         assertTrue(lease.isValid(115.8));
         assertFalse(lease.isValid(116));
     }
@@ -31,8 +33,8 @@
      */
     @Test
     void rejectedWatchRevokesConfirmationsWhileItWasPending() {
-        lease.onConfirmed(110);
-        lease.onConfirmed(113);
+        lease.onConfirmed(110, 110);
+        lease.onConfirmed(113, 113);
         lease.onWatchRejected(111);
         assertTrue(lease.isValid(116.8));
         assertFalse(lease.isValid(117));
@@ -47,11 +49,11 @@
 
     @Test
     void expiresFourSecondsAfterReloadUnlessNewServiceConfirms() {
-        lease.onConfirmed(110);
+        lease.onConfirmed(110, 110);
         lease.onReload(111);
         assertTrue(lease.isValid(114.8));
         assertFalse(lease.isValid(115));
-        lease.onConfirmed(114);
+        lease.onConfirmed(114, 114);
         assertTrue(lease.isValid(119.8));
     }
 
@@ -66,9 +68,76 @@
         for (int i = 0; i < 1000; i++) {
             var randomLease = new EndpointListLease(100);
             double confirmedAt = 100 + 100 * random.nextDouble();
-            randomLease.onConfirmed(confirmedAt);
+            randomLease.onConfirmed(confirmedAt, confirmedAt);
             randomLease.onWatchRejected(confirmedAt + 20 * random.nextDouble());
             assertFalse(randomLease.isValid(confirmedAt + NOTIFIED_AFTER + 10 * random.nextDouble()));
         }
     }
+
+    private static final double DRAIN_GRACE = 0.6;
+    /** Two thirds of the grace period; the rest is left for a stall before the write. */
+    private static final double REACTION = 0.4;
+
+    private static EndpointListLease pushed(boolean healthChecksAllowed) {
+        return EndpointListLease.of(new EndpointListDelivery(true, DRAIN_GRACE), healthChecksAllowed, 100);
+    }
+
+    /** Guards against requests at a node that began to drain before the process started, where lists are pushed. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void pushedListWithWhichTheProcessStartsIsNotReliedOn(boolean healthChecksAllowed) {
+        EndpointListLease pushed = pushed(healthChecksAllowed);
+        assertFalse(pushed.isValid(100));
+        pushed.onConfirmed(100.9, 101);
+        assertTrue(pushed.isValid(106.7));
+        assertFalse(pushed.isValid(106.9));
+    }
+
+    /** Guards against requests at a draining node by a list that a slow service confirms after the drain began. */
+    @Test
+    void lateConfirmationOfPushedListCountsForThePartOfTheGracePeriodThatIsLeft() {
+        EndpointListLease pushed = pushed(true);
+        pushed.onConfirmed(100, 101.5);
+        assertFalse(pushed.isValid(101.5));
+    }
+
+    /** Guards against changes that count as notified while no watch is open that would bring them. */
+    @Test
+    void pushedListIsReliedOnForAPartOfTheGracePeriodOnceTheWatchIsLost() {
+        EndpointListLease pushed = pushed(true);
+        pushed.onConfirmed(100, 100);
+        pushed.onWatchLost(101);
+        assertTrue(pushed.isValid(101 + REACTION - 0.01));
+        assertFalse(pushed.isValid(101 + REACTION + 0.01));
+        pushed.onConfirmed(102, 102);
+        assertTrue(pushed.isValid(107));
+    }
+
+    /** While the service is down it learns nothing; what it learns at its return counts at once. */
+    @Test
+    void refusedConnectionConfirmsPushedListForAPartOfTheGracePeriod() {
+        EndpointListLease pushed = pushed(true);
+        pushed.onUnreachable(101);
+        assertTrue(pushed.isValid(101 + REACTION - 0.01));
+        assertFalse(pushed.isValid(101 + REACTION + 0.01));
+    }
+
+    /** Guards against a router without health checks that rejects all requests while discovery is slow or down. */
+    @Test
+    void pushedListIsAllThereIsWithoutHealthChecks() {
+        EndpointListLease pushed = pushed(false);
+        pushed.onConfirmed(100, 101.5);
+        pushed.onWatchLost(102);
+        assertTrue(pushed.isValid(105.8));
+        pushed.onUnreachable(105.8);
+        assertTrue(pushed.isValid(111.6));
+    }
+
+    @Test
+    void polledListIsReliedOnWhetherOrNotAWatchIsOpen() {
+        lease.onConfirmed(110, 112);
+        lease.onWatchLost(112);
+        assertTrue(lease.isValid(115.8));
+        assertFalse(lease.isValid(116));
+    }
 }
--- a/core/src/test/java/clayhook/EndpointListOutOfDateTest.java
+++ b/core/src/test/java/clayhook/EndpointListOutOfDateTest.java
@@ -92,7 +92,7 @@
     void allListedNodesGetReadsAgainOnceListIsConfirmed() {
         fixture.now = LEASE_EXPIRED_AT;
         fixture.reportAllPositions(LEASE_EXPIRED_AT);
-        lease.onConfirmed(LEASE_EXPIRED_AT);
+        lease.onConfirmed(LEASE_EXPIRED_AT, LEASE_EXPIRED_AT);
         assertTrue(fixture.nodesChosenFor(fixture.eventual, 20).size() >= 2);
     }
 }
--- a/daemon/src/main/java/clayhook/config/RouterConfiguration.java
+++ b/daemon/src/main/java/clayhook/config/RouterConfiguration.java
@@ -1,5 +1,6 @@
 package clayhook.config;
 
+import clayhook.EndpointListDelivery;
 import clayhook.RoutingSettings;
 import clayhook.discovery.EndpointList;
 import clayhook.json.Json;
@@ -26,6 +27,7 @@
  * @param knownEndpoints the endpoint list that this router received last, possibly stale
  * @param settings the settings of the routing policy
  * @param connectTimeout the timeout of connecting to a node, in seconds
+ * @param listDelivery how changes of the endpoint list reach this router
  */
 public record RouterConfiguration(
         String name,
@@ -36,7 +38,8 @@
         int maxDescriptors,
         EndpointList knownEndpoints,
         RoutingSettings settings,
-        double connectTimeout) {
+        double connectTimeout,
+        EndpointListDelivery listDelivery) {
 
     /** The minimum that the platform grants; applies if the file sets no memory limit. */
     private static final double DEFAULT_MEMORY_MB = 192;
@@ -46,6 +49,30 @@
 
     private static final double BYTES_PER_MB = 1024 * 1024;
 
+    /** Creates a configuration of a router whose endpoint list is polled. */
+    public RouterConfiguration(
+            String name,
+            InetSocketAddress listen,
+            InetSocketAddress discovery,
+            long seed,
+            long memoryBytes,
+            int maxDescriptors,
+            EndpointList knownEndpoints,
+            RoutingSettings settings,
+            double connectTimeout) {
+        this(
+                name,
+                listen,
+                discovery,
+                seed,
+                memoryBytes,
+                maxDescriptors,
+                knownEndpoints,
+                settings,
+                connectTimeout,
+                EndpointListDelivery.POLLED);
+    }
+
     /**
      * Reads the file that the environment variable LB_CONFIG names.
      *
@@ -80,7 +107,8 @@
         }
         Map<String, String> values = new HashMap<>();
         flatten("", settings, values);
-        // On sockets the endpoint list must always be polled; only the simulator may push it.
+        boolean pushed = "automatic".equals(values.get("discovery"));
+        // On sockets a router always has to poll, even where what it could have received counts as notified.
         values.put("discovery", "subscribe");
         var reader = new SettingsReader(values);
         RoutingSettings routingSettings = reader.readSettings();
@@ -96,7 +124,8 @@
                 (int) limit(map, "sockets", DEFAULT_MAX_DESCRIPTORS),
                 parseKnownEndpoints(map.get("known")),
                 routingSettings,
-                reader.connectTimeoutSeconds());
+                reader.connectTimeoutSeconds(),
+                new EndpointListDelivery(pushed, reader.drainGraceSeconds()));
     }
 
     /**
@@ -123,7 +152,9 @@
         if (memoryBytes != other.memoryBytes || maxDescriptors != other.maxDescriptors) {
             keys.add("limits");
         }
-        if (!settings.equals(other.settings) || connectTimeout != other.connectTimeout) {
+        if (!settings.equals(other.settings)
+                || connectTimeout != other.connectTimeout
+                || !listDelivery.equals(other.listDelivery)) {
             keys.add("settings");
         }
         return String.join(", ", keys);
--- a/daemon/src/main/java/clayhook/config/SettingsReader.java
+++ b/daemon/src/main/java/clayhook/config/SettingsReader.java
@@ -67,6 +67,11 @@
         return number("limits.dial_timeout", DEFAULT_CONNECT_TIMEOUT_SECONDS * NANOS_PER_SECOND) / NANOS_PER_SECOND;
     }
 
+    /** Returns how long a router that was notified that a node drains may go on sending requests to it, in seconds. */
+    public double drainGraceSeconds() throws ConfigurationException {
+        return seconds("rules.drain_grace");
+    }
+
     private List<RequestClass> readRequestClasses() throws ConfigurationException {
         String[] levels = text("domain.read_level", "").split(",", 0);
         String[] bounds = text("domain.max_age", "").split(",", 0);
--- a/daemon/src/main/java/clayhook/discovery/DiscoveryClient.java
+++ b/daemon/src/main/java/clayhook/discovery/DiscoveryClient.java
@@ -33,6 +33,13 @@
     private long version;
     /** The connection of the watch, or null if no watch is open. */
     private PollConnection watchConnection;
+    /**
+     * Whether the next poll of the watch must be answered at once, to confirm the list. The list may have changed since
+     * it was received, and a poll that waits shows that only with the next change or at its end.
+     */
+    private boolean mustConfirm;
+    /** Whether changes count as notified at once, so that the list has to be confirmed whenever a watch was lost. */
+    private final boolean pushed;
     /** Whether the answer to the watch is late. */
     private boolean watchIsLate;
     /** Polls of the watch that were rejected since the last list was received. */
@@ -51,18 +58,22 @@
      * Creates a client without opening the watch.
      *
      * @param version the list version that the caller already has, or {@link PollConnection#NO_VERSION}
+     * @param pushed whether changes count as notified at once, so that a watch is preceded by a poll that does not wait
      * @param longPollSeconds the longest time in seconds that a long poll waits for changes
      */
     DiscoveryClient(
             Transport transport,
             InetSocketAddress address,
             long version,
+            boolean pushed,
             double longPollSeconds,
             WatchLivenessCheck livenessCheck,
             EndpointWatcher.Listener listener) {
         this.transport = transport;
         this.address = address;
         this.version = version;
+        this.pushed = pushed;
+        mustConfirm = pushed;
         this.livenessCheck = livenessCheck;
         this.listener = listener;
         longPollMs = (int) Math.round(longPollSeconds * MILLIS_PER_SECOND);
@@ -130,7 +141,7 @@
      * Sends a poll, which waits for changes if a list version is known and the connection is not the one for checks.
      */
     private void poll(PollConnection connection) {
-        boolean waits = version != PollConnection.NO_VERSION && connection != checkConnection;
+        boolean waits = version != PollConnection.NO_VERSION && connection != checkConnection && !mustConfirm;
         connection.poll(version, waits ? watchWaitMs() : PollConnection.NO_WAIT);
     }
 
@@ -184,6 +195,7 @@
             return;
         }
         rejectedWatchPolls = 0;
+        mustConfirm = false;
         scheduleCheck(livenessCheck.nextIntervalSeconds());
         double polledSecondsAgo = connection.secondsSincePoll();
         // The service may have created the answer to a long poll up to the duration of one call ago, and not before
@@ -276,6 +288,7 @@
             Log.warn("discovery", "discovery failed: " + reason + describeAge(connection));
             reportIfRejected(connection, rejected);
             watchConnection = null;
+            mustConfirm = pushed;
             listener.onEndpointListFailed();
         } else {
             return;
--- a/daemon/src/main/java/clayhook/discovery/EndpointWatcher.java
+++ b/daemon/src/main/java/clayhook/discovery/EndpointWatcher.java
@@ -31,6 +31,7 @@
 
     private final Transport transport;
     private final Listener listener;
+    private final boolean pushed;
     private final double longPollSeconds;
     private final RandomGenerator random;
     private ServiceWatch current;
@@ -43,6 +44,7 @@
      * Creates a watcher without opening the watch; {@link #ensureWatching} opens it.
      *
      * @param version the list version that the caller already has; later changes are reported
+     * @param pushed whether changes count as notified at once, so that a watch is preceded by a poll that does not wait
      * @param longPollSeconds the longest time in seconds that a long poll waits for changes
      * @param random source of the jitter that spreads the polls of many routers
      */
@@ -50,11 +52,13 @@
             Transport transport,
             InetSocketAddress address,
             long version,
+            boolean pushed,
             double longPollSeconds,
             RandomGenerator random,
             Listener listener) {
         this.transport = transport;
         this.listener = listener;
+        this.pushed = pushed;
         this.longPollSeconds = longPollSeconds;
         this.random = random;
         current = new ServiceWatch(address, version);
@@ -70,7 +74,7 @@
 
         private ServiceWatch(InetSocketAddress address, long version) {
             client = new DiscoveryClient(
-                    transport, address, version, longPollSeconds, new WatchLivenessCheck(random), this);
+                    transport, address, version, pushed, longPollSeconds, new WatchLivenessCheck(random), this);
         }
 
         @Override
--- a/daemon/src/main/java/clayhook/serve/EndpointUpdates.java
+++ b/daemon/src/main/java/clayhook/serve/EndpointUpdates.java
@@ -37,7 +37,7 @@
     /** The time until which lease renewals are logged, in clock seconds. */
     private double logRenewalsUntil;
 
-    private boolean leaseWasValid = true;
+    private boolean leaseWasValid;
     /** The newest version that this router received from discovery itself, not from peers. */
     private long ownVersion = NO_VERSION;
 
@@ -62,10 +62,12 @@
                 transport,
                 configuration.discovery(),
                 known.version(),
+                configuration.listDelivery().pushed(),
                 policy.nextWatchTimeoutSeconds(),
                 new Random(configuration.seed()),
                 this);
         policy.onEndpointList(endpoints(known), true, clock.now());
+        leaseWasValid = lease.isValid(clock.now());
         logRenewalsUntil = clock.now() + RENEWAL_LOG_SECONDS;
     }
 
@@ -86,7 +88,7 @@
     private void updateLease(WatchEvent event, double receivedAt) {
         logLeaseEvent(event, receivedAt);
         if (event instanceof WatchEvent.Confirmed confirmed) {
-            lease.onConfirmed(receivedAt - confirmed.secondsAgo());
+            lease.onConfirmed(receivedAt - confirmed.secondsAgo(), receivedAt);
         } else if (event instanceof WatchEvent.Rejected rejected) {
             lease.onWatchRejected(receivedAt - rejected.polledSecondsAgo());
         } else if (event instanceof WatchEvent.Unreachable unreachable) {
@@ -120,14 +122,21 @@
 
     @Override
     public void onEndpointListFailed() {
+        onWatchLost();
         inbox.addEndpointEvent(policy::onEndpointListFailed);
     }
 
     @Override
     public void onEndpointListLate() {
+        onWatchLost();
         inbox.addEndpointEvent(policy::onEndpointListLate);
     }
 
+    private void onWatchLost() {
+        double lostAt = clock.now();
+        inbox.addEndpointEvent(now -> lease.onWatchLost(lostAt));
+    }
+
     /**
      * Applies endpoint list changes from peers. A change older than the newest version from this router's own discovery
      * is applied only if none of its endpoints is ready.
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -80,7 +80,8 @@
         RoutingSettings settings = configuration.settings();
         var counters = new EventCounters();
         var descriptors = new DescriptorBudget(configuration.maxDescriptors());
-        var lease = new EndpointListLease(startedAt - secondsSinceStart);
+        var lease = EndpointListLease.of(
+                configuration.listDelivery(), settings.healthChecksAllowed(), startedAt - secondsSinceStart);
         var policy = new RoutingPolicy(settings, configuration.seed(), lease);
         inFlight = new InFlightRequests(policy, FaultBarrier::logFault);
         openRequests = new OpenRequests(inFlight, counters);
--- a/daemon/src/test/java/clayhook/config/RouterConfigurationTest.java
+++ b/daemon/src/test/java/clayhook/config/RouterConfigurationTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import clayhook.EndpointListDelivery;
 import clayhook.RequestClass;
 import clayhook.RequestClass.ConsistencyLevel;
 import clayhook.RequestClass.DeduplicationScope;
@@ -33,6 +34,23 @@
         return RouterConfiguration.fromJson(Json.parse(text), Map.of("LB_DISCOVERY", "127.0.0.1:8500"));
     }
 
+    /** Guards against pushed lists that are treated as polled ones, since a router on sockets always polls. */
+    @ParameterizedTest
+    @CsvSource({"automatic, true", "subscribe, false"})
+    void deliveryOfTheEndpointListIsRead(String discovery, boolean pushed) throws ConfigurationException {
+        String text = TEXT.replace("\"subscribe\"", '"' + discovery + '"')
+                .replace("\"warm_after\"", "\"drain_grace\":250000000,\"warm_after\"");
+        RouterConfiguration configuration = read(text);
+        assertEquals(new EndpointListDelivery(pushed, 0.25), configuration.listDelivery());
+        assertTrue(configuration.settings().endpointListMustBePolled());
+    }
+
+    @Test
+    void changedDeliveryOfTheEndpointListNeedsARestart() throws ConfigurationException {
+        RouterConfiguration pushed = read(TEXT.replace("\"subscribe\"", "\"automatic\""));
+        assertEquals("settings", pushed.restartOnlyDifferences(read(TEXT)));
+    }
+
     @Test
     void settingsAreReadWithTheirDocumentedKeysAndUnits() throws ConfigurationException {
         RouterConfiguration configuration = read(TEXT);
--- a/daemon/src/test/java/clayhook/discovery/EndpointWatcherTest.java
+++ b/daemon/src/test/java/clayhook/discovery/EndpointWatcherTest.java
@@ -1,6 +1,7 @@
 package clayhook.discovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -44,7 +45,7 @@
 
     private void startWatching(String... answers) throws InterruptedException {
         watcher = new EndpointWatcher(
-                transport, startService(calls, answers).address(), 41, LONG_POLL_SECONDS, new Random(1), this);
+                transport, startService(calls, answers).address(), 41, false, LONG_POLL_SECONDS, new Random(1), this);
         ensureWatching();
     }
 
@@ -85,7 +86,7 @@
             }
             return oldCalls.size() > 2 ? null : list(40 + oldCalls.size(), false);
         });
-        watcher = new EndpointWatcher(transport, old.address(), 40, LONG_POLL_SECONDS, new Random(1), this);
+        watcher = new EndpointWatcher(transport, old.address(), 40, false, LONG_POLL_SECONDS, new Random(1), this);
         ensureWatching();
         assertEquals("changes 41", events.take());
         for (int i = 0; i < moves; i++) {
@@ -112,7 +113,7 @@
             long millis = (long) ((waits ? watchSeconds : callSeconds) * 1000);
             transport.eventLoop().schedule(() -> answer.test(list(version, false)), millis, TimeUnit.MILLISECONDS);
         });
-        watcher = new EndpointWatcher(transport, service.address(), 41, LONG_POLL_SECONDS, new Random(1), this);
+        watcher = new EndpointWatcher(transport, service.address(), 41, false, LONG_POLL_SECONDS, new Random(1), this);
         ensureWatching();
         assertEquals("changes 42", events.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS));
         var check = (WatchEvent.Confirmed) watchEvents.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
@@ -123,11 +124,35 @@
         assertTrue(watch.secondsAgo() >= callSeconds && watch.secondsAgo() < watchSeconds, watch::toString);
     }
 
+    /**
+     * Guards against a pushed list that is relied on, or of no use, until its next change or the end of a long poll.
+     */
+    @Test
+    void watchOfPushedListBeginsWithPollThatIsAnsweredAtOnce() throws Exception {
+        watcher = new EndpointWatcher(
+                transport,
+                startService(calls, list(41, false), "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n", list(41, false))
+                        .address(),
+                41,
+                true,
+                LONG_POLL_SECONDS,
+                new Random(1),
+                this);
+        ensureWatching();
+        assertTrue(calls.take().contains("after=41&wait_ms=0 "));
+        assertFalse(calls.take().contains("wait_ms=0 "));
+        assertEquals("changes 41", events.take());
+        assertEquals("failed", events.take());
+        ensureWatching();
+        assertTrue(calls.take().contains("after=41&wait_ms=0 "));
+        assertFalse(calls.take().contains("wait_ms=0 "));
+    }
+
     @Test
     void refusedConnectionReportsSecondsSinceConnectStart() throws Exception {
         StubDiscovery closed = startService(calls);
         closed.close();
-        watcher = new EndpointWatcher(transport, closed.address(), 41, LONG_POLL_SECONDS, new Random(1), this);
+        watcher = new EndpointWatcher(transport, closed.address(), 41, false, LONG_POLL_SECONDS, new Random(1), this);
         ensureWatching();
         var event = (WatchEvent.Unreachable) watchEvents.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         assertTrue(event.begunSecondsAgo() > 0 && event.begunSecondsAgo() < TIMEOUT_SECONDS, event::toString);
@@ -206,7 +231,7 @@
             }
             return reopened && calls.size() == 1 ? null : list(42, false);
         });
-        watcher = new EndpointWatcher(transport, old.address(), 41, 0.05, new Random(1), this);
+        watcher = new EndpointWatcher(transport, old.address(), 41, false, 0.05, new Random(1), this);
         ensureWatching();
         assertEquals("late", events.take());
         if (reopened) {
@@ -254,7 +279,7 @@
                 transport,
                 transport.ephemeralAddress(0),
                 (call, answer) -> pendingCalls.add(new PendingCall(call, answer)));
-        watcher = new EndpointWatcher(transport, service.address(), 41, longPollSeconds, new Random(1), this);
+        watcher = new EndpointWatcher(transport, service.address(), 41, false, longPollSeconds, new Random(1), this);
         ensureWatching();
         answer(pendingCalls.take(), list(42, false));
         assertEquals("changes 42", events.take());
