Record the role that a node tells while the list does not show it

The answer to a health check that came after the list had dropped its node was ignored, also when it told that the node is a replica. At its return the list's role counted.

Cause: onHealthCheck ignored results of nodes that are not in the list.

Change: the role is recorded with what is kept of the absent node.

--- a/core/src/main/java/clayhook/DepartedNodes.java
+++ b/core/src/main/java/clayhook/DepartedNodes.java
@@ -33,6 +33,11 @@
         oldest.replicaSet.distrustListedRoles();
     }
 
+    /** Returns the node with this id that has left, or null. */
+    NodeState find(String id) {
+        return nodes.get(id);
+    }
+
     /** Removes and returns the node with this id that left earlier, or null. */
     NodeState takeReturning(String id) {
         return nodes.remove(id);
--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -1036,6 +1036,7 @@
     public void onHealthCheck(Node node, AttemptResult result, double now) {
         NodeState state = nodeStates.get(node);
         if (state == null) {
+            onHealthCheckOfDepartedNode(node, result, now);
             return;
         }
         state.healthCheckPending = false;
@@ -1048,6 +1049,14 @@
         }
     }
 
+    /** Records the role that a node tells while it is gone from the list; all else is forgotten with its absence. */
+    private void onHealthCheckOfDepartedNode(Node node, AttemptResult result, double now) {
+        NodeState departed = departedNodes.find(node.id());
+        if (departed != null) {
+            updateRole(departed, result, now);
+        }
+    }
+
     /** Applies an observation of peers; their failures count as one, as only their network path may be broken. */
     public void onPeerObservation(Node node, PeerObservation observation, double now) {
         NodeState state = nodeStates.get(node);
--- a/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
+++ b/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
@@ -162,4 +162,21 @@
         fixture.now += SLOW_START_SECONDS;
         assertStrongReadWaits(fixture);
     }
+
+    /**
+     * Guards against a stale strong read at a node whose answer to a health check came while the list did not show the
+     * node. No further check is allowed here, as when the budget for checks is used up.
+     */
+    @Test
+    void roleToldWhileTheNodeIsGoneFromTheListIsBelieved() {
+        RoutingFixture fixture = fixture(false);
+        var listed = new Node("listed", "north", 2);
+        fixture.updateListedPrimary(listed, State.READY, LONG_AGO);
+        fixture.updateListedPrimary(listed, State.GONE, LONG_AGO);
+        fixture.reportPosition(listed, Role.REPLICA, fixture.now);
+        fixture.updateListedPrimary(listed, State.READY, LONG_AGO);
+        RequestClass strong = fixture.primaryClass(Idempotency.IDEMPOTENT);
+        var read = new Request(strong, 2, "s", 0, fixture.now, fixture.now + 4);
+        assertEquals(RoutingAction.WAIT, fixture.policy.route(read, fixture.now).action());
+    }
 }
