Recognize a new process by a start that the list did not show before

Found on rereading: a start in the future, by a clock that is ahead, was recorded as of now, so that each list after it looked like the start of another process and ended claims and confirmations until that time had come.

Change: starts are compared as they are listed; only their date is limited to now.

--- a/core/src/main/java/clayhook/NodeLifecycle.java
+++ b/core/src/main/java/clayhook/NodeLifecycle.java
@@ -23,9 +23,9 @@
      * @param healthChecksAllowed whether a health check can find out the role of a restarted node
      */
     static void onListed(NodeState node, Endpoint endpoint, boolean healthChecksAllowed, double now) {
+        boolean newProcess = endpoint.startedAt() > node.processStartedAt;
         // A start in the future is an error of a clock; what the node tells from now on has to count all the same.
         double startedAt = Math.min(endpoint.startedAt(), now);
-        boolean newProcess = startedAt > node.processStartedAt;
         if (newProcess && healthChecksAllowed) {
             node.roles.endPrimaryClaimBefore(startedAt);
         }
@@ -35,7 +35,7 @@
         if (newProcess || node.isDrainingOrGone()) {
             node.endConfirmations(now);
         }
-        node.processStartedAt = Math.max(node.processStartedAt, startedAt);
+        node.processStartedAt = Math.max(node.processStartedAt, endpoint.startedAt());
         node.endpoint = endpoint;
         node.roles.onListed(endpoint.primary(), now);
     }
--- a/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
+++ b/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
@@ -1,6 +1,7 @@
 package clayhook;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import clayhook.Decision.RoutingAction;
 import clayhook.Endpoint.State;
@@ -179,4 +180,15 @@
         var read = new Request(strong, 2, "s", 0, fixture.now, fixture.now + 4);
         assertEquals(RoutingAction.WAIT, fixture.policy.route(read, fixture.now).action());
     }
+
+    /** Guards against claims that end with each list while the clock of a node's machine is ahead. */
+    @Test
+    void claimAfterAStartInTheFutureRemains() {
+        var node = new NodeState(new Node("n", "north", 1), new ReplicaSet(1, null, null), 10, 3);
+        var endpoint = new Endpoint(node.node, State.READY, false, 2000);
+        NodeLifecycle.onListed(node, endpoint, true, 1000);
+        node.claimPrimary(1001);
+        NodeLifecycle.onListed(node, endpoint, true, 1002);
+        assertTrue(node.claimsPrimary());
+    }
 }
