Keep a report of draining that came during an absence or before its start

Cause: results of health checks of absent nodes were ignored, and a newer start ended all reports, also those that the new process had made.

Change: the report is recorded with what is kept of the absent node, and a start ends only what is older than the start.

--- a/core/src/main/java/clayhook/NodeLifecycle.java
+++ b/core/src/main/java/clayhook/NodeLifecycle.java
@@ -48,10 +48,12 @@
      */
     static void onReturned(NodeState departed, NodeState returned, Endpoint endpoint) {
         returned.processStartedAt = departed.processStartedAt;
+        // The list may show a start late, so that the new process may have reported already: onListed ends older
+        // reports.
+        returned.keepDrainingReport(departed);
         if (endpoint.startedAt() > departed.processStartedAt) {
             return;
         }
-        returned.keepDrainingReport(departed);
         returned.slowStartBudget = departed.slowStartBudget;
         returned.consecutiveFailures = departed.consecutiveFailures;
         returned.backoffUntil = departed.backoffUntil;
--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -1049,10 +1049,11 @@
         }
     }
 
-    /** Records the role that a node tells while it is gone from the list; all else is forgotten with its absence. */
+    /** Records what a node that is gone from the list tells of its role and of draining; see {@link NodeLifecycle}. */
     private void onHealthCheckOfDepartedNode(Node node, AttemptResult result, double now) {
         NodeState departed = departedNodes.find(node.id());
         if (departed != null) {
+            departed.onHealthCheckResult(now - result.elapsedSeconds(), result.outcome(), now);
             updateRole(departed, result, now);
         }
     }
--- a/core/src/test/java/clayhook/AttemptGateTest.java
+++ b/core/src/test/java/clayhook/AttemptGateTest.java
@@ -77,6 +77,19 @@
         }
     }
 
+    /**
+     * Guards against a report of a new process that is dropped because the list shows the start of that process late.
+     */
+    @Test
+    void reportOfDrainingByNewProcessRemainsWhenTheListShowsItsStart() {
+        finishHealthCheck(AttemptOutcome.DRAINING, 101.6);
+        var endpoint = new Endpoint(node, Endpoint.State.READY, false, 101.5);
+        var returned = new NodeState(node, nodeState.replicaSet, 10, 3);
+        NodeLifecycle.onReturned(nodeState, returned, endpoint);
+        NodeLifecycle.onListed(returned, endpoint, true, 102);
+        assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalFor(returned, 103));
+    }
+
     /** Guards against a node that gets nothing for good where no health check could show that it drains no more. */
     @Test
     void ignoresReportOfDrainingIfHealthChecksAreNotAllowed() {
