Keep the confirmations of nodes that a complete list shows

Found on rereading: while the list was out of date, a complete list ended the confirmations of all nodes, each of which was then checked again.

Change: only nodes that the list does not show are marked.

Evidence: the new test finds no node that gets a read without the change.

--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Makes all decisions of one router: which node serves a request, and whether it is retried, hedged, held, shed or
@@ -965,7 +967,7 @@
     /** Applies an endpoint list: it replaces the known list if it is complete, otherwise it contains the changes. */
     public void onEndpointList(List<Endpoint> endpoints, boolean complete, double now) {
         if (complete) {
-            nodeStates.values().forEach(node -> node.endpoint = endpointAfterRemoval(node));
+            removeUnlistedNodes(endpoints);
         }
         for (Endpoint endpoint : endpoints) {
             NodeState node = nodeStates.computeIfAbsent(endpoint.node(), added -> addNode(endpoint));
@@ -981,6 +983,13 @@
         endpointListLate = false;
     }
 
+    private void removeUnlistedNodes(List<Endpoint> endpoints) {
+        Set<Node> listed = endpoints.stream().map(Endpoint::node).collect(Collectors.toSet());
+        nodeStates.values().stream()
+                .filter(node -> !listed.contains(node.node))
+                .forEach(node -> node.endpoint = endpointAfterRemoval(node));
+    }
+
     private void removeUnusedNodes() {
         List<NodeState> unused =
                 nodeStates.values().stream().filter(NodeState::isUnused).toList();
--- a/core/src/test/java/clayhook/EndpointListOutOfDateTest.java
+++ b/core/src/test/java/clayhook/EndpointListOutOfDateTest.java
@@ -6,6 +6,7 @@
 import clayhook.Decision.RoutingAction;
 import clayhook.RequestClass.Idempotency;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** Routing after the lease on the endpoint list, last renewed at 1000 s when the fixture starts, expires at 1006 s. */
@@ -95,4 +96,18 @@
         lease.onConfirmed(LEASE_EXPIRED_AT, LEASE_EXPIRED_AT);
         assertTrue(fixture.nodesChosenFor(fixture.eventual, 20).size() >= 2);
     }
+
+    /** Guards against a complete list that ends the confirmations of all nodes, each of which is checked again then. */
+    @Test
+    void completeListLeavesConfirmationsOfTheNodesThatItShows() {
+        fixture.now = LEASE_EXPIRED_AT + 2;
+        fixture.reportAllPositions(fixture.now);
+        fixture.policy.onEndpointList(
+                Stream.of(fixture.primary, fixture.replica, fixture.otherReplica)
+                        .map(node -> new Endpoint(node, Endpoint.State.READY, false, 0))
+                        .toList(),
+                true,
+                fixture.now);
+        assertEquals(Set.of(fixture.replica, fixture.otherReplica), fixture.nodesChosenFor(fixture.eventual, 20));
+    }
 }
