Record nothing of a statement that earlier rules have classified

Cause: the answer to a call that was in flight during the reload put its shape, with the facts found by the earlier rules, into the cache of the new classifier (recordServiceTime). reclassifyAsWrite did the same.

A classifier ignores shapes of other rules; a node's refusal is recorded for the shape as the current rules see it.

--- a/daemon/src/main/java/clayhook/sql/SqlAdmission.java
+++ b/daemon/src/main/java/clayhook/sql/SqlAdmission.java
@@ -146,7 +146,7 @@
             ClientIdentity client,
             double clientTimeout,
             Map<String, String> settings) {
-        classifier.reclassifyAsWrite(refusedClassification);
+        classifier.reclassifyAsWrite(refusedClassification, text, client);
         AdmissionResult result = admit(text, client, clientTimeout, settings);
         boolean admittedAsWrite = result instanceof AdmissionResult.Admitted admitted
                 && admitted.classification().verdict() == StatementEffect.WRITE;
@@ -172,6 +172,11 @@
                 || (commentClass.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY && comment.hasIdempotencyKey());
     }
 
+    /** Whether a classification was made by the current rules. */
+    public boolean isCurrent(Classification classification) {
+        return classifier.isCurrent(classification);
+    }
+
     /** Records the time in seconds until a statement was answered, for the cost estimate of its shape. */
     public void recordServiceTime(Classification classification, double seconds) {
         classifier.recordServiceTime(classification, seconds);
--- a/daemon/src/test/java/clayhook/sql/SqlRoutingTest.java
+++ b/daemon/src/test/java/clayhook/sql/SqlRoutingTest.java
@@ -33,8 +33,10 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.regex.Pattern;
@@ -64,6 +66,17 @@
             mark = "id"
             group = "write"
             """;
+    /** Rules by which a function changes nothing, which by the other rules may write. */
+    private static final String RULES_WITH_READ_FUNCTION =
+            RULES.replace("writes = [", "reads = [\"receipt\"]\nwrites = [");
+
+    private static final List<RequestClass> REQUEST_CLASSES = List.of(
+            requestClass("any", Idempotency.IDEMPOTENT, ConsistencyLevel.EVENTUAL, 8),
+            requestClass("write", Idempotency.IDEMPOTENT_WITH_KEY, ConsistencyLevel.WRITE, 8),
+            requestClass("mutating", Idempotency.NON_IDEMPOTENT, ConsistencyLevel.WRITE, 8));
+
+    private static final String CALL_DURING_RELOAD = "select receipt(2)";
+
     private final Transport transport = Transport.tcp();
     private final Transport routerTransport = Transport.tcp();
     private final List<ScriptedSqlNode> nodes = new ArrayList<>();
@@ -71,6 +84,7 @@
     @TempDir
     Path folder;
 
+    private RouterConfiguration configuration;
     private Server server;
 
     private static RequestClass requestClass(
@@ -100,27 +114,29 @@
                 transport,
                 transport.ephemeralAddress(0),
                 call -> call.contains("wait_ms=0") ? "{\"rev\":2,\"all\":false,\"targets\":[]}" : null);
-        List<RequestClass> requestClasses = List.of(
-                requestClass("any", Idempotency.IDEMPOTENT, ConsistencyLevel.EVENTUAL, 8),
-                requestClass("write", Idempotency.IDEMPOTENT_WITH_KEY, ConsistencyLevel.WRITE, 8),
-                requestClass("mutating", Idempotency.NON_IDEMPOTENT, ConsistencyLevel.WRITE, 8));
         var settings = new RoutingSettings(
-                1, "a", requestClasses, true, true, false, true, true, true, true, true, 1, 9, 0.2, 10, 3, 3, 1, 15);
+                1, "a", REQUEST_CLASSES, true, true, false, true, true, true, true, true, 1, 9, 0.2, 10, 3, 3, 1, 15);
         Path file = folder.resolve("clayhook.toml");
         Files.writeString(file, rules);
-        server = new Server(
-                routerTransport,
-                new RouterConfiguration(
-                        "test",
-                        transport.ephemeralAddress(0),
-                        discovery.address(),
-                        1,
-                        1 << 27,
-                        1024,
-                        EndpointList.parse("{\"rev\":2,\"all\":true,\"targets\":[" + String.join(",", entries) + "]}"),
-                        settings,
-                        2),
-                OperatorConfigurationReader.read(file, requestClasses));
+        configuration = new RouterConfiguration(
+                "test",
+                transport.ephemeralAddress(0),
+                discovery.address(),
+                1,
+                1 << 27,
+                1024,
+                EndpointList.parse("{\"rev\":2,\"all\":true,\"targets\":[" + String.join(",", entries) + "]}"),
+                settings,
+                2);
+        server = new Server(routerTransport, configuration, OperatorConfigurationReader.read(file, REQUEST_CLASSES));
+    }
+
+    /** Replaces the operator's rules as a reload does, and waits until they apply. */
+    private void reload(String rules) throws Exception {
+        Path file = folder.resolve("reloaded.toml");
+        Files.writeString(file, rules);
+        server.reload(configuration, OperatorConfigurationReader.read(file, REQUEST_CLASSES));
+        routerTransport.eventLoop().submit(() -> {}).sync();
     }
 
     private SqlClient client(String... parameters) throws IOException {
@@ -331,6 +347,53 @@
         }
     }
 
+    /**
+     * Starts nodes that answer by {@code whileReloaded} to the first call of a function, which stays in flight until
+     * the rules by which it is a read are replaced by ones by which it may write. Returns the answer of that call.
+     */
+    private String answerToCallDuringReload(Reaction whileReloaded) throws Exception {
+        var arrived = new CountDownLatch(1);
+        var reloaded = new CountDownLatch(1);
+        start(RULES_WITH_READ_FUNCTION, always(Reaction.tag("W")), text -> {
+            if (!text.equals(CALL_DURING_RELOAD) || arrived.getCount() == 0) {
+                return Reaction.tag("R");
+            }
+            arrived.countDown();
+            awaitUninterruptibly(reloaded);
+            return whileReloaded;
+        });
+        try (SqlClient client = client()) {
+            while (!client.query("select receipt(1)").equals("C(R)")) {
+                Thread.onSpinWait(); // until a replica has been heard, the primary serves reads
+            }
+            client.send(CALL_DURING_RELOAD);
+            assertTrue(arrived.await(20, TimeUnit.SECONDS));
+            reload(RULES);
+            reloaded.countDown();
+            return client.readResponse();
+        }
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(20, TimeUnit.SECONDS));
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /**
+     * Guards against a shape that keeps the class of earlier rules: the answer to a call that was in flight during the
+     * reload made the router take later calls for reads, which it sent to replicas and repeated after a reset.
+     */
+    @Test
+    void callsAfterReloadAreClassifiedByTheNewRules() throws Exception {
+        assertEquals("C(R)", answerToCallDuringReload(Reaction.tag("R")));
+        try (SqlClient client = client()) {
+            assertEquals("C(W)", client.query("select receipt(3)"));
+        }
+    }
+
     /** Guards against a refused statement that leaves no parse budget to the statements of other clients behind it. */
     @Test
     void refusedStatementLeavesParseBudgetToNextOne() throws Exception {
--- a/statements/src/main/java/clayhook/statements/Classifier.java
+++ b/statements/src/main/java/clayhook/statements/Classifier.java
@@ -20,6 +20,7 @@
     /** The weight of one answer in the moving average of the seconds that a unit of work takes. */
     private static final double MOVING_AVERAGE_WEIGHT = 0.01;
 
+    private final RulesGeneration generation = new RulesGeneration();
     private final StatementRules rules;
     private final Lexer lexer;
     private final TokenBuffer tokens = new TokenBuffer();
@@ -114,7 +115,7 @@
         remainingBudget -= size;
         parsed++;
         byte[] bytes = Arrays.copyOf(shapeBuilder.bytes, shapeBuilder.length);
-        shape = new Shape(bytes, fingerprint(bytes), analyzer.analyze(shapeBuilder.tokens, tokens));
+        shape = new Shape(generation, bytes, fingerprint(bytes), analyzer.analyze(shapeBuilder.tokens, tokens));
         shapeCache.put(shape);
         return applyRules(shape, client);
     }
@@ -134,14 +135,20 @@
         return String.format("%016x%016x", hash.getMostSignificantBits(), hash.getLeastSignificantBits());
     }
 
+    /** Whether a classification was made by the rules of this classifier; unanalyzed statements have no rules. */
+    public boolean isCurrent(Classification classification) {
+        return classification.shape() == null || classification.shape().generation == generation;
+    }
+
     /**
      * Records the service time of an answered statement in the cost estimate of its shape and of a unit of work.
+     * Ignores classifications by earlier rules: their shapes hold what those rules found.
      *
      * @param seconds the time until the answer; ignored unless positive
      */
     public void recordServiceTime(Classification classification, double seconds) {
         Shape shape = classification.shape();
-        if (shape != null && seconds > 0) {
+        if (shape != null && isCurrent(classification) && seconds > 0) {
             secondsPerWorkUnit += MOVING_AVERAGE_WEIGHT * (seconds / shape.facts.work() - secondsPerWorkUnit);
             if (shape.recordServiceTime(seconds)) {
                 shapeCache.put(shape);
@@ -149,11 +156,19 @@
         }
     }
 
-    /** Classifies all statements of this shape as writes from now on, because a node refused to run one as a read. */
-    public void reclassifyAsWrite(Classification classification) {
-        if (classification.shape() != null) {
-            classification.shape().facts = classification.shape().facts.asWrite("a node would not run it as a read");
-            shapeCache.put(classification.shape());
+    /**
+     * Classifies all statements of a shape as writes from now on, because a node refused to run one as a read.
+     *
+     * @param classification the classification by which the statement was sent, possibly by earlier rules
+     * @param text the statement, which is classified by the current rules if the classification is not
+     */
+    public void reclassifyAsWrite(Classification classification, byte[] text, ClientIdentity client) {
+        Shape shape = isCurrent(classification)
+                ? classification.shape()
+                : classify(text, client).shape();
+        if (shape != null) {
+            shape.facts = shape.facts.asWrite("a node would not run it as a read");
+            shapeCache.put(shape);
         }
     }
 
--- a/statements/src/main/java/clayhook/statements/Shape.java
+++ b/statements/src/main/java/clayhook/statements/Shape.java
@@ -10,6 +10,9 @@
     /** Bytes for what the cache holds in addition to the text: entry, key, counts and the fingerprint. */
     private static final int ENTRY_BYTES = 400;
 
+    /** The rules by which the facts were found. */
+    final RulesGeneration generation;
+
     final byte[] text;
     final String fingerprint;
     /** Changes at most once: when a node refuses to run the shape as a read. */
@@ -19,7 +22,8 @@
     /** The service time of the previous answer in seconds, of which only the first is used; 0 before it. */
     private double previousSeconds;
 
-    Shape(byte[] text, String fingerprint, ShapeFacts facts) {
+    Shape(RulesGeneration generation, byte[] text, String fingerprint, ShapeFacts facts) {
+        this.generation = generation;
         this.text = text;
         this.fingerprint = fingerprint;
         this.facts = facts;
--- a/statements/src/test/java/clayhook/statements/ClassifierTest.java
+++ b/statements/src/test/java/clayhook/statements/ClassifierTest.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
@@ -204,6 +205,55 @@
         assertTrue(classifier.weight() <= 200_000);
     }
 
+    /** Rules that differ in one function, which changes nothing or may write. */
+    private static StatementRules rulesFor(boolean harmless) {
+        return new StatementRules(
+                true,
+                harmless ? Set.of("receipt") : Set.of(),
+                Set.of(),
+                Set.of(),
+                Set.of(),
+                Set.of(),
+                1 << 20,
+                2000,
+                false,
+                List.of(),
+                "read",
+                "write",
+                1);
+    }
+
+    /**
+     * Guards against a shape that keeps the class of earlier rules after a reload, so that a call that may write is
+     * sent to replicas and repeated: its statements that were in flight during the reload were answered after it.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void answersToStatementsClassifiedByEarlierRulesAreNotRecorded(boolean wasHarmless) {
+        var earlier = new Classifier(rulesFor(wasHarmless), 1);
+        var current = new Classifier(rulesFor(!wasHarmless), 1);
+        Classification inFlight = classify(earlier, "select receipt(1)");
+        for (int i = 0; i < 3; i++) {
+            current.recordServiceTime(inFlight, 5);
+        }
+        assertFalse(current.isCurrent(inFlight));
+        Classification later = classify(current, "select receipt(2)");
+        assertEquals(wasHarmless ? StatementEffect.WRITE : StatementEffect.READ, later.verdict());
+        assertTrue(later.cost() < 1, "the cost was measured by earlier rules");
+    }
+
+    /** Guards against a statement that the current rules take for a read although a node has refused to read by it. */
+    @Test
+    void refusalOfStatementClassifiedByEarlierRulesIsRecordedForTheCurrentOnes() {
+        var earlier = new Classifier(rulesFor(true), 1);
+        var current = new Classifier(rulesFor(true), 1);
+        byte[] text = "select receipt(1)".getBytes(UTF_8);
+        current.reclassifyAsWrite(classify(earlier, "select receipt(1)"), text, ClientIdentity.UNKNOWN);
+        Classification later = classify(current, "select receipt(2)");
+        assertEquals(StatementEffect.WRITE, later.verdict());
+        assertTrue(current.isCurrent(later));
+    }
+
     @Test
     void distinguishesShapesWithSameHash() {
         var shapes = new ShapeCache(1 << 20, (shape, length) -> 42);
@@ -217,6 +267,7 @@
                 assertEquals(round == 0 ? null : "select a" + i, found == null ? null : found.toString());
                 if (round == 0) {
                     shapes.put(new Shape(
+                            new RulesGeneration(),
                             ("select a" + i).getBytes(UTF_8),
                             "",
                             ShapeFacts.unanalyzed(StatementEffect.READ, "", "", false)));
