Do not repeat a read that may write by rules loaded while it was under way

Cause: a request keeps the class by which it was admitted.

Change: before an attempt is written, and when one has ended without an answer, the current rules are applied once to a read of earlier rules. If they do not say that it is a read, it is not written any more; if it may have run, the client gets 40003, otherwise it is admitted by the current rules.

Why it works: every attempt is asked for right before it is written, so that retries, hedged requests and attempts that wait for a connection are all covered.

--- a/core/src/main/java/clayhook/AttemptRefusal.java
+++ b/core/src/main/java/clayhook/AttemptRefusal.java
@@ -8,6 +8,8 @@
     REQUEST_COMPLETED,
     /** The client has closed its connection or cancelled the request. */
     CLIENT_GONE,
+    /** The request was admitted as a read by rules that have been replaced by ones by which it may write. */
+    RULES_CHANGED,
     /** No time is left for a response. */
     NO_TIME_LEFT,
     /** The node is draining or missing according to the endpoint list. */
--- a/core/src/main/java/clayhook/Decision.java
+++ b/core/src/main/java/clayhook/Decision.java
@@ -31,6 +31,11 @@
         return new Decision(RoutingAction.WAIT, null, 0, List.of());
     }
 
+    /** Returns this decision with another action. */
+    public Decision withAction(RoutingAction other) {
+        return new Decision(other, attempt, retryAfterSeconds, attemptsToCancel);
+    }
+
     static Decision send(Attempt attempt) {
         return new Decision(RoutingAction.SEND, attempt, 0, List.of());
     }
--- a/core/src/main/java/clayhook/Request.java
+++ b/core/src/main/java/clayhook/Request.java
@@ -28,6 +28,12 @@
     /** Whether the request has its final answer, or its client has gone. */
     public boolean completed;
 
+    /**
+     * Whether the request may write although its class is one of reads, as rules that were loaded after its admission
+     * say. It is then neither repeated nor answered as if it had no effect.
+     */
+    public boolean mayWrite;
+
     /** Creates a request without attempts; {@code sessionId} may be null and {@code lastWritePosition} may be 0. */
     public Request(
             RequestClass requestClass,
@@ -71,7 +77,7 @@
     }
 
     Idempotency idempotency() {
-        return requestClass.idempotency();
+        return mayWrite ? Idempotency.NON_IDEMPOTENT : requestClass.idempotency();
     }
 
     boolean requiresPrimary() {
--- a/daemon/src/main/java/clayhook/frontend/ClientRequest.java
+++ b/daemon/src/main/java/clayhook/frontend/ClientRequest.java
@@ -5,6 +5,7 @@
 import clayhook.RequestClass;
 import clayhook.protocol.KeyValueStatement;
 import clayhook.protocol.OutboundStatement;
+import clayhook.sql.SqlAdmission;
 import clayhook.statements.Classification;
 import java.util.List;
 
@@ -22,6 +23,8 @@
     public final Classification classification;
     /** The key under which routers share the write outcome of the request; null if it has none. */
     public final String outcomeKey;
+    /** The rules that were last applied to the request after its admission; null if none were. */
+    public SqlAdmission appliedRules;
     /** The error with which the last attempt ended; null if it ended without one. */
     public NodeError lastNodeError;
 
--- a/daemon/src/main/java/clayhook/serve/AttemptResults.java
+++ b/daemon/src/main/java/clayhook/serve/AttemptResults.java
@@ -61,6 +61,13 @@
             return;
         }
         boolean isAnswer = result.outcome() == AttemptOutcome.ANSWERED && !request.completed;
+        if (!isAnswer && !request.completed) {
+            sqlRequests.applyCurrentRules(request); // before the policy sends the request again
+        }
+        if (needsRestartUnderCurrentRules(request, attempt, result)) {
+            sqlRequests.restartUnderCurrentRules(request, attempt, result, now);
+            return;
+        }
         request.lastNodeError =
                 isAnswer || answer == null ? null : new ClientRequest.NodeError(attempt, sqlState, answer);
         if (isAnswer) {
@@ -81,6 +88,14 @@
                 && !request.completed;
     }
 
+    /** Whether a request that may write by new rules has not been executed by this attempt and has no other one. */
+    private static boolean needsRestartUnderCurrentRules(ClientRequest request, Attempt attempt, AttemptResult result) {
+        return request.mayWrite
+                && !request.completed
+                && result.outcome().notExecuted
+                && request.attempts.stream().allMatch(other -> other == attempt || other.outcome != null);
+    }
+
     @Override
     public void onHealthCheck(Node node, AttemptResult result) {
         counters.increment("health check " + result.outcome());
@@ -100,8 +115,12 @@
     }
 
     private AttemptRefusal refusalOf(Attempt attempt, double now) {
-        boolean clientGone = ((ClientRequest) attempt.request).clientSession.isClientGone();
-        return clientGone ? AttemptRefusal.CLIENT_GONE : policy.refusalOf(attempt, now);
+        var request = (ClientRequest) attempt.request;
+        if (request.clientSession.isClientGone()) {
+            return AttemptRefusal.CLIENT_GONE;
+        }
+        sqlRequests.applyCurrentRules(request);
+        return request.mayWrite ? AttemptRefusal.RULES_CHANGED : policy.refusalOf(attempt, now);
     }
 
     /**
--- a/daemon/src/main/java/clayhook/serve/Router.java
+++ b/daemon/src/main/java/clayhook/serve/Router.java
@@ -3,6 +3,7 @@
 import clayhook.Decision;
 import clayhook.Decision.RoutingAction;
 import clayhook.EndpointListLease;
+import clayhook.FinalAnswerPolicy;
 import clayhook.Request;
 import clayhook.RoutingPolicy;
 import clayhook.RoutingSettings;
@@ -43,6 +44,7 @@
     private final InFlightRequests inFlight;
     private final OpenRequests openRequests;
     private final ReloadableSqlAdmission sql;
+    private final SqlRequests sqlRequests;
     private final PeerReporter peers;
     private final ClientResponder responder;
     private final BackendClient backend;
@@ -88,7 +90,7 @@
         sql = new ReloadableSqlAdmission(operator.statements(), settings.requestClasses(), configuration.seed());
         peers = new PeerReporter(sharing, clock);
         responder = new ClientResponder(openRequests, peers, counters, settings.clientsHonorRetryAfter());
-        var sqlRequests = new SqlRequests(loop, sql, inFlight, openRequests, counters);
+        sqlRequests = new SqlRequests(loop, sql, inFlight, openRequests, counters);
         backend = new BackendClient(
                 transport,
                 clock,
@@ -176,10 +178,21 @@
             backend.send(decision.attempt(), request.outboundStatement);
             peers.onAttemptSent(request);
         } else {
-            responder.conclude(request, decision);
+            responder.conclude(request, underCurrentRules(request, decision));
         }
     }
 
+    /**
+     * Replaces the rejection of a request that has run by a failure if it may write by rules that were loaded since.
+     */
+    private Decision underCurrentRules(ClientRequest request, Decision decision) {
+        if (decision.action() != RoutingAction.REJECT) {
+            return decision;
+        }
+        sqlRequests.applyCurrentRules(request);
+        return FinalAnswerPolicy.mayReject(request) ? decision : decision.withAction(RoutingAction.FAIL);
+    }
+
     /** Applies the settings of a reloaded configuration that need no restart, and logs the changed ones that do. */
     void reload(RouterConfiguration reloaded, OperatorConfiguration reloadedOperator) {
         String restartNeeded = joinNonEmpty(
--- a/daemon/src/main/java/clayhook/serve/SqlRequests.java
+++ b/daemon/src/main/java/clayhook/serve/SqlRequests.java
@@ -4,12 +4,14 @@
 import clayhook.AttemptOutcome;
 import clayhook.AttemptResult;
 import clayhook.FinalAnswerPolicy;
+import clayhook.Request;
 import clayhook.RequestClass.ConsistencyLevel;
 import clayhook.frontend.ClientRequest;
 import clayhook.frontend.ClientSession;
 import clayhook.inflight.InFlightRequests;
 import clayhook.log.Log;
 import clayhook.metrics.EventCounters;
+import clayhook.sql.SqlAdmission;
 import clayhook.sql.SqlAdmission.AdmissionResult;
 import java.util.concurrent.Executor;
 
@@ -74,6 +76,36 @@
         loop.execute(() -> session.respondWithError(rejected.sqlState(), rejected.reason()));
     }
 
+    /**
+     * Applies the current rules to a read that was admitted under earlier ones. If they do not say that it is a read,
+     * it is not repeated any more, and {@link Request#mayWrite} is set.
+     */
+    void applyCurrentRules(ClientRequest request) {
+        boolean admittedAsRead = request.classification != null
+                && request.requestClass.consistency() != ConsistencyLevel.WRITE
+                && !request.mayWrite;
+        SqlAdmission current = sql.admission();
+        if (!admittedAsRead || request.appliedRules == current || current.isCurrent(request.classification)) {
+            return;
+        }
+        request.appliedRules = current;
+        AdmissionResult result = classify(request.clientSession, request.outboundStatement.textWithTimeout(0));
+        request.mayWrite = !(result instanceof AdmissionResult.Admitted admitted
+                && admitted.requestClass().consistency() != ConsistencyLevel.WRITE);
+    }
+
+    /**
+     * Ends a request that may write by the current rules and of which an attempt has ended without being executed, and
+     * admits its statement under these rules.
+     */
+    void restartUnderCurrentRules(ClientRequest request, Attempt attempt, AttemptResult result, double now) {
+        AdmissionResult admission = classify(request.clientSession, request.outboundStatement.textWithTimeout(0));
+        openRequests.remove(request.clientSession);
+        inFlight.onAttemptFinished(attempt, result, true, now);
+        counters.increment("restarted under new rules");
+        restart(request, attempt, admission, now);
+    }
+
     /**
      * Ends a request that a node refused to run as a read, without answering it, and admits it again as a write. If
      * another attempt may have been executed, the write may have had its effect, and the client is told so instead.
@@ -89,6 +121,12 @@
                         session.settings().values());
         openRequests.remove(session);
         inFlight.onAttemptFinished(attempt, withAnsweredOutcome(result), true, now);
+        restart(request, attempt, admission, now);
+    }
+
+    /** Continues an ended request as a new one, unless an attempt other than the one that was refused may have run. */
+    private void restart(ClientRequest request, Attempt attempt, AdmissionResult admission, double now) {
+        ClientSession session = request.clientSession;
         boolean mayStartAnew = FinalAnswerPolicy.mayStartAnew(
                 request,
                 attempt,
--- a/daemon/src/test/java/clayhook/sql/SqlRoutingTest.java
+++ b/daemon/src/test/java/clayhook/sql/SqlRoutingTest.java
@@ -394,6 +394,20 @@
         }
     }
 
+    /** Guards against a second execution of a read in flight that may write by rules that were loaded meanwhile. */
+    @Test
+    void callThatMayWriteByNewRulesIsNotRepeatedAfterPossibleExecution() throws Exception {
+        assertEquals("E(40003)", answerToCallDuringReload(new Reaction(Reaction.Kind.RESET_AFTER, null, null)));
+        assertEquals(1, executionCount(CALL_DURING_RELOAD));
+    }
+
+    /** Guards against a call that may write by new rules and that is sent to another replica as a read. */
+    @Test
+    void callThatMayWriteByNewRulesGoesToThePrimaryIfItHasNotRun() throws Exception {
+        assertEquals("C(W)", answerToCallDuringReload(Reaction.error("53300")));
+        assertEquals(1, executionCount(CALL_DURING_RELOAD));
+    }
+
     /** Guards against a refused statement that leaves no parse budget to the statements of other clients behind it. */
     @Test
     void refusedStatementLeavesParseBudgetToNextOne() throws Exception {
