Find the primary of a replica set in one loop

Change: ReplicaSet.primary compares the members in a loop, not in a stream with a comparator of two parts. The order is the same.

--- a/core/src/main/java/clayhook/ReplicaSet.java
+++ b/core/src/main/java/clayhook/ReplicaSet.java
@@ -2,7 +2,6 @@
 
 import clayhook.RequestClass.ConsistencyLevel;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -69,11 +68,12 @@
 
     /** Returns the member with the newest evidence that it is primary, or null. What members told precedes the list. */
     NodeState primary() {
-        return members.stream()
-                .filter(NodeState::claimsPrimary)
-                .max(Comparator.comparingDouble((NodeState member) -> member.roles.primaryClaimedAt())
-                        .thenComparingDouble(member -> member.roles.listedAsPrimarySince()))
-                .orElse(null);
+        NodeState newest = null;
+        for (NodeState member : members) {
+            boolean newer = newest == null || member.roles.isNewerThan(newest.roles);
+            newest = newer && member.claimsPrimary() ? member : newest;
+        }
+        return newest;
     }
 
     /** Returns the average reported load of the replicas; 0 without replicas. */
--- a/core/src/main/java/clayhook/RoleEvidence.java
+++ b/core/src/main/java/clayhook/RoleEvidence.java
@@ -51,19 +51,16 @@
         listedAsPrimary = primary;
     }
 
-    /** Returns the time of the newest answer that shows that the node was primary; {@code NEVER} without one. */
-    double primaryClaimedAt() {
-        return primaryClaimedAt;
-    }
-
     /** Returns the time of the newest answer that shows that the node was a replica; {@code NEVER} without one. */
     double replicaClaimedAt() {
         return replicaClaimedAt;
     }
 
-    /** Returns when the endpoint list last began to name the node as primary; {@code NEVER} if it has not. */
-    double listedAsPrimarySince() {
-        return listedAsPrimarySince;
+    /** Whether this is newer evidence that a node is primary than that of another node. Answers precede the list. */
+    boolean isNewerThan(RoleEvidence other) {
+        return primaryClaimedAt == other.primaryClaimedAt
+                ? listedAsPrimarySince > other.listedAsPrimarySince
+                : primaryClaimedAt > other.primaryClaimedAt;
     }
 
     /** Whether the node has told its role itself, so that the endpoint list does not count. */
