Check only a draining primary until it has handed over

Cause: a primary that drains is no responsive primary, so that all members were checked every 150 ms; the budget for checks was used up before the successor was elected, and one client's requests earn half a check each.

Change: a primary that says that it drains and that it is still primary is the only one checked until it says that it is a replica. Then all members are.

Why it works: a handover ends with that word, and the checks of the others before it show nothing.

--- a/core/src/main/java/clayhook/NodeState.java
+++ b/core/src/main/java/clayhook/NodeState.java
@@ -47,6 +47,9 @@
     /** When the node last answered a health check that it accepts no new requests. */
     private double drainingReportedAt = NEVER;
 
+    /** Whether the node told with its last answer to a health check that it drains and is still primary. */
+    boolean drainsAsPrimary;
+
     /** When the node last responded to an attempt; health checks do not count. */
     double lastAttemptResponseAt = NEVER;
 
--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -356,7 +356,7 @@
     private NodeState choosePrimary(Request request, double now) {
         NodeState primary = replicaSet(request).primary();
         if (!isPrimaryHealthy(request, now)) {
-            replicaSet(request).members.forEach(member -> requestHealthCheck(member, now));
+            checkForPrimary(replicaSet(request), primary, now);
             return memberToFindPrimary(request, now);
         }
         // Without a health check each router would send its first write after a failover to the former primary.
@@ -367,6 +367,19 @@
         return usable ? primary : null;
     }
 
+    /**
+     * Health-checks the members that may show which of them is primary. A primary that drains shows itself when it has
+     * handed over; until then checks of the others would only use up the budget.
+     */
+    private void checkForPrimary(ReplicaSet replicaSet, NodeState primary, double now) {
+        boolean handsOver = primary != null && primary.drainsAsPrimary && !primary.isDrainingOrGone();
+        if (handsOver) {
+            requestHealthCheck(primary, now);
+        } else {
+            replicaSet.members.forEach(member -> requestHealthCheck(member, now));
+        }
+    }
+
     /**
      * Returns the member to which a write is sent to find out whether it is primary, or null. Without health checks
      * nothing else may show which member has become primary. A replica rejects a write without executing it; a strong
@@ -1050,6 +1063,7 @@
         }
         state.healthCheckPending = false;
         state.onHealthCheckResult(now - result.elapsedSeconds(), result.outcome(), now);
+        state.drainsAsPrimary = result.outcome() == AttemptOutcome.DRAINING && result.role() == Role.PRIMARY;
         updateNodeState(state, result, now); // a draining node tells its role and position with an error
         if (result.outcome() == AttemptOutcome.ANSWERED) {
             state.consecutiveFailures = Math.min(state.consecutiveFailures, 1);
--- a/core/src/test/java/clayhook/RoutingPolicyPrimaryTest.java
+++ b/core/src/test/java/clayhook/RoutingPolicyPrimaryTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests which node gets writes, and how writes are held while there is no primary. */
 class RoutingPolicyPrimaryTest {
@@ -103,7 +104,7 @@
     /** Guards against writes at a node that drains by its own word, and that the list shows as ready. */
     @Test
     void writeIsNotSentToPrimaryThatReportsDrainingHoweverLongAgo() {
-        fixture.reportDraining(fixture.primary, Role.PRIMARY);
+        fixture.reportDraining(fixture.primary, Role.UNKNOWN);
         fixture.now += 0.5; // longer than the backoff after a failed health check
         Request write = fixture.request(fixture.write, 0);
         assertEquals(
@@ -113,4 +114,33 @@
         assertEquals(
                 fixture.otherReplica, fixture.policy.route(write, fixture.now).attempt().node);
     }
+
+    /**
+     * Guards against strong reads that are rejected for seconds after a planned handover: while the primary drained,
+     * the checks of all members used up the budget, so that none was left to find its successor.
+     */
+    @ParameterizedTest
+    @ValueSource(doubles = {0.5, 0.9})
+    void successorOfDrainingPrimaryIsFoundSoonAfterTheHandover(double handoverSeconds) {
+        Node successor = fixture.otherReplica;
+        fixture.reportDraining(fixture.primary, Role.PRIMARY);
+        Request read = fixture.request(fixture.primaryClass(Idempotency.IDEMPOTENT), 0);
+        double handedOverAt = fixture.now + handoverSeconds;
+        Decision decision = fixture.policy.route(read, fixture.now);
+        while (decision.action() == RoutingAction.WAIT && fixture.now < handedOverAt + 0.3) {
+            fixture.now += 0.01;
+            boolean handedOver = fixture.now >= handedOverAt;
+            for (Node node : fixture.policy.tick(fixture.now).healthChecks()) {
+                if (node.equals(fixture.primary)) {
+                    fixture.reportDraining(node, handedOver ? Role.REPLICA : Role.PRIMARY);
+                } else {
+                    Role role = handedOver && node.equals(successor) ? Role.PRIMARY : Role.REPLICA;
+                    fixture.reportPosition(node, role, fixture.now);
+                }
+            }
+            decision = fixture.policy.route(read, fixture.now);
+        }
+        assertEquals(RoutingAction.SEND, decision.action());
+        assertEquals(successor, decision.attempt().node);
+    }
 }
