--- a/daemon/src/main/java/clayhook/serve/AttemptResults.java
+++ b/daemon/src/main/java/clayhook/serve/AttemptResults.java
@@ -115,10 +115,11 @@
     }
 
     private AttemptRefusal refusalOf(Attempt attempt, double now) {
-        var request = (ClientRequest) attempt.request;
-        if (request.clientSession.isClientGone()) {
+        boolean clientGone = ((ClientRequest) attempt.request).clientSession.isClientGone();
+        if (clientGone) {
             return AttemptRefusal.CLIENT_GONE;
         }
+        var request = (ClientRequest) attempt.request;
         sqlRequests.applyCurrentRules(request);
         return request.mayWrite ? AttemptRefusal.RULES_CHANGED : policy.refusalOf(attempt, now);
     }
