Use the field's words for what nodes report and what the list shows

Found on rereading the change: told, tells and believed stood for reported and used; a constant referred to another comment for its reason, and another one gave a size that had not been measured.

The test of a node that returns with its process now also checks that the budget of its slow start is the same one.

--- a/core/src/main/java/clayhook/DepartedNodes.java
+++ b/core/src/main/java/clayhook/DepartedNodes.java
@@ -7,13 +7,13 @@
  * The nodes that are gone from the endpoint list, with what remains true of them, in case they return under the same
  * id. A node leaves the table when it returns; beyond a maximum, the node that left longest ago is forgotten.
  *
- * <p>A node that was forgotten looks like a new one when it returns. To keep the list from being believed against what
- * such a node told, its replica set believes the list about the role of no node that has not told its role itself.
+ * <p>A node that was forgotten looks like a new one when it returns. So that a listed role never replaces one that such
+ * a node reported, its replica set uses the listed role of no node that has not reported its role itself.
  *
  * <p>Not thread-safe: confined to the event loop.
  */
 final class DepartedNodes {
-    /** Above the number of nodes of a large fleet. One entry takes less than a kilobyte. */
+    /** The maximum number of nodes kept, above the size of a large fleet. */
     static final int MAX_NODES = 2_048;
 
     /** The nodes by id, in the order in which they left. */
--- a/core/src/main/java/clayhook/EndpointListLease.java
+++ b/core/src/main/java/clayhook/EndpointListLease.java
@@ -37,7 +37,10 @@
      */
     private static final double CONFIRMATION_SECONDS = 4;
 
-    /** The part of the draining grace period that may pass without news; the rest covers stalls, as above. */
+    /**
+     * The part of the draining grace period for which the list or a passed health check may be relied on. The rest
+     * covers a stall before the write and nodes that start to fail health checks late.
+     */
     private static final double GRACE_FRACTION = 2.0 / 3;
 
     /** How long the list may be relied on without an open watch that is answered in time. */
--- a/core/src/main/java/clayhook/NodeLifecycle.java
+++ b/core/src/main/java/clayhook/NodeLifecycle.java
@@ -6,7 +6,7 @@
  * list.
  *
  * <ul>
- *   <li>What it told about its role remains in any case; only that it is primary has to be told anew by a new process.
+ *   <li>The role that it reported remains in any case; only a new process has to report anew that it is primary.
  *   <li>Failures, backoff, its own report that it drains, the concurrency limit and the budget of its slow start remain
  *       if it returns with the process that it had: a node that flaps in the list is not tried afresh each time.
  *   <li>That it accepts new requests has to be confirmed anew.
@@ -24,7 +24,7 @@
      */
     static void onListed(NodeState node, Endpoint endpoint, boolean healthChecksAllowed, double now) {
         boolean newProcess = endpoint.startedAt() > node.processStartedAt;
-        // A start in the future is an error of a clock; what the node tells from now on has to count all the same.
+        // A start in the future is an error of a clock; what the node reports from now on has to count all the same.
         double startedAt = Math.min(endpoint.startedAt(), now);
         if (newProcess && healthChecksAllowed) {
             node.roles.endPrimaryClaimBefore(startedAt);
--- a/core/src/main/java/clayhook/NodeState.java
+++ b/core/src/main/java/clayhook/NodeState.java
@@ -47,13 +47,13 @@
     /** When the node last answered a health check that it accepts no new requests. */
     private double drainingReportedAt = NEVER;
 
-    /** Whether the node told with its last answer to a health check that it drains and is still primary. */
+    /** Whether the node reported with its last answer to a health check that it is draining and still primary. */
     boolean drainsAsPrimary;
 
     /** When the node last responded to an attempt; health checks do not count. */
     double lastAttemptResponseAt = NEVER;
 
-    /** What the node told about its role. */
+    /** What the node reported about its role. */
     final RoleEvidence roles;
 
     /** Attempts without a result, oldest first. */
@@ -103,7 +103,7 @@
         this(node, replicaSet, concurrencyLimit, overloadWindowSeconds, new RoleEvidence());
     }
 
-    /** Creates the state of a node that told its role before it was gone from the endpoint list. */
+    /** Creates the state of a node that reported its role before it was gone from the endpoint list. */
     NodeState(
             Node node,
             ReplicaSet replicaSet,
@@ -198,11 +198,11 @@
 
     /** Whether the node is primary according to the strongest evidence; see {@link RoleEvidence}. */
     boolean claimsPrimary() {
-        boolean listedOrTold = endpoint != null || roles.hasToldRole();
-        return listedOrTold && roles.showsPrimary(replicaSet.newestPrimaryClaimAt());
+        boolean listedOrReported = endpoint != null || roles.hasReportedRole();
+        return listedOrReported && roles.showsPrimary(replicaSet.newestPrimaryClaimAt());
     }
 
-    /** Records that the node told that it was primary at the given time. */
+    /** Records that the node reported that it was primary at the given time. */
     void claimPrimary(double at) {
         roles.claimPrimary(at);
         replicaSet.onPrimaryClaim(at);
--- a/core/src/main/java/clayhook/ReplicaSet.java
+++ b/core/src/main/java/clayhook/ReplicaSet.java
@@ -30,7 +30,7 @@
     /** The newest position of a session write that was evicted; every session read has to see it. */
     double evictedWritePosition;
 
-    /** When a member last told that it is primary. The list is not believed against it if it said so before. */
+    /** When a member last reported that it is primary. A listed role counts only if it was listed after that. */
     private double newestPrimaryClaimAt = NodeState.NEVER;
 
     /**
@@ -46,17 +46,17 @@
         primaryLoad = new LoadEstimate(smoothing, overall == null ? null : overall.primaryLoad);
     }
 
-    /** Returns when a member last told that it is primary; infinite if the list is not to be believed about roles. */
+    /** Returns when a member last reported that it is primary; infinite if listed roles do not count at all. */
     double newestPrimaryClaimAt() {
         return newestPrimaryClaimAt;
     }
 
-    /** Records that a member told that it was primary at the given time. */
+    /** Records that a member reported that it was primary at the given time. */
     void onPrimaryClaim(double at) {
         newestPrimaryClaimAt = Math.max(newestPrimaryClaimAt, at);
     }
 
-    /** Stops believing the endpoint list about roles, as what a member told about its role was forgotten. */
+    /** Ignores listed roles from now on, as the role that a member reported was forgotten. */
     void distrustListedRoles() {
         newestPrimaryClaimAt = Double.POSITIVE_INFINITY;
     }
@@ -66,7 +66,7 @@
         return requestClass.consistency() == ConsistencyLevel.EVENTUAL ? eventualReadLoad : consistentReadLoad;
     }
 
-    /** Returns the member with the newest evidence that it is primary, or null. What members told precedes the list. */
+    /** Returns the member with the newest evidence that it is primary, or null. Reported roles precede listed ones. */
     NodeState primary() {
         NodeState newest = null;
         for (NodeState member : members) {
--- a/core/src/main/java/clayhook/RoleEvidence.java
+++ b/core/src/main/java/clayhook/RoleEvidence.java
@@ -3,9 +3,9 @@
 import static clayhook.NodeState.NEVER;
 
 /**
- * What one router was told about the role of one node. A node tells its role with its answers; the endpoint list names
- * a primary too, but late, or as it was when the deployment started. So an answer counts more than the list, however
- * old the answer is.
+ * What one router knows about the role of one node. A node reports its role with its answers; the endpoint list names a
+ * primary too, but late, or as it was when the deployment started. So an answer counts more than the list, however old
+ * the answer is.
  *
  * <ul>
  *   <li>That a node was a replica is ended only by a later answer of the node. Its removal from the list, its return
@@ -21,8 +21,8 @@
 final class RoleEvidence {
     private double primaryClaimedAt = NEVER;
     private double replicaClaimedAt = NEVER;
-    /** Whether the node has told its role, even if that has been ended since. */
-    private boolean hasToldRole;
+    /** Whether the node has reported its role, even if that report has been ended since. */
+    private boolean hasReportedRole;
 
     private boolean listedAsPrimary;
     /** When the list began to name the node as primary. */
@@ -31,13 +31,13 @@
     /** Records an answer or a peer's observation that shows that the node was primary at the given time. */
     void claimPrimary(double at) {
         primaryClaimedAt = Math.max(primaryClaimedAt, at);
-        hasToldRole |= at > NEVER;
+        hasReportedRole |= at > NEVER;
     }
 
     /** Records an answer or a peer's observation that shows that the node was a replica at the given time. */
     void claimReplica(double at) {
         replicaClaimedAt = Math.max(replicaClaimedAt, at);
-        hasToldRole |= at > NEVER;
+        hasReportedRole |= at > NEVER;
     }
 
     /** Ends a claim to be primary that an earlier process of the node made, before the given time. */
@@ -63,18 +63,18 @@
                 : primaryClaimedAt > other.primaryClaimedAt;
     }
 
-    /** Whether the node has told its role itself, so that the endpoint list does not count. */
-    boolean hasToldRole() {
-        return hasToldRole;
+    /** Whether the node has reported its role itself, so that its listed role does not count. */
+    boolean hasReportedRole() {
+        return hasReportedRole;
     }
 
     /**
      * Whether the node is primary according to the strongest evidence.
      *
-     * @param newestPrimaryClaimAt when a member of the replica set last told that it is primary
+     * @param newestPrimaryClaimAt when a member of the replica set last reported that it is primary
      */
     boolean showsPrimary(double newestPrimaryClaimAt) {
-        return hasToldRole
+        return hasReportedRole
                 ? primaryClaimedAt > replicaClaimedAt
                 : listedAsPrimary && listedAsPrimarySince > newestPrimaryClaimAt;
     }
--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -82,8 +82,8 @@
     private static final double EXPIRED_LEASE_CHECKS_PER_REQUEST = 1; // while each node needs its own confirmation
     private static final double HEALTH_CHECK_BUDGET_CAP = 15; // two or three per member of a replica set
     private static final double HEALTH_CHECK_TIMEOUT = 0.02; // a few network round trips
-    private static final double ROLE_CHECK_TIMEOUT = 0.3; // of a cold node, whose connection has to be opened
-    private static final double ROLE_RETRY_INTERVAL = 0.5; // an election takes about as long
+    private static final double ROLE_CHECK_TIMEOUT = 0.3; // the default connect timeout, and an answer
+    private static final double ROLE_RETRY_INTERVAL = 0.5; // between writes that may find a new primary at a member
     private static final double HEALTH_CHECK_INTERVAL = 0.15; // about the interval between load reports
     private static final double REFRESH_PROBABILITY = 0.1; // enough to detect the recovery of a node
 
@@ -671,7 +671,7 @@
     /** Whether a strong read should wait for the health check of a primary that only the endpoint list has named. */
     private static boolean isRoleCheckPending(NodeState node, Request request, double now) {
         return request.consistency() == ConsistencyLevel.STRONG
-                && !node.roles.hasToldRole()
+                && !node.roles.hasReportedRole()
                 && node.healthCheckPending
                 && now < node.healthCheckSentAt + ROLE_CHECK_TIMEOUT;
     }
@@ -1064,7 +1064,7 @@
         state.healthCheckPending = false;
         state.onHealthCheckResult(now - result.elapsedSeconds(), result.outcome(), now);
         state.drainsAsPrimary = result.outcome() == AttemptOutcome.DRAINING && result.role() == Role.PRIMARY;
-        updateNodeState(state, result, now); // a draining node tells its role and position with an error
+        updateNodeState(state, result, now); // a draining node reports its role and position with an error
         if (result.outcome() == AttemptOutcome.ANSWERED) {
             state.consecutiveFailures = Math.min(state.consecutiveFailures, 1);
         } else if (result.outcome() != AttemptOutcome.NOT_SENT) {
@@ -1072,7 +1072,9 @@
         }
     }
 
-    /** Records what a node that is gone from the list tells of its role and of draining; see {@link NodeLifecycle}. */
+    /**
+     * Records the role and the draining that a node reports while it is gone from the list; see {@link NodeLifecycle}.
+     */
     private void onHealthCheckOfDepartedNode(Node node, AttemptResult result, double now) {
         NodeState departed = departedNodes.find(node.id());
         if (departed != null) {
--- a/core/src/test/java/clayhook/AttemptGateTest.java
+++ b/core/src/test/java/clayhook/AttemptGateTest.java
@@ -51,7 +51,7 @@
         assertEquals(AttemptRefusal.NODE_UNCONFIRMED, gate.refusalFor(nodeState, EXPIRED_AT + 3));
     }
 
-    /** Guards against attempts on a node that has answered a health check that it drains, before the list says so. */
+    /** Guards against attempts on a node that has answered a health check that it drains, before the list shows it. */
     @Test
     void refusesNodeThatReportsDrainingUntilItPassesALaterHealthCheckThoughTheListIsValid() {
         finishHealthCheck(AttemptOutcome.DRAINING, 101);
--- a/core/src/test/java/clayhook/NodeFactsModel.java
+++ b/core/src/test/java/clayhook/NodeFactsModel.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 
 /**
- * A small model of what a router may believe of the nodes of one replica set, which records only what the router was
- * told and says whether an attempt is allowed. It holds no state that an absence from the list could lose.
+ * A small model of what a router knows about the nodes of one replica set, which records only what was reported to the
+ * router and decides whether an attempt is allowed. It holds no state that an absence from the list could lose.
  */
 final class NodeFactsModel {
     /** How long after a confirmation the list is valid, and how long a passed health check confirms without it. */
@@ -14,11 +14,11 @@
     private static final double POLLED_CONFIRMATION_SECONDS = 4;
     private static final double NEVER = Double.NEGATIVE_INFINITY;
 
-    /** What the router was told of one node. */
+    /** What was reported to the router about one node. */
     private static final class Facts {
         private boolean ready;
         private double startedAt;
-        private Role toldRole = Role.UNKNOWN;
+        private Role reportedRole = Role.UNKNOWN;
         private double drainingReportedAt = NEVER;
         private double confirmedAt = NEVER;
         private double refusedAt = NEVER;
@@ -44,7 +44,7 @@
         return nodes.computeIfAbsent(node, any -> new Facts());
     }
 
-    // ---- what the router is told ----
+    // ---- what is reported to the router ----
 
     void onListed(Node node, Endpoint.State state, double startedAt, double now) {
         Facts facts = facts(node);
@@ -71,10 +71,10 @@
         listValidUntil = Math.min(listValidUntil, now + unwatchedSeconds);
     }
 
-    /** Records the role and the position that an answer of any kind tells. */
+    /** Records the role and the position that an answer of any kind reports. */
     void onReport(Node node, Role role, double position) {
         Facts facts = facts(node);
-        facts.toldRole = role == Role.UNKNOWN ? facts.toldRole : role;
+        facts.reportedRole = role == Role.UNKNOWN ? facts.reportedRole : role;
         facts.position = Math.max(facts.position, position);
     }
 
@@ -110,18 +110,18 @@
         if (!facts.ready) {
             return "the node drains or is gone";
         } else if (healthChecksAllowed && facts.drainingReportedAt > NEVER) {
-            return "the node has said that it drains";
+            return "the node has reported that it is draining";
         } else if (now >= listValidUntil && !confirmed) {
             return "the list is out of date and the node is not confirmed";
-        } else if (facts.toldRole != Role.REPLICA) {
-            return null; // a send to a node that may still be primary is never stale by what was told
+        } else if (facts.reportedRole != Role.REPLICA) {
+            return null; // a send to a node that may still be primary cannot be known to be stale
         }
         return switch (request.consistency()) {
-            case STRONG -> "a strong read at a node that told that it is a replica";
+            case STRONG -> "a strong read at a node that reported that it is a replica";
             case BOUNDED_STALENESS ->
                 facts.position >= now - request.maxStalenessSeconds()
                         ? null
-                        : "a bounded read at a replica that told no position within the bound";
+                        : "a bounded read at a replica that reported no position within the bound";
             default -> null;
         };
     }
--- a/core/src/test/java/clayhook/NodeFactsPropertyTest.java
+++ b/core/src/test/java/clayhook/NodeFactsPropertyTest.java
@@ -201,7 +201,7 @@
             policy.onHealthCheck(node.node, result, now);
         }
 
-        /** Returns a result, and tells the model what it reports. */
+        /** Returns a result, and passes what it reports to the model. */
         private AttemptResult result(TrueNode node, AttemptOutcome outcome, boolean reports, double sentAt) {
             if (!reports) {
                 return AttemptResult.withoutReport(outcome, now - sentAt);
@@ -318,7 +318,7 @@
 
     /** Guards against attempts that a fact forbids which an event, or the lack of one, has made the router forget. */
     @Test
-    void noAttemptContradictsWhatTheRouterWasTold() {
+    void noAttemptContradictsWhatWasReportedToTheRouter() {
         for (long seed = 1; seed <= SEEDS; seed++) {
             try {
                 var play = new Play(seed);
--- a/core/src/test/java/clayhook/RoutingFixture.java
+++ b/core/src/test/java/clayhook/RoutingFixture.java
@@ -182,7 +182,7 @@
         policy.onHealthCheck(node, result, now);
     }
 
-    /** Passes a failed health check, whose answer tells the role of the node, to the policy. */
+    /** Passes a failed health check, whose answer reports the role of the node, to the policy. */
     void failHealthCheck(Node node, Role role) {
         var result = new AttemptResult(AttemptOutcome.ERROR, 0.001, role, 0, Role.UNKNOWN, 0, -1);
         healthCheckResults.put(node, result);
--- a/core/src/test/java/clayhook/RoutingPolicyPrimaryTest.java
+++ b/core/src/test/java/clayhook/RoutingPolicyPrimaryTest.java
@@ -101,7 +101,7 @@
                 RoutingAction.WAIT, unchecked.policy.route(read, unchecked.now).action());
     }
 
-    /** Guards against writes at a node that drains by its own word, and that the list shows as ready. */
+    /** Guards against writes at a node that has reported that it is draining and that the list shows as ready. */
     @Test
     void writeIsNotSentToPrimaryThatReportsDrainingHoweverLongAgo() {
         fixture.reportDraining(fixture.primary, Role.UNKNOWN);
--- a/core/src/test/java/clayhook/RoutingPolicyReturnTest.java
+++ b/core/src/test/java/clayhook/RoutingPolicyReturnTest.java
@@ -58,6 +58,8 @@
         assertEquals(expectedLimit, returned.concurrencyLimit);
         assertEquals(expectedFailures, returned.consecutiveFailures);
         assertEquals(expectedBackoffUntil, returned.backoffUntil);
+        // A budget that begins anew within the same slow start would allow more than the node tolerates.
+        assertEquals(expectedFailures > 0, returned.slowStartBudget == departed.slowStartBudget);
     }
 
     /** Guards against a node that counts as accepting requests by what it answered before it was gone from the list. */
--- a/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
+++ b/core/src/test/java/clayhook/RoutingPolicyRoleTest.java
@@ -11,14 +11,16 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Tests who is believed about the role of a node, and what ends it. The list names the primary of the start for good.
+ * Tests which evidence decides the role of a node, and what ends it. The list always names the primary of the start.
  */
 class RoutingPolicyRoleTest {
     private static final double LONG_AGO = 0;
     /** After it a restarted node is not in slow start any more, so that only its role can keep a read from it. */
     private static final double SLOW_START_SECONDS = 15;
 
-    /** Replaces the fixture's nodes, all of which have told their roles, by a set of which only the list tells. */
+    /**
+     * Replaces the fixture's nodes, all of which have reported their roles, by a set that is known only from the list.
+     */
     private static RoutingFixture fixture(boolean healthChecksAllowed) {
         RoutingFixture fixture = RoutingFixture.builder()
                 .healthChecksAllowed(healthChecksAllowed)
@@ -27,7 +29,7 @@
         return fixture;
     }
 
-    /** A rolling restart: the former primary tells that it is a replica, drains, is removed, and returns. */
+    /** A rolling restart: the former primary reports that it is a replica, drains, is removed, and returns. */
     private static void restart(RoutingFixture fixture, Node formerPrimary) {
         fixture.now += 1;
         fixture.reportPosition(formerPrimary, Role.REPLICA, fixture.now);
@@ -49,7 +51,7 @@
     /** Guards against a stale strong read at a former primary that the list names again after a rolling restart. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
-    void strongReadIsNotSentToReturnedNodeThatToldThatItIsAReplica(boolean healthChecksAllowed) {
+    void strongReadIsNotSentToReturnedNodeThatReportedThatItIsAReplica(boolean healthChecksAllowed) {
         RoutingFixture fixture = fixture(healthChecksAllowed);
         restart(fixture, fixture.primary);
         assertStrongReadWaits(fixture);
@@ -57,7 +59,7 @@
 
     /** Guards against a returned former primary that never gets strong reads again although it was elected anew. */
     @Test
-    void strongReadIsSentToReturnedNodeOnceItTellsThatItIsPrimary() {
+    void strongReadIsSentToReturnedNodeOnceItReportsThatItIsPrimary() {
         RoutingFixture fixture = fixture(true);
         restart(fixture, fixture.primary);
         fixture.now += 1;
@@ -68,7 +70,7 @@
 
     /** Guards against a stale strong read after more nodes have left than are remembered. */
     @Test
-    void listedRoleOfReturnedNodeIsNotBelievedOnceItsAnswersAreForgotten() {
+    void listedRoleOfReturnedNodeIsNotUsedOnceItsAnswersAreForgotten() {
         RoutingFixture fixture = fixture(true);
         fixture.now += 1;
         fixture.reportPosition(fixture.primary, Role.REPLICA, fixture.now);
@@ -82,9 +84,11 @@
         assertStrongReadWaits(fixture);
     }
 
-    /** Guards against a stale strong read that waited for its connection while the node told that it is a replica. */
+    /**
+     * Guards against a stale strong read that waited for its connection while the node reported that it is a replica.
+     */
     @Test
-    void strongReadThatWaitsForItsConnectionIsNotSentOnceTheNodeToldThatItIsAReplica() {
+    void strongReadThatWaitsForItsConnectionIsNotSentOnceTheNodeReportedThatItIsAReplica() {
         RoutingFixture fixture = fixture(true);
         Attempt attempt = fixture.send(fixture.primaryClass(Idempotency.IDEMPOTENT));
         assertEquals(AttemptRefusal.NONE, fixture.policy.refusalOf(attempt, fixture.now));
@@ -93,9 +97,9 @@
         assertEquals(AttemptRefusal.READ_TOO_STALE, fixture.policy.refusalOf(attempt, fixture.now));
     }
 
-    /** Guards against a stale strong read at a draining node that tells with its errors that it is a replica. */
+    /** Guards against a stale strong read at a draining node whose errors report that it is a replica. */
     @Test
-    void roleToldWithAFailedHealthCheckIsBelieved() {
+    void roleReportedWithAFailedHealthCheckIsUsed() {
         RoutingFixture fixture = fixture(true);
         fixture.now += 0.1;
         fixture.failHealthCheck(fixture.primary, Role.REPLICA);
@@ -114,7 +118,7 @@
      * Guards against strong reads at the primary of the start, which the list names, after its successor stepped down.
      */
     @Test
-    void listedPrimaryIsNotBelievedOnceAnotherMemberHasToldThatItIsPrimary() {
+    void listedPrimaryIsNotUsedOnceAnotherMemberHasReportedThatItIsPrimary() {
         var listed = new Node("listed", "north", 1);
         RoutingFixture fixture = fixtureWithListedPrimary(listed);
         fixture.now += 1;
@@ -126,7 +130,7 @@
 
     /** Guards against a list whose news of a failover is ignored, so that strong reads wait for good. */
     @Test
-    void primaryThatTheListNamesAfterTheLastClaimIsBelieved() {
+    void primaryThatTheListNamesAfterTheLastClaimIsUsed() {
         RoutingFixture fixture = fixture(true);
         fixture.now += 1;
         fixture.reportPosition(fixture.primary, Role.REPLICA, fixture.now);
@@ -140,7 +144,7 @@
         assertEquals(elected, fixture.policy.route(write, fixture.now).attempt().node);
     }
 
-    /** Guards against a strong read that is sent to a cold former primary before its health check tells its role. */
+    /** Guards against a strong read that is sent to a cold former primary before its health check reports its role. */
     @Test
     void strongReadWaitsForTheHealthCheckOfAPrimaryThatOnlyTheListNames() {
         var listed = new Node("listed", "north", 2);
@@ -169,7 +173,7 @@
      * node. No further check is allowed here, as when the budget for checks is used up.
      */
     @Test
-    void roleToldWhileTheNodeIsGoneFromTheListIsBelieved() {
+    void roleReportedWhileTheNodeIsGoneFromTheListIsUsed() {
         RoutingFixture fixture = fixture(false);
         var listed = new Node("listed", "north", 2);
         fixture.updateListedPrimary(listed, State.READY, LONG_AGO);
--- a/daemon/src/main/java/clayhook/backend/AttemptCompletion.java
+++ b/daemon/src/main/java/clayhook/backend/AttemptCompletion.java
@@ -128,7 +128,7 @@
 
     /**
      * Returns the completion of a health check that ended as {@code completion}. Only there does an error that the node
-     * accepts no new requests count as its own word: a statement may raise any error itself.
+     * accepts no new requests count as a report of draining: a statement may raise any error itself.
      */
     static AttemptCompletion ofHealthCheck(AttemptCompletion completion) {
         boolean draining = completion instanceof NodeError error && CANNOT_CONNECT_NOW.equals(error.sqlState());
--- a/daemon/src/test/java/clayhook/backend/AttemptCompletionTest.java
+++ b/daemon/src/test/java/clayhook/backend/AttemptCompletionTest.java
@@ -30,7 +30,7 @@
     /** Guards against a statement that raises 57P03 itself and thereby closes its node for all clients. */
     @ParameterizedTest
     @CsvSource({"true, DRAINING", "false, ERROR"})
-    void onlyTheAnswerToAHealthCheckSaysThatTheNodeDrains(boolean healthCheck, AttemptOutcome outcome) {
+    void onlyTheAnswerToAHealthCheckReportsThatTheNodeDrains(boolean healthCheck, AttemptOutcome outcome) {
         var error = new AttemptCompletion.NodeError("57P03");
         assertEquals(outcome, (healthCheck ? AttemptCompletion.ofHealthCheck(error) : error).outcome());
     }
--- a/daemon/src/test/java/clayhook/backend/BackendClientTest.java
+++ b/daemon/src/test/java/clayhook/backend/BackendClientTest.java
@@ -80,7 +80,7 @@
     /** Guards against requests at a draining node that accepts no new connections and has idle ones. */
     @ParameterizedTest
     @CsvSource({"57P03, DRAINING", "28000, CONNECT_FAILED"})
-    void healthCheckWhoseConnectionIsRejectedAsDrainingSaysSo(String sqlState, AttemptOutcome outcome)
+    void healthCheckWhoseConnectionIsRejectedAsDrainingReportsDraining(String sqlState, AttemptOutcome outcome)
             throws Exception {
         try (var rejecting = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             Node node = backend.register((InetSocketAddress) rejecting.getLocalSocketAddress());
