Do not let a late complete list undo newer changes

A check that was sent before the watch reported a drain, and was answered with a complete list after that watch had failed, made the draining node count as ready again.

Cause: an older answer to a check was dropped only if it held changes; an older complete list was taken for that of a service that had begun anew.

Change: it is dropped, too, if it was polled before the last list was received.

A second test checks that a service that began anew is still believed.

--- a/daemon/src/main/java/clayhook/discovery/DiscoveryClient.java
+++ b/daemon/src/main/java/clayhook/discovery/DiscoveryClient.java
@@ -31,6 +31,8 @@
     private final WatchLivenessCheck livenessCheck;
     /** The newest list version reported, or {@link PollConnection#NO_VERSION} if none was. */
     private long version;
+    /** When the watch last received a list, in nanoseconds of the system's monotonic clock. */
+    private long lastListNanos = System.nanoTime();
     /** The connection of the watch, or null if no watch is open. */
     private PollConnection watchConnection;
     /**
@@ -230,13 +232,20 @@
         checkConnection = null;
         discard(watchConnection);
         watchConnection = connection;
-        // The watch may have reported newer changes while this answer was in transit; they must not be reverted.
-        boolean outdated = !list.complete() && list.version() < version;
+        // The watch may have reported newer changes while this answer was in transit; they must not be reverted. A
+        // complete list with a lower version that was polled later comes from a service that has begun anew.
+        boolean polledBeforeLastList = connection.secondsSincePoll() > secondsSinceLastList();
+        boolean outdated = list.version() < version && (!list.complete() || polledBeforeLastList);
         onWatchAnswered(connection, outdated ? new EndpointList(version, false, List.of()) : list, closes);
     }
 
+    private double secondsSinceLastList() {
+        return (System.nanoTime() - lastListNanos) / NANOS_PER_SECOND;
+    }
+
     private void onWatchAnswered(PollConnection connection, EndpointList list, boolean closes) {
         version = list.version();
+        lastListNanos = System.nanoTime();
         watchIsLate = false;
         PollConnection other = connection == watchConnection ? lateConnection : watchConnection;
         watchConnection = closes ? null : connection;
--- a/daemon/src/test/java/clayhook/discovery/EndpointWatcherTest.java
+++ b/daemon/src/test/java/clayhook/discovery/EndpointWatcherTest.java
@@ -333,6 +333,31 @@
         assertEquals("changes 45", events.take());
     }
 
+    /** Guards against a drain that is undone by an older complete list, which arrives after the watch has failed. */
+    @Test
+    void olderCompleteListDoesNotRevertANewerWatchAnswerOnceTheWatchHasFailed() throws Exception {
+        LinkedBlockingQueue<PendingCall> pendingCalls = startWithPendingCalls();
+        PendingCall watch = pendingCalls.take();
+        PendingCall check = pendingCalls.take();
+        answer(watch, list(44, false));
+        assertEquals("changes 44", events.take());
+        answer(pendingCalls.take(), "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        assertEquals("failed", events.take());
+        answer(check, list(43, true));
+        assertEquals("changes 44", events.take());
+        assertTrue(pendingCalls.take().call().contains("after=44&"));
+    }
+
+    /** Guards against a router that keeps its list for good after the service has lost its state. */
+    @Test
+    void completeListOfAServiceThatBeganAnewIsAppliedIfItWasPolledAfterTheLastList() throws Exception {
+        LinkedBlockingQueue<PendingCall> pendingCalls = startWithPendingCalls();
+        answer(pendingCalls.take(), "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        assertEquals("failed", events.take());
+        answer(pendingCalls.take(), list(3, true));
+        assertEquals("complete 3", events.take());
+    }
+
     /** A failed watch is otherwise reopened only on request; a check answered before that reopens it at once. */
     @Test
     void answeredCheckReplacesAFailedWatch() throws Exception {
