--- a/core/src/main/java/clayhook/DepartedNodes.java
+++ b/core/src/main/java/clayhook/DepartedNodes.java
@@ -30,7 +30,7 @@
     private void forgetOldest() {
         NodeState oldest = nodes.values().iterator().next();
         nodes.remove(oldest.node.id());
-        oldest.replicaSet.distrustListedRoles();
+        oldest.replicaSet.ignoreListedRoles();
     }
 
     /** Returns the node with this id that has left, or null. */
--- a/core/src/main/java/clayhook/ReplicaSet.java
+++ b/core/src/main/java/clayhook/ReplicaSet.java
@@ -57,7 +57,7 @@
     }
 
     /** Ignores listed roles from now on, as the role that a member reported was forgotten. */
-    void distrustListedRoles() {
+    void ignoreListedRoles() {
         newestPrimaryClaimAt = Double.POSITIVE_INFINITY;
     }
 
--- a/core/src/test/java/clayhook/EndpointListLeaseTest.java
+++ b/core/src/test/java/clayhook/EndpointListLeaseTest.java
@@ -113,6 +113,16 @@
         assertTrue(pushed.isValid(107));
     }
 
+    /** Guards against a pushed list of a former service that is relied on after a reload has moved the service. */
+    @Test
+    void pushedListIsReliedOnForFourSecondsAfterAReload() {
+        EndpointListLease pushed = pushed(true);
+        pushed.onConfirmed(100, 100);
+        pushed.onReload(101);
+        assertTrue(pushed.isValid(104.8));
+        assertFalse(pushed.isValid(105));
+    }
+
     /** While the service is down it learns nothing; what it learns at its return counts at once. */
     @Test
     void refusedConnectionConfirmsPushedListForAPartOfTheGracePeriod() {
