Go on checking for a primary when the budget for health checks is used up

Cause: while no member counts as primary all members are checked every 150 ms, which uses up the budget within half a second with five members. A client that waits for its answer sends nothing that pays for more.

Change: while requests wait for a primary, a budget that is used up gets one check per 150 ms, and the member that was checked longest ago comes first.

Why it works: the checks never end while a request waits, and each member gets its turn. At most 6.7 checks a second and router, none without a waiting request.

--- a/core/src/main/java/clayhook/RoutingPolicy.java
+++ b/core/src/main/java/clayhook/RoutingPolicy.java
@@ -134,6 +134,7 @@
     private final double retryBudgetCap;
     private double retryBudget;
     private double healthCheckBudget = HEALTH_CHECK_BUDGET_CAP;
+    private double electionCheckEarnedAt = NEVER; // when a check was last added during an election
     private boolean awaitingHealthCheck; // whether the last routed request waits for a check
     private boolean requestsWaiting; // whether any request waited since the last tick
     private int outstandingAttemptCount;
@@ -375,8 +376,24 @@
         boolean handsOver = primary != null && primary.drainsAsPrimary && !primary.isDrainingOrGone();
         if (handsOver) {
             requestHealthCheck(primary, now);
-        } else {
-            replicaSet.members.forEach(member -> requestHealthCheck(member, now));
+            return;
+        }
+        earnElectionCheck(now);
+        if (healthCheckBudget >= 1) {
+            replicaSet.members.stream()
+                    .sorted(Comparator.comparingDouble(member -> member.healthCheckSentAt))
+                    .forEach(member -> requestHealthCheck(member, now));
+        }
+    }
+
+    /**
+     * Adds one health check per interval to a budget that is used up, while requests wait for a primary. Otherwise a
+     * router with little traffic has no checks left when an election that took longer than its budget ends.
+     */
+    private void earnElectionCheck(double now) {
+        if (healthCheckBudget < 1 && now >= electionCheckEarnedAt + HEALTH_CHECK_INTERVAL) {
+            electionCheckEarnedAt = now;
+            healthCheckBudget = 1;
         }
     }
 
--- a/core/src/test/java/clayhook/RoutingPolicyPrimaryTest.java
+++ b/core/src/test/java/clayhook/RoutingPolicyPrimaryTest.java
@@ -5,6 +5,7 @@
 import clayhook.Decision.RoutingAction;
 import clayhook.Endpoint.State;
 import clayhook.RequestClass.Idempotency;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -115,32 +116,50 @@
                 fixture.otherReplica, fixture.policy.route(write, fixture.now).attempt().node);
     }
 
-    /**
-     * Guards against strong reads that are rejected for seconds after a planned handover: while the primary drained,
-     * the checks of all members used up the budget, so that none was left to find its successor.
-     */
-    @ParameterizedTest
-    @ValueSource(doubles = {0.5, 0.9})
-    void successorOfDrainingPrimaryIsFoundSoonAfterTheHandover(double handoverSeconds) {
-        Node successor = fixture.otherReplica;
-        fixture.reportDraining(fixture.primary, Role.PRIMARY);
-        Request read = fixture.request(fixture.primaryClass(Idempotency.IDEMPOTENT), 0);
-        double handedOverAt = fixture.now + handoverSeconds;
-        Decision decision = fixture.policy.route(read, fixture.now);
-        while (decision.action() == RoutingAction.WAIT && fixture.now < handedOverAt + 0.3) {
+    /** Routes the read until it waits no more; {@code reports} are the roles that health checks report from now on. */
+    private Decision routeWithChecks(Request read, Decision decision, double until, Map<Node, Role> reports) {
+        Decision last = decision;
+        while (last.action() == RoutingAction.WAIT && fixture.now < until) {
             fixture.now += 0.01;
-            boolean handedOver = fixture.now >= handedOverAt;
             for (Node node : fixture.policy.tick(fixture.now).healthChecks()) {
                 if (node.equals(fixture.primary)) {
-                    fixture.reportDraining(node, handedOver ? Role.REPLICA : Role.PRIMARY);
+                    fixture.reportDraining(node, reports.getOrDefault(node, Role.REPLICA));
                 } else {
-                    Role role = handedOver && node.equals(successor) ? Role.PRIMARY : Role.REPLICA;
-                    fixture.reportPosition(node, role, fixture.now);
+                    fixture.reportPosition(node, reports.getOrDefault(node, Role.REPLICA), fixture.now);
                 }
             }
-            decision = fixture.policy.route(read, fixture.now);
+            last = fixture.policy.route(read, fixture.now);
         }
+        return last;
+    }
+
+    /** Guards against reads that are rejected after a handover, as checks during the drain have used up the budget. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0.5, 0.9})
+    void successorOfDrainingPrimaryIsFoundSoonAfterTheHandover(double handoverSeconds) {
+        fixture.reportDraining(fixture.primary, Role.PRIMARY);
+        double handedOverAt = fixture.now + handoverSeconds;
+        Request read = fixture.request(fixture.primaryClass(Idempotency.IDEMPOTENT), 0);
+        Decision first = fixture.policy.route(read, fixture.now);
+        Decision waiting = routeWithChecks(read, first, handedOverAt, Map.of(fixture.primary, Role.PRIMARY));
+        Decision decision =
+                routeWithChecks(read, waiting, handedOverAt + 0.3, Map.of(fixture.otherReplica, Role.PRIMARY));
+        assertEquals(RoutingAction.SEND, decision.action());
+        assertEquals(fixture.otherReplica, decision.attempt().node);
+    }
+
+    /** Guards against reads that are rejected for seconds after an election that outlasts the budget for checks. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0.5, 0.9, 1.2})
+    void successorIsFoundByTheRequestThatWaitsForTheElection(double electionSeconds) {
+        fixture.now += 0.1;
+        fixture.reportDraining(fixture.primary, Role.REPLICA);
+        double electedAt = fixture.now + electionSeconds;
+        Request read = fixture.request(fixture.primaryClass(Idempotency.IDEMPOTENT), 0);
+        Decision first = fixture.policy.route(read, fixture.now);
+        Decision waiting = routeWithChecks(read, first, electedAt, Map.of());
+        Decision decision = routeWithChecks(read, waiting, read.deadline, Map.of(fixture.otherReplica, Role.PRIMARY));
         assertEquals(RoutingAction.SEND, decision.action());
-        assertEquals(successor, decision.attempt().node);
+        assertEquals(fixture.otherReplica, decision.attempt().node);
     }
 }
